Lay down the shape: core vocabulary, decisions, kernel and codecs

The packages and their folders follow docs/DESIGN.md (to come): keys into arenas, decisions as plain values without I/O, services found by name, and encodings apart from decisions. Nothing runs yet.

--- /dev/null
+++ b/cactusglade-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Vocabulary of cactusglade: keys, arenas, objects, error kinds, units and settings.
+//!
+//! Every other package depends on this one and it depends on none of them, so that a decision or
+//! a codec can be reused behind another front end. See `docs/DESIGN.md`.
+
+pub mod arena;
+pub mod errors;
+pub mod fields;
+pub mod io;
+pub mod meta;
+pub mod row;
+pub mod set;
+pub mod settings;
+pub mod units;
--- /dev/null
+++ b/cactusglade-core/src/settings/mod.rs
@@ -0,0 +1,169 @@
+//! Settings of a daemon, read from one TOML file and checked as a whole at start.
+//!
+//! `docs/INTERFACES.md` lists them with units and defaults.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::fields::Fields;
+use crate::fields::Problem;
+use crate::io::Reader;
+use crate::io::Toml;
+use crate::units::Millis;
+
+/// Result of reading settings: all problems at once where there are any.
+pub type Result<T> = std::result::Result<T, Vec<Problem>>;
+
+/// `Limits` bound what callers can make a daemon hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Open connections of callers, 1,024 by default.
+    pub connections: usize,
+    /// Longest request body in bytes, 1 MiB by default.
+    pub body_bytes: usize,
+    /// Longest head of a request in bytes, 16 KiB by default.
+    pub header_bytes: usize,
+    /// Longest time for a caller to send its headers, 5 s by default.
+    pub header_ms: Millis,
+    /// Longest time for a caller to send its body, 10 s by default.
+    pub body_ms: Millis,
+    /// Requests that wait for a slot, 1,024 by default.
+    pub queue: usize,
+    /// Longest answer of a plain service in bytes, 1 MiB by default.
+    pub answer_bytes: usize,
+    /// Longest time for open requests to finish after SIGTERM, 30 s by default.
+    pub drain_ms: Millis,
+}
+
+/// `Settings` of one daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Name of the daemon, unique among all of them.
+    pub name: String,
+    /// Availability zone that the daemon stands in.
+    pub zone: String,
+    /// Name of the daemon's host, as in the cloud's notices.
+    pub host: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators: readiness, liveness, metrics, status.
+    pub operators: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Peer addresses of other daemons that are tried until the host list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two readings of the platform's head, notices and host list, 1 s by default.
+    pub poll_ms: Millis,
+    /// Time between two exchanges with a peer, 500 ms by default.
+    pub gossip_ms: Millis,
+    /// Longest wait for one answer of the platform, 1 s by default.
+    pub platform_ms: Millis,
+    /// Bounds on what callers can make the daemon hold.
+    pub limits: Limits,
+}
+
+const FILE_MAX_MS: u64 = 3_600_000;
+
+impl Settings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of the file at once.
+    pub fn try_new(file: &str, text: &str) -> Result<Self> {
+        let problem = |reason: String| {
+            vec![Problem {
+                file: file.to_owned(),
+                path: "(file)".to_owned(),
+                reason,
+            }]
+        };
+        let value = Toml::read(text).map_err(|error| problem(error.to_string()))?;
+        let Value::Object(table) = value else {
+            return Err(problem("must be a table".to_owned()));
+        };
+        let mut fields = Fields::new(file, String::new(), &table);
+        let settings = read(&mut fields);
+        let problems = fields.finish();
+        if problems.is_empty() {
+            settings.ok_or_else(|| problem("incomplete".to_owned()))
+        } else {
+            Err(problems)
+        }
+    }
+}
+
+fn read(fields: &mut Fields<'_>) -> Option<Settings> {
+    let name = fields.text("name");
+    let callers = address(fields, "callers");
+    let operators = address(fields, "operators");
+    let peers = address(fields, "peers");
+    let platform = address(fields, "platform");
+    let seeds = seeds(fields);
+    let limits = limits(fields);
+    let mut span = |field, default| Millis(fields.whole(field, 1..=FILE_MAX_MS, Some(default)));
+    let poll_ms = span("poll_ms", 1_000);
+    let gossip_ms = span("gossip_ms", 500);
+    let platform_ms = span("platform_ms", 1_000);
+    Some(Settings {
+        host: fields.text_or_none("host").unwrap_or_else(|| name.clone()),
+        name,
+        zone: fields.text("zone"),
+        callers: callers?,
+        operators: operators?,
+        peers: peers?,
+        platform: platform?,
+        seeds,
+        poll_ms,
+        gossip_ms,
+        platform_ms,
+        limits,
+    })
+}
+
+fn address(fields: &mut Fields<'_>, field: &'static str) -> Option<SocketAddr> {
+    let text = fields.text(field);
+    let address = text.parse().ok();
+    if address.is_none() && !text.is_empty() {
+        fields.reject(field, format!("{text:?} is not IP:port"));
+    }
+    address
+}
+
+fn seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for text in fields.texts("seeds") {
+        match text.parse() {
+            Ok(address) => seeds.push(address),
+            Err(_) => fields.reject("seeds", format!("{text:?} is not IP:port")),
+        }
+    }
+    seeds
+}
+
+fn limits(fields: &mut Fields<'_>) -> Limits {
+    const MAX_COUNT: u64 = 1_000_000;
+    const MAX_BYTES: u64 = 64 << 20;
+    let mut count = |field, range: std::ops::RangeInclusive<u64>, default| {
+        usize::try_from(fields.whole(field, range, Some(default))).unwrap_or(usize::MAX)
+    };
+    let connections = count("max_connections", 1..=MAX_COUNT, 1_024);
+    let body_bytes = count("max_body_bytes", 1..=MAX_BYTES, 1 << 20);
+    let header_bytes = count("max_header_bytes", 8_192..=1 << 20, 16 << 10);
+    let queue = count("max_queue", 1..=MAX_COUNT, 1_024);
+    let answer_bytes = count("max_answer_bytes", 1..=MAX_BYTES, 1 << 20);
+    let mut span = |field, default| Millis(fields.whole(field, 1..=FILE_MAX_MS, Some(default)));
+    Limits {
+        connections,
+        body_bytes,
+        header_bytes,
+        header_ms: span("header_timeout_ms", 5_000),
+        body_ms: span("body_timeout_ms", 10_000),
+        queue,
+        answer_bytes,
+        drain_ms: span("drain_ms", 30_000),
+    }
+}
--- /dev/null
+++ b/cactusglade-kernel/src/name/mod.rs
@@ -0,0 +1,20 @@
+//! Names of services.
+
+use std::fmt;
+
+/// `Name` is what a service is found by: the daemon it belongs to and its own name.
+///
+/// The daemon is part of it because several may run in one process; see `docs/DESIGN.md`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Name<'a> {
+    /// Name of the daemon.
+    pub daemon: &'a str,
+    /// Name of the service in the daemon.
+    pub service: &'static str,
+}
+
+impl fmt::Display for Name<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.daemon, self.service)
+    }
+}
--- /dev/null
+++ b/cactusglade-policy/src/fair/mod.rs
@@ -0,0 +1,202 @@
+//! Start-time fair queueing by organisation.
+//!
+//! Each organisation carries a virtual time that grows with the tokens it was served over its
+//! weight; the waiting organisation with the least goes next. Service that other daemons of the
+//! zone gave counts too, so that flooding many entry hosts gains nothing. An organisation that
+//! comes back from idling starts at the virtual time of the queue: idling saves no credit. See
+//! `docs/DESIGN.md` for the bound.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use cactusglade_core::arena::Organisation;
+use cactusglade_core::meta::Class;
+
+/// Of this many grants while both classes wait, one goes to deferrable work, so that it finishes.
+const DEFERRABLE_TURN: u64 = 10;
+
+/// Virtual time in tokens over weight, scaled to stay whole.
+const SCALE: u64 = 1_000;
+
+/// Service elsewhere that can count against an organisation here, in tokens.
+const MAX_LEAD_TOKENS: u64 = 20_000;
+
+#[derive(Debug)]
+struct Flow<T> {
+    weight: u64,
+    virtual_time: u64,
+    interactive: VecDeque<T>,
+    deferrable: VecDeque<T>,
+}
+
+impl<T> Flow<T> {
+    fn lane(&mut self, class: Class) -> &mut VecDeque<T> {
+        match class {
+            Class::Interactive => &mut self.interactive,
+            Class::Deferrable => &mut self.deferrable,
+        }
+    }
+
+    fn has(&self, class: Class) -> bool {
+        match class {
+            Class::Interactive => !self.interactive.is_empty(),
+            Class::Deferrable => !self.deferrable.is_empty(),
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.has(Class::Interactive) || self.has(Class::Deferrable)
+    }
+}
+
+/// `Queue` orders the waiting requests of all organisations.
+#[derive(Debug)]
+pub struct Queue<T> {
+    flows: BTreeMap<Organisation, Flow<T>>,
+    virtual_time: u64,
+    grants: u64,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            flows: BTreeMap::new(),
+            virtual_time: 0,
+            grants: 0,
+        }
+    }
+}
+
+impl<T: Copy + PartialEq> Queue<T> {
+    /// Sets the weight of an organisation.
+    pub fn weigh(&mut self, organisation: Organisation, weight: u64) {
+        self.flow(organisation).weight = weight.max(1);
+    }
+
+    /// Forgets an organisation that has left the object set, and returns what it had waiting.
+    pub fn forget(&mut self, organisation: Organisation) -> Vec<T> {
+        let flow = self.flows.remove(&organisation);
+        flow.map(|flow| {
+            flow.interactive
+                .into_iter()
+                .chain(flow.deferrable)
+                .collect()
+        })
+        .unwrap_or_default()
+    }
+
+    /// Puts a request at the end of its organisation's line.
+    pub fn push(&mut self, organisation: Organisation, class: Class, item: T) {
+        let virtual_time = self.virtual_time;
+        let flow = self.flow(organisation);
+        if !flow.is_waiting() {
+            flow.virtual_time = flow.virtual_time.max(virtual_time);
+        }
+        flow.lane(class).push_back(item);
+    }
+
+    /// Puts a request that was granted before at the head of its organisation's line.
+    pub fn push_front(&mut self, organisation: Organisation, class: Class, item: T) {
+        self.flow(organisation).lane(class).push_front(item);
+    }
+
+    /// The request that goes next, left in place.
+    ///
+    /// Interactive work goes before deferrable but for one turn in ten.
+    #[must_use]
+    pub fn peek(&self) -> Option<(Organisation, Class, T)> {
+        let deferrable_first = self.grants % DEFERRABLE_TURN == DEFERRABLE_TURN - 1;
+        let order = if deferrable_first {
+            [Class::Deferrable, Class::Interactive]
+        } else {
+            [Class::Interactive, Class::Deferrable]
+        };
+        order.into_iter().find_map(|class| self.peek_class(class))
+    }
+
+    fn peek_class(&self, class: Class) -> Option<(Organisation, Class, T)> {
+        let (organisation, flow) = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.has(class))
+            .min_by_key(|(_, flow)| flow.virtual_time)?;
+        let lane = match class {
+            Class::Interactive => &flow.interactive,
+            Class::Deferrable => &flow.deferrable,
+        };
+        lane.front().map(|item| (*organisation, class, *item))
+    }
+
+    /// Takes the request that [`peek`](Self::peek) shows and charges its estimated tokens.
+    pub fn pop(&mut self, tokens: u64) -> Option<T> {
+        let (organisation, class, _) = self.peek()?;
+        self.grants += 1;
+        let flow = self.flow(organisation);
+        let item = flow.lane(class).pop_front();
+        let start = flow.virtual_time;
+        flow.virtual_time += tokens * SCALE / flow.weight;
+        self.virtual_time = self.virtual_time.max(start);
+        item
+    }
+
+    /// Corrects a charge once the real cost is known.
+    pub fn correct(&mut self, organisation: Organisation, tokens: i64) {
+        let Some(flow) = self.flows.get_mut(&organisation) else {
+            return;
+        };
+        let amount = tokens.unsigned_abs() * SCALE / flow.weight;
+        flow.virtual_time = if tokens < 0 {
+            flow.virtual_time.saturating_sub(amount)
+        } else {
+            flow.virtual_time + amount
+        };
+    }
+
+    /// Adds service that other daemons gave, up to a bounded lead.
+    ///
+    /// Without the bound an organisation that had the zone to itself for a while would wait here
+    /// until the others had caught up with all of it.
+    pub fn charge_remote(&mut self, organisation: Organisation, tokens: u64) {
+        let most = self.virtual_time;
+        let flow = self.flow(organisation);
+        let charged = flow.virtual_time + tokens * SCALE / flow.weight;
+        let bound = most + MAX_LEAD_TOKENS * SCALE / flow.weight;
+        flow.virtual_time = flow.virtual_time.max(charged.min(bound));
+    }
+
+    /// Takes a waiting request out, whether it gave up or ran out of time.
+    pub fn remove(&mut self, organisation: Organisation, item: T) -> bool {
+        let Some(flow) = self.flows.get_mut(&organisation) else {
+            return false;
+        };
+        let before = flow.interactive.len() + flow.deferrable.len();
+        flow.interactive.retain(|other| *other != item);
+        flow.deferrable.retain(|other| *other != item);
+        before > flow.interactive.len() + flow.deferrable.len()
+    }
+
+    /// How many requests wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.flows
+            .values()
+            .map(|flow| flow.interactive.len() + flow.deferrable.len())
+            .sum()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        !self.flows.values().any(Flow::is_waiting)
+    }
+
+    fn flow(&mut self, organisation: Organisation) -> &mut Flow<T> {
+        let virtual_time = self.virtual_time;
+        self.flows.entry(organisation).or_insert_with(|| Flow {
+            weight: 1,
+            virtual_time,
+            interactive: VecDeque::new(),
+            deferrable: VecDeque::new(),
+        })
+    }
+}
--- /dev/null
+++ b/cactusglade-wire/src/caller/mod.rs
@@ -0,0 +1,232 @@
+//! What callers send and are sent: chats in the usual streaming form, and errors.
+
+use cactusglade_core::errors::Kind;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Error of the caller's side.
+#[derive(Debug, thiserror::Error)]
+#[error("request is malformed: {0}")]
+pub struct Error(#[from] serde_json::Error);
+
+/// Result of the caller's side.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Tokens of an answer where the caller names no number.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+/// Last event of a stream.
+pub const DONE: &str = "data: [DONE]\n\n";
+
+/// `Message` is one turn of a chat.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: String,
+    /// What is said.
+    pub content: String,
+}
+
+/// `Chat` is a request for an answer of a model.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Chat {
+    /// Turns so far, the oldest first.
+    pub messages: Vec<Message>,
+    /// Whether the answer is to come as a stream.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens of the answer.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u64,
+}
+
+const fn default_max_tokens() -> u64 {
+    DEFAULT_MAX_TOKENS
+}
+
+impl Chat {
+    /// Reads a chat.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the body is no chat.
+    pub fn try_new(body: &[u8]) -> Result<Self> {
+        Ok(serde_json::from_slice(body)?)
+    }
+
+    /// The turns as the one text that engines continue.
+    #[must_use]
+    pub fn prompt(&self) -> String {
+        let mut prompt = String::new();
+        for message in &self.messages {
+            prompt.push_str(&message.role);
+            prompt.push_str(": ");
+            prompt.push_str(&message.content);
+            prompt.push('\n');
+        }
+        prompt
+    }
+}
+
+/// `Delta` is the part of an answer that a chunk brings.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Delta {
+    /// Text of the token; absent in the last chunk.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<String>,
+}
+
+/// `Choice` is the one answer of a chunk.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Choice {
+    /// Always zero.
+    pub index: u64,
+    /// What the chunk brings.
+    pub delta: Delta,
+    /// `stop` in the last chunk.
+    pub finish_reason: Option<String>,
+}
+
+/// `Chunk` is one event of a streamed answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Chunk {
+    /// Names the request.
+    pub id: String,
+    /// Always `chat.completion.chunk`.
+    pub object: String,
+    /// Name of the version.
+    pub model: String,
+    /// The one choice.
+    pub choices: Vec<Choice>,
+    /// Number of the token over the whole answer, from zero; absent in the last chunk.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_index: Option<u64>,
+}
+
+/// `Head` is what all chunks of one answer share.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Names the request.
+    pub id: String,
+    /// Name of the version.
+    pub model: String,
+}
+
+impl Head {
+    /// The event for one token.
+    ///
+    /// # Errors
+    ///
+    /// Fails only where the serialiser does.
+    pub fn token(&self, index: u64, text: &str) -> Result<String> {
+        let delta = Delta {
+            content: Some(text.to_owned()),
+        };
+        self.event(Some(index), delta, None)
+    }
+
+    /// The event that ends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails only where the serialiser does.
+    pub fn stop(&self) -> Result<String> {
+        self.event(None, Delta::default(), Some("stop".to_owned()))
+    }
+
+    fn event(
+        &self,
+        token_index: Option<u64>,
+        delta: Delta,
+        finish_reason: Option<String>,
+    ) -> Result<String> {
+        let chunk = Chunk {
+            id: self.id.clone(),
+            object: "chat.completion.chunk".to_owned(),
+            model: self.model.clone(),
+            choices: vec![Choice {
+                index: 0,
+                delta,
+                finish_reason,
+            }],
+            token_index,
+        };
+        Ok(format!("data: {}\n\n", serde_json::to_string(&chunk)?))
+    }
+
+    /// The body of an answer that is not streamed.
+    #[must_use]
+    pub fn whole(&self, text: &str, prompt_tokens: u64, answer_tokens: u64) -> String {
+        serde_json::json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "model": self.model,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": "stop",
+            }],
+            "usage": {
+                "prompt_tokens": prompt_tokens,
+                "completion_tokens": answer_tokens,
+                "total_tokens": prompt_tokens + answer_tokens,
+            },
+        })
+        .to_string()
+    }
+}
+
+/// `Failure` is the body of an error answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Failure {
+    /// Stable code of the error kind.
+    pub code: String,
+    /// What was wrong, for people.
+    pub message: String,
+    /// `no`, `maybe` or `yes`.
+    pub ran: String,
+    /// How long to wait before trying again, where that may help.
+    pub retry_after_ms: Option<u64>,
+    /// Names the request.
+    pub request_id: String,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Envelope {
+    error: Failure,
+}
+
+impl Failure {
+    /// The failure of one kind.
+    #[must_use]
+    pub fn new(kind: Kind, message: &str, request_id: &str) -> Self {
+        let answer = kind.answer();
+        Self {
+            code: answer.code.to_owned(),
+            message: message.to_owned(),
+            ran: answer.ran.word().to_owned(),
+            retry_after_ms: answer.retry_after.map(|span| span.0),
+            request_id: request_id.to_owned(),
+        }
+    }
+
+    /// Reads the body of an error answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the body is none.
+    pub fn try_new(body: &[u8]) -> Result<Self> {
+        Ok(serde_json::from_slice::<Envelope>(body)?.error)
+    }
+
+    /// The failure as the body of an answer.
+    #[must_use]
+    pub fn body(self) -> String {
+        serde_json::to_string(&Envelope { error: self }).unwrap_or_default()
+    }
+
+    /// The failure as the last event of a stream.
+    #[must_use]
+    pub fn event(self) -> String {
+        format!("event: error\ndata: {}\n\n", self.body())
+    }
+}
