--- /dev/null
+++ b/cactusglade-standin/src/service/mod.rs
@@ -0,0 +1,262 @@
+//! Stand-in for a plain service: idempotent status checks and non-idempotent bookings.
+//!
+//! Every run of a booking goes into a journal that a test can read.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cactusglade_wire::header;
+use hyper::Response;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::platform;
+use crate::server;
+use crate::server::Body;
+use crate::server::Call;
+use crate::server::Cut;
+use crate::server::Result;
+use crate::server::Standin;
+
+/// `Faults` that the service shows until it is told otherwise.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Refuses everything with 503 and a proof that nothing ran.
+    pub refuse: bool,
+    /// Milliseconds that every answer waits, after its effect.
+    pub delay_ms: u64,
+    /// Milliseconds that every call waits before its effect.
+    pub delay_before_ms: u64,
+    /// Calls that take effect and whose answer is then lost.
+    pub lose_answers: u64,
+    /// Calls that are answered with the answer of another call.
+    pub cross_answers: u64,
+    /// Calls whose answer is cut off in the middle.
+    pub cut_answers: u64,
+}
+
+/// `Run` is one run of a booking.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Run {
+    /// Request, as the daemon named it.
+    pub request: String,
+    /// Attempt, as the daemon named it.
+    pub attempt: String,
+    /// Organisation, as the daemon named it.
+    pub organisation: String,
+    /// Idempotency key, if there was one.
+    pub key: Option<String>,
+    /// Body of the call.
+    pub body: String,
+    /// Milliseconds since the stand-in started.
+    pub at_ms: u64,
+}
+
+struct Service {
+    started: std::time::Instant,
+    journal: Vec<Run>,
+    bookings: BTreeMap<u64, String>,
+    last_attempt: String,
+    faults: Faults,
+}
+
+struct Question {
+    call: Call,
+    reply: oneshot::Sender<Reply>,
+}
+
+enum Ending {
+    Whole,
+    Lost,
+    CutOff,
+}
+
+struct Reply {
+    status: u16,
+    body: String,
+    attempt: String,
+    proof: bool,
+    delay_ms: u64,
+    ending: Ending,
+}
+
+/// Starts the service stand-in.
+///
+/// # Errors
+///
+/// Returns the error of the socket when it can't be bound.
+pub async fn start(address: SocketAddr) -> std::io::Result<Standin> {
+    const MAILBOX: usize = 256;
+    let (questions, mailbox) = mpsc::channel(MAILBOX);
+    let (settings, faults) = tokio::sync::watch::channel(0);
+    tokio::spawn(own(Service::new(), mailbox, settings));
+    server::start(address, move |call| {
+        ask(questions.clone(), faults.clone(), call)
+    })
+    .await
+}
+
+async fn ask(
+    questions: mpsc::Sender<Question>,
+    before: tokio::sync::watch::Receiver<u64>,
+    call: Call,
+) -> Result<Response<Body>> {
+    if !call.path.starts_with("/control/") {
+        let milliseconds = *before.borrow();
+        server::delay(milliseconds).await;
+    }
+    let (reply, answer) = oneshot::channel();
+    questions
+        .send(Question { call, reply })
+        .await
+        .map_err(|_| Cut)?;
+    let reply = answer.await.map_err(|_| Cut)?;
+    server::delay(reply.delay_ms).await;
+    respond(reply).await
+}
+
+async fn respond(reply: Reply) -> Result<Response<Body>> {
+    let mut response = match reply.ending {
+        Ending::Lost => return Err(Cut),
+        Ending::Whole => server::whole(reply.status, "application/json", reply.body),
+        Ending::CutOff => {
+            let (frames, receiver) = mpsc::channel(2);
+            let half = reply.body.as_bytes()[..reply.body.len() / 2].to_vec();
+            // Both fit into the channel, so neither send waits or fails.
+            let _ = frames.send(Ok(Bytes::from(half))).await;
+            let _ = frames.send(Err(Cut)).await;
+            server::streamed("application/json", receiver)
+        }
+    };
+    if let Ok(value) = reply.attempt.parse() {
+        response.headers_mut().insert(header::ATTEMPT, value);
+    }
+    if reply.proof {
+        let no = hyper::header::HeaderValue::from_static("no");
+        response.headers_mut().insert(header::RAN, no);
+    }
+    Ok(response)
+}
+
+async fn own(
+    mut service: Service,
+    mut mailbox: mpsc::Receiver<Question>,
+    before: tokio::sync::watch::Sender<u64>,
+) {
+    while let Some(question) = mailbox.recv().await {
+        let reply = service.answer(&question.call);
+        before.send_replace(service.faults.delay_before_ms);
+        // The asker may have hung up, which is the fault of losing an answer.
+        let _ = question.reply.send(reply);
+    }
+}
+
+impl Service {
+    fn new() -> Self {
+        Self {
+            started: std::time::Instant::now(),
+            journal: Vec::new(),
+            bookings: BTreeMap::new(),
+            last_attempt: String::new(),
+            faults: Faults::default(),
+        }
+    }
+
+    fn answer(&mut self, call: &Call) -> Reply {
+        let attempt = call.header(header::ATTEMPT).unwrap_or_default();
+        if let Some(control) = call.path.strip_prefix("/control/") {
+            return self.control(control, call);
+        }
+        if self.faults.refuse {
+            let body = "{\"error\":\"refused\"}".to_owned();
+            return Reply {
+                proof: true,
+                ..whole(503, body, attempt)
+            };
+        }
+        let (status, body) = match call.method.as_str() {
+            "POST" => (201, self.book(call)),
+            _ => (200, self.status(call)),
+        };
+        let echoed = self.echo(&attempt);
+        let ending = self.ending();
+        self.last_attempt = attempt;
+        Reply {
+            delay_ms: self.faults.delay_ms,
+            ending,
+            ..whole(status, body, echoed)
+        }
+    }
+
+    fn echo(&mut self, attempt: &str) -> String {
+        if self.faults.cross_answers > 0 {
+            self.faults.cross_answers -= 1;
+            return format!("{}-crossed", self.last_attempt);
+        }
+        attempt.to_owned()
+    }
+
+    fn ending(&mut self) -> Ending {
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            Ending::Lost
+        } else if self.faults.cut_answers > 0 {
+            self.faults.cut_answers -= 1;
+            Ending::CutOff
+        } else {
+            Ending::Whole
+        }
+    }
+
+    fn book(&mut self, call: &Call) -> String {
+        let number = u64::try_from(self.journal.len()).unwrap_or(u64::MAX);
+        let body = String::from_utf8_lossy(&call.body).into_owned();
+        self.journal.push(Run {
+            request: call.header(header::REQUEST).unwrap_or_default(),
+            attempt: call.header(header::ATTEMPT).unwrap_or_default(),
+            organisation: call.header(header::ORGANISATION).unwrap_or_default(),
+            key: call.header(header::IDEMPOTENCY_KEY),
+            body: body.clone(),
+            at_ms: u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX),
+        });
+        self.bookings.insert(number, body.clone());
+        serde_json::json!({ "booking": number, "body": body }).to_string()
+    }
+
+    fn status(&self, call: &Call) -> String {
+        let number = call
+            .path
+            .rsplit('/')
+            .next()
+            .and_then(|last| last.parse().ok());
+        let booking = number.and_then(|number: u64| self.bookings.get(&number));
+        serde_json::json!({ "path": call.path, "booking": booking }).to_string()
+    }
+
+    fn control(&mut self, path: &str, call: &Call) -> Reply {
+        let journal = || serde_json::to_string(&self.journal).unwrap_or_default();
+        match path {
+            "journal" => whole(200, journal(), String::new()),
+            "faults" => {
+                let response = platform::set(&call.body, |faults| self.faults = faults);
+                whole(response.status().as_u16(), String::new(), String::new())
+            }
+            _ => whole(404, String::new(), String::new()),
+        }
+    }
+}
+
+fn whole(status: u16, body: String, attempt: String) -> Reply {
+    Reply {
+        status,
+        body,
+        attempt,
+        proof: false,
+        delay_ms: 0,
+        ending: Ending::Whole,
+    }
+}
