--- /dev/null
+++ b/cactusglade-cli/src/caller/mod.rs
@@ -0,0 +1,254 @@
+//! A caller for demonstrations, experiments and tests, which checks what it is answered.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use cactusglade_daemon::link::Connection;
+use cactusglade_standin::engine;
+use cactusglade_wire::caller as wire;
+use cactusglade_wire::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::LinesCodec;
+
+/// Longest time of one call.
+const WITHIN: Duration = Duration::from_secs(60);
+const EVENT: &str = "data: ";
+const ERROR: &str = "event: error";
+const LAST: &str = "[DONE]";
+
+/// Error of a call: the connection was not made or broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// Nothing was sent.
+    #[error("the daemon was not reached")]
+    NotReached,
+    /// The connection broke in the middle.
+    #[error("the connection was cut off")]
+    CutOff,
+}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Caller` is one organisation's client of one daemon.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The daemon's address for callers.
+    pub daemon: SocketAddr,
+    /// API key.
+    pub key: String,
+}
+
+/// `Stream` is what a streamed chat brought.
+#[derive(Clone, Debug, Default)]
+pub struct Stream {
+    /// HTTP status code.
+    pub status: u16,
+    /// Text of every token in the order of arrival.
+    pub tokens: Vec<String>,
+    /// Numbers of the tokens in the order of arrival.
+    pub indices: Vec<u64>,
+    /// Name of the version that answered.
+    pub version: String,
+    /// Whether the last event came.
+    pub done: bool,
+    /// The error, if there was one.
+    pub failure: Option<wire::Failure>,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Time to the end.
+    pub took: Duration,
+}
+
+impl Stream {
+    /// Whether this is the whole answer to a prompt, each token once and none missing.
+    #[must_use]
+    pub fn is_whole(&self, content: &str, max_tokens: u64) -> bool {
+        let prompt = prompt(content);
+        let total = engine::length(&prompt, max_tokens);
+        let numbers = (0..total).collect::<Vec<_>>();
+        let texts = numbers.iter().map(|index| engine::token(&prompt, *index));
+        self.done && self.indices == numbers && texts.eq(self.tokens.iter().cloned())
+    }
+}
+
+/// `Answer` of a plain service or an error.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// What the daemon says about whether it ran, on errors.
+    pub ran: Option<String>,
+    /// Body.
+    pub body: String,
+}
+
+/// The text that engines are given for a chat of one user turn.
+#[must_use]
+pub fn prompt(content: &str) -> String {
+    format!("user: {content}\n")
+}
+
+impl Caller {
+    /// Streams a chat of one user turn.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon is not reached or the connection breaks.
+    pub async fn chat(&self, path: &str, content: &str, max_tokens: u64) -> Result<Stream> {
+        let message = wire::Message {
+            role: "user".to_owned(),
+            content: content.to_owned(),
+        };
+        let chat = wire::Chat {
+            messages: vec![message],
+            stream: true,
+            max_tokens,
+        };
+        let body = serde_json::to_vec(&chat).unwrap_or_default();
+        let stream = self.stream(path, body);
+        tokio::time::timeout(WITHIN, stream)
+            .await
+            .unwrap_or(Err(Error::CutOff))
+    }
+
+    /// Calls a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon is not reached or the connection breaks.
+    pub async fn plain(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        idempotency_key: Option<&str>,
+    ) -> Result<Answer> {
+        let call = async {
+            let body = body.as_bytes().to_vec();
+            let (_connection, response) = self.send(method, path, body, idempotency_key).await?;
+            let ran = response.headers().get(header::RAN);
+            let ran = ran.and_then(|ran| ran.to_str().ok()).map(str::to_owned);
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|_| Error::CutOff)?.to_bytes();
+            let body = String::from_utf8_lossy(&body).into_owned();
+            Ok(Answer { status, ran, body })
+        };
+        tokio::time::timeout(WITHIN, call)
+            .await
+            .unwrap_or(Err(Error::CutOff))
+    }
+
+    async fn stream(&self, path: &str, body: Vec<u8>) -> Result<Stream> {
+        let started = Instant::now();
+        let (_connection, response) = self.send("POST", path, body, None).await?;
+        let mut stream = Stream {
+            status: response.status().as_u16(),
+            ..Stream::default()
+        };
+        if stream.status != 200 {
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|_| Error::CutOff)?.to_bytes();
+            stream.failure = wire::Failure::try_new(&body).ok();
+            stream.took = started.elapsed();
+            return Ok(stream);
+        }
+        let mut reader = Reader {
+            stream,
+            started,
+            failing: false,
+        };
+        reader.read(response.into_body()).await?;
+        reader.stream.took = started.elapsed();
+        Ok(reader.stream)
+    }
+
+    async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+        idempotency_key: Option<&str>,
+    ) -> Result<(Connection, Response<Incoming>)> {
+        let connection = Connection::try_new(self.daemon, WITHIN).await;
+        let mut connection = connection.map_err(|_| Error::NotReached)?;
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(hyper::header::HOST, self.daemon.to_string())
+            .header(hyper::header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(hyper::header::CONTENT_TYPE, "application/json");
+        if let Some(key) = idempotency_key {
+            request = request.header(header::IDEMPOTENCY_KEY, key);
+        }
+        let request = request.body(Full::new(Bytes::from(body)));
+        let request = request.map_err(|_| Error::NotReached)?;
+        let response = connection.send(request).await;
+        Ok((connection, response.map_err(|_| Error::CutOff)?))
+    }
+}
+
+struct Reader {
+    stream: Stream,
+    started: Instant,
+    failing: bool,
+}
+
+impl Reader {
+    async fn read(&mut self, mut body: Incoming) -> Result<()> {
+        let mut codec = LinesCodec::new();
+        let mut buffer = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Error::CutOff)?;
+            if let Ok(data) = frame.into_data() {
+                buffer.extend_from_slice(&data);
+            }
+            while let Ok(Some(line)) = codec.decode(&mut buffer) {
+                self.line(&line);
+            }
+        }
+        Ok(())
+    }
+
+    fn line(&mut self, line: &str) {
+        if line == ERROR {
+            self.failing = true;
+        } else if let Some(data) = line.strip_prefix(EVENT) {
+            self.event(data);
+        }
+    }
+
+    fn event(&mut self, data: &str) {
+        if self.failing {
+            self.stream.failure = wire::Failure::try_new(data.as_bytes()).ok();
+        } else if data == LAST {
+            self.stream.done = true;
+        } else if let Ok(chunk) = serde_json::from_str::<wire::Chunk>(data) {
+            self.chunk(chunk);
+        }
+    }
+
+    fn chunk(&mut self, chunk: wire::Chunk) {
+        self.stream.version = chunk.model;
+        let text = chunk
+            .choices
+            .into_iter()
+            .find_map(|choice| choice.delta.content);
+        if let (Some(index), Some(text)) = (chunk.token_index, text) {
+            self.stream
+                .first_token
+                .get_or_insert_with(|| self.started.elapsed());
+            self.stream.indices.push(index);
+            self.stream.tokens.push(text);
+        }
+    }
+}
--- /dev/null
+++ b/cactusglade-cli/src/commands/mod.rs
@@ -0,0 +1,180 @@
+//! The subcommands of `cactusglade`.
+
+mod address;
+mod publish;
+mod rollout;
+mod standin;
+mod status;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::demo;
+use crate::objects;
+
+pub use publish::Publish;
+pub use rollout::Rollout;
+pub use standin::Standin;
+pub use status::Status;
+
+/// Exit code for something that was tried and did not succeed.
+pub const FAILED: u8 = 1;
+/// Exit code for arguments or files that are wrong.
+pub const USAGE: u8 = 2;
+/// Exit code for something of which nobody knows whether it took effect.
+pub const UNKNOWN: u8 = 3;
+
+/// Error of a subcommand: what to print and the exit code.
+#[derive(Debug, thiserror::Error)]
+#[error("{message}")]
+pub struct Error {
+    message: String,
+    code: u8,
+}
+
+/// Result of a subcommand: what to print.
+pub type Result<T> = std::result::Result<T, Error>;
+
+fn failed(message: impl ToString) -> Error {
+    Error {
+        message: message.to_string(),
+        code: FAILED,
+    }
+}
+
+fn usage(message: impl ToString) -> Error {
+    Error {
+        message: message.to_string(),
+        code: USAGE,
+    }
+}
+
+/// Publishes object sets, shows how they stand, and runs stand-ins and demonstrations.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check object files and print every problem")]
+    Check(Check),
+    #[options(help = "publish object files as the next generation")]
+    Publish(Publish),
+    #[options(help = "show how a daemon and those it knows stand")]
+    Status(Status),
+    #[options(help = "list rollouts or show one")]
+    Rollout(Rollout),
+    #[options(help = "run a stand-in: platform, engine or service")]
+    Standin(Standin),
+    #[options(help = "run everything in one process for a minute and say what happened")]
+    Demo(Demo),
+}
+
+/// Checks object files as a whole. Example: cactusglade check objects/
+#[derive(Debug, Options)]
+struct Check {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "folder of object files, or one file")]
+    objects: String,
+}
+
+/// Runs stand-ins and three daemons in one process. Example: cactusglade demo --seed 7
+#[derive(Debug, Options)]
+struct Demo {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "seed of the callers' choices",
+        meta = "N",
+        default = "1"
+    )]
+    seed: u64,
+    #[options(no_short, help = "print the daemons' logs on the standard error")]
+    logs: bool,
+}
+
+/// Runs the tool and gives back its exit code.
+pub async fn run(words: &[String]) -> ExitCode {
+    let arguments = match Arguments::parse_args_default(words) {
+        Ok(arguments) => arguments,
+        Err(error) => return print(Err(usage(format!("{error}\nTry: cactusglade --help")))),
+    };
+    if arguments.version {
+        return print(Ok(format!("cactusglade {}", env!("CARGO_PKG_VERSION"))));
+    }
+    if arguments.help_requested() {
+        return print(Ok(help(&arguments)));
+    }
+    let Some(command) = arguments.command else {
+        return print(Err(usage(help(&arguments))));
+    };
+    print(command.run().await)
+}
+
+fn help(arguments: &Arguments) -> String {
+    let mut text = arguments.self_usage().to_owned();
+    if let Some(commands) = arguments.self_command_list() {
+        text = format!("{text}\n\nCommands:\n{commands}\n\nMore: cactusglade COMMAND --help");
+    }
+    if let Some(name) = arguments.command_name() {
+        let about = arguments.command.as_ref().map_or("", Options::self_usage);
+        text = format!("Usage: cactusglade {name} [OPTIONS]\n\n{about}");
+    }
+    text
+}
+
+fn print(result: Result<String>) -> ExitCode {
+    match result {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.code)
+        }
+    }
+}
+
+impl Command {
+    async fn run(self) -> Result<String> {
+        match self {
+            Self::Check(check) => check.run(),
+            Self::Publish(publish) => publish.run().await,
+            Self::Status(status) => status.run().await,
+            Self::Rollout(rollout) => rollout.run().await,
+            Self::Standin(standin) => standin.run().await,
+            Self::Demo(demo) => demo::run(demo.seed, demo.logs).await.map_err(failed),
+        }
+    }
+}
+
+impl Check {
+    fn run(&self) -> Result<String> {
+        match objects::load(Path::new(&self.objects)) {
+            Ok(_) => Ok(format!("{}: no problems", self.objects)),
+            Err(problems) => Err(listed(&problems)),
+        }
+    }
+}
+
+/// Every problem on a line of its own.
+fn listed(problems: &[cactusglade_core::fields::Problem]) -> Error {
+    let lines = problems.iter().map(ToString::to_string);
+    let mut lines = lines.collect::<Vec<_>>();
+    lines.push(format!(
+        "{} problem(s); nothing was published",
+        problems.len()
+    ));
+    usage(lines.join("\n"))
+}
--- /dev/null
+++ b/cactusglade-cli/src/commands/standin.rs
@@ -0,0 +1,79 @@
+//! `cactusglade standin`.
+
+use cactusglade_standin::engine;
+use cactusglade_standin::platform;
+use cactusglade_standin::service;
+use gumdrop::Options;
+
+use crate::commands::Result;
+use crate::commands::address::Address;
+use crate::commands::failed;
+use crate::commands::usage;
+
+/// Runs a stand-in until it is ended. Its first line says where it listens.
+///
+/// Example: cactusglade standin engine --listen 127.0.0.1:7201 --versions chat-v1
+#[derive(Debug, Options)]
+pub struct Standin {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "platform, engine or service")]
+    kind: String,
+    #[options(
+        no_short,
+        help = "address to listen on",
+        meta = "IP:PORT",
+        default = "127.0.0.1:0"
+    )]
+    listen: Address,
+    #[options(
+        no_short,
+        help = "versions that an engine has loaded, with commas",
+        meta = "LIST"
+    )]
+    versions: Option<String>,
+    #[options(
+        no_short,
+        help = "requests that an engine works on at once",
+        meta = "N"
+    )]
+    slots: Option<usize>,
+    #[options(no_short, help = "an engine's microseconds between tokens", meta = "N")]
+    token_us: Option<u64>,
+    #[options(no_short, help = "an engine refuses orders with an old fencing number")]
+    fencing: bool,
+}
+
+impl Standin {
+    pub async fn run(self) -> Result<String> {
+        let running = match self.kind.as_str() {
+            "platform" => platform::start(self.listen.0, platform::Options::default()).await,
+            "engine" => engine::start(self.listen.0, self.engine()).await,
+            "service" => service::start(self.listen.0).await,
+            other => {
+                return Err(usage(format!(
+                    "{other:?} is none of platform, engine, service"
+                )));
+            }
+        };
+        let running = running.map_err(failed)?;
+        println!("listening on {}", running.address);
+        running.wait().await;
+        Ok(String::new())
+    }
+
+    fn engine(&self) -> engine::Options {
+        let defaults = engine::Options::default();
+        let versions = self.versions.as_deref().unwrap_or_default().split(',');
+        engine::Options {
+            versions: versions
+                .filter(|name| !name.is_empty())
+                .map(str::to_owned)
+                .collect(),
+            slots: self.slots.unwrap_or(defaults.slots),
+            token_us: self.token_us.unwrap_or(defaults.token_us),
+            fencing: self.fencing,
+            ..defaults
+        }
+    }
+}
--- /dev/null
+++ b/cactusglade-cli/src/demo/fleet.rs
@@ -0,0 +1,185 @@
+//! The stand-ins and daemons of the demonstration, in one process on loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusglade_core::settings::Settings;
+use cactusglade_daemon::boot::Daemon;
+use cactusglade_daemon::link::Client;
+use cactusglade_daemon::log;
+use cactusglade_daemon::platform::Platform;
+use cactusglade_standin::engine;
+use cactusglade_standin::platform;
+use cactusglade_standin::server::Standin;
+use cactusglade_standin::service;
+use cactusglade_wire::platform::Host;
+use serde::Serialize;
+
+use crate::demo::Error;
+use crate::demo::Result;
+use crate::demo::failed;
+use crate::demo::objects::Upstream;
+
+/// Availability zones.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+const ENGINES_PER_ZONE: usize = 2;
+const SERVICE_ZONES: [&str; 2] = ["a", "b"];
+const CALL: Duration = Duration::from_secs(2);
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// `Backend` is a running stand-in with its object.
+pub struct Backend {
+    /// Its object.
+    pub object: Upstream,
+    /// The stand-in.
+    pub standin: Standin,
+}
+
+/// `Fleet` is all that runs.
+pub struct Fleet {
+    /// The platform stand-in.
+    pub platform: Standin,
+    /// The back ends.
+    pub backends: Vec<Backend>,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins, then one daemon in each zone.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a socket can't be bound or a daemon does not start.
+    pub async fn try_new(logs: bool) -> Result<Self> {
+        let platform = platform::start(ANY, platform::Options::default()).await;
+        let platform = platform.map_err(|error| failed(&error))?;
+        let mut backends = Vec::new();
+        for zone in ZONES {
+            for number in 0..ENGINES_PER_ZONE {
+                backends.push(engine(zone, number).await?);
+            }
+        }
+        for zone in SERVICE_ZONES {
+            backends.push(booking(zone).await?);
+        }
+        let mut daemons = Vec::new();
+        for zone in ZONES {
+            daemons.push(daemon(zone, platform.address, logs).await?);
+        }
+        let fleet = Self {
+            platform,
+            backends,
+            daemons,
+        };
+        fleet.list_hosts().await?;
+        Ok(fleet)
+    }
+
+    /// A client of the platform.
+    #[must_use]
+    pub fn client(&self) -> Platform {
+        Platform::new(Client::new(self.platform.address, CALL))
+    }
+
+    /// The objects of all back ends.
+    #[must_use]
+    pub fn upstreams(&self) -> Vec<Upstream> {
+        let objects = self.backends.iter().map(|backend| backend.object.clone());
+        objects.collect()
+    }
+
+    /// Tells the platform stand-in where the daemons are.
+    async fn list_hosts(&self) -> Result<()> {
+        let hosts = ZONES.iter().zip(&self.daemons).map(|(zone, daemon)| Host {
+            name: format!("entry-{zone}"),
+            zone: (*zone).to_owned(),
+            leaving: false,
+            peers: Some(daemon.peers.to_string()),
+        });
+        let hosts = hosts.collect::<Vec<_>>();
+        control(self.platform.address, "hosts", &hosts).await
+    }
+}
+
+/// Tells a stand-in something through its control path.
+///
+/// # Errors
+///
+/// Fails when the stand-in does not accept it.
+pub async fn control(address: SocketAddr, path: &str, message: &impl Serialize) -> Result<()> {
+    let body = serde_json::to_vec(message).unwrap_or_default();
+    let path = format!("/control/{path}");
+    let answer = Client::new(address, CALL).call("POST", &path, body).await;
+    match answer {
+        Ok(answer) if answer.status == 200 => Ok(()),
+        Ok(answer) => Err(Error(format!("{path}: status {}", answer.status))),
+        Err(error) => Err(failed(&error)),
+    }
+}
+
+/// Reads something from a stand-in's control path.
+///
+/// # Errors
+///
+/// Fails when the stand-in does not answer with what is asked for.
+pub async fn read<T: for<'a> serde::Deserialize<'a>>(address: SocketAddr, path: &str) -> Result<T> {
+    let path = format!("/control/{path}");
+    let client = Client::new(address, CALL);
+    let answer = client.call("GET", &path, Vec::new()).await;
+    let answer = answer.map_err(|error| failed(&error))?;
+    serde_json::from_slice(&answer.body).map_err(|error| failed(&error))
+}
+
+async fn engine(zone: &str, number: usize) -> Result<Backend> {
+    let options = engine::Options {
+        versions: vec!["chat-v1".to_owned(), "chat-v2".to_owned()],
+        token_us: 5_000,
+        ..engine::Options::default()
+    };
+    let standin = engine::start(ANY, options).await;
+    backend(format!("engine-{zone}-{number}"), zone, standin, true)
+}
+
+async fn booking(zone: &str) -> Result<Backend> {
+    backend(
+        format!("bookings-{zone}"),
+        zone,
+        service::start(ANY).await,
+        false,
+    )
+}
+
+fn backend(
+    name: String,
+    zone: &str,
+    standin: std::io::Result<Standin>,
+    engine: bool,
+) -> Result<Backend> {
+    let standin = standin.map_err(|error| failed(&error))?;
+    let object = Upstream {
+        name,
+        zone: zone.to_owned(),
+        address: standin.address,
+        engine,
+    };
+    Ok(Backend { object, standin })
+}
+
+async fn daemon(zone: &str, platform: SocketAddr, logs: bool) -> Result<Daemon> {
+    let text = format!(
+        "name = \"entry-{zone}\"\nzone = \"{zone}\"\ncallers = \"127.0.0.1:0\"\n\
+         operators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nplatform = \"{platform}\"\n\
+         poll_ms = 500\ngossip_ms = 250\n"
+    );
+    let settings = Settings::try_new("(demo)", &text)
+        .map_err(|problems| Error(problems.iter().map(ToString::to_string).collect()))?;
+    let log = if logs {
+        log::logger(std::io::stderr(), &settings.name)
+    } else {
+        slog::Logger::root(slog::Discard, slog::o!())
+    };
+    Daemon::try_new(&settings, log)
+        .await
+        .map_err(|error| failed(&error))
+}
--- /dev/null
+++ b/cactusglade-cli/src/demo/load.rs
@@ -0,0 +1,266 @@
+//! The callers of the demonstration: chats, bookings and repeats, each answer checked.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::caller::Caller;
+use crate::demo::objects;
+
+const CHATTERS: u64 = 12;
+const BOOKERS: u64 = 4;
+const MAX_TOKENS: std::ops::Range<u64> = 20..80;
+const PAUSE: std::ops::Range<u64> = 20..80;
+
+/// `Tally` is what the callers saw.
+#[derive(Debug)]
+pub struct Tally {
+    /// Chats that were whole.
+    pub whole: u64,
+    /// Chats that were accepted and not whole; must stay zero.
+    pub broken: Vec<String>,
+    /// Refusals by code.
+    pub refused: BTreeMap<String, u64>,
+    /// Chats by version.
+    pub versions: BTreeMap<String, u64>,
+    /// Time to the first token in microseconds.
+    pub first_token: Histogram<u64>,
+    /// Mean time between tokens in microseconds.
+    pub between_tokens: Histogram<u64>,
+    /// Idempotency keys with the answers that their repeats were given.
+    pub bookings: BTreeMap<String, Vec<Booking>>,
+    /// Status checks answered.
+    pub checks: u64,
+}
+
+/// `Booking` is the answer to one call with an idempotency key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Booking {
+    /// HTTP status code.
+    pub status: u16,
+    /// What was said about whether it ran, on errors.
+    pub ran: Option<String>,
+    /// Body.
+    pub body: String,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        const DIGITS: u8 = 2;
+        // Two digits are a valid precision.
+        let histogram = || Histogram::new(DIGITS).expect("two digits are valid");
+        Self {
+            whole: 0,
+            broken: Vec::new(),
+            refused: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            first_token: histogram(),
+            between_tokens: histogram(),
+            bookings: BTreeMap::new(),
+            checks: 0,
+        }
+    }
+}
+
+impl Tally {
+    fn merge(&mut self, other: Self) {
+        self.whole += other.whole;
+        self.broken.extend(other.broken);
+        for (code, count) in other.refused {
+            *self.refused.entry(code).or_default() += count;
+        }
+        for (version, count) in other.versions {
+            *self.versions.entry(version).or_default() += count;
+        }
+        // Both have the same precision and grow as needed.
+        let _ = self.first_token.add(other.first_token);
+        let _ = self.between_tokens.add(other.between_tokens);
+        for (key, answers) in other.bookings {
+            self.bookings.entry(key).or_default().extend(answers);
+        }
+        self.checks += other.checks;
+    }
+}
+
+/// `Load` runs callers until it is stopped.
+pub struct Load {
+    callers: JoinSet<Tally>,
+    stop: watch::Sender<()>,
+}
+
+impl Load {
+    /// Starts the callers of all organisations over all daemons that the channel names.
+    #[must_use]
+    pub fn start(daemons: &watch::Receiver<Vec<SocketAddr>>, seed: u64) -> Self {
+        let (stop, stopped) = watch::channel(());
+        let mut callers = JoinSet::new();
+        for number in 0..CHATTERS {
+            let one = One::new(daemons.clone(), stopped.clone(), seed, number);
+            callers.spawn(one.chat());
+        }
+        for number in CHATTERS..CHATTERS + BOOKERS {
+            let one = One::new(daemons.clone(), stopped.clone(), seed, number);
+            callers.spawn(one.book());
+        }
+        Self { callers, stop }
+    }
+
+    /// Lets every caller finish what it began and gives back what all of them saw.
+    pub async fn stop(mut self) -> Tally {
+        drop(self.stop);
+        let mut tally = Tally::default();
+        while let Some(seen) = self.callers.join_next().await {
+            match seen {
+                Ok(seen) => tally.merge(seen),
+                Err(error) => tally.broken.push(format!("a caller failed: {error}")),
+            }
+        }
+        tally
+    }
+}
+
+struct One {
+    daemons: watch::Receiver<Vec<SocketAddr>>,
+    stopped: watch::Receiver<()>,
+    random: StdRng,
+    number: u64,
+    tally: Tally,
+}
+
+impl One {
+    fn new(
+        daemons: watch::Receiver<Vec<SocketAddr>>,
+        stopped: watch::Receiver<()>,
+        seed: u64,
+        number: u64,
+    ) -> Self {
+        Self {
+            daemons,
+            stopped,
+            random: StdRng::seed_from_u64(seed ^ (number << 32)),
+            number,
+            tally: Tally::default(),
+        }
+    }
+
+    fn caller(&mut self) -> Caller {
+        let daemons = self.daemons.borrow().clone();
+        let daemon = daemons[self.random.random_range(0..daemons.len())];
+        let organisations = objects::ORGANISATIONS;
+        let place = usize::try_from(self.number).unwrap_or(0) % organisations.len();
+        let key = objects::api_key(organisations[place].0);
+        Caller { daemon, key }
+    }
+
+    /// Waits a little and says whether to go on.
+    async fn pause(&mut self) -> bool {
+        let pause = Duration::from_millis(self.random.random_range(PAUSE));
+        tokio::time::timeout(pause, self.stopped.changed())
+            .await
+            .is_err()
+    }
+
+    async fn chat(mut self) -> Tally {
+        let mut turn = 0_u64;
+        while self.pause().await {
+            turn += 1;
+            let caller = self.caller();
+            let dossier = "lorem ipsum ".repeat(self.random.random_range(1..60));
+            let content = format!("{} {turn} {dossier}", self.number);
+            let max_tokens = self.random.random_range(MAX_TOKENS);
+            match caller.chat(objects::CHAT, &content, max_tokens).await {
+                Ok(stream) => self.judge(&stream, &content, max_tokens),
+                Err(error) => self.tally.broken.push(format!("chat: {error}")),
+            }
+        }
+        self.tally
+    }
+
+    fn judge(&mut self, stream: &crate::caller::Stream, content: &str, max_tokens: u64) {
+        if stream.is_whole(content, max_tokens) {
+            self.tally.whole += 1;
+            *self
+                .tally
+                .versions
+                .entry(stream.version.clone())
+                .or_default() += 1;
+            let first = stream.first_token.unwrap_or_default();
+            let micros = |span: Duration| u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+            // The histograms grow as needed.
+            let _ = self.tally.first_token.record(micros(first));
+            let gaps = max_tokens.saturating_sub(1).max(1);
+            let _ = self
+                .tally
+                .between_tokens
+                .record(micros(stream.took.saturating_sub(first)) / gaps);
+            return;
+        }
+        match &stream.failure {
+            Some(failure) if stream.status != 200 => {
+                *self.tally.refused.entry(failure.code.clone()).or_default() += 1;
+            }
+            _ => self.tally.broken.push(format!(
+                "chat of {max_tokens} tokens: status {}, {} tokens, done {}, {:?}",
+                stream.status,
+                stream.tokens.len(),
+                stream.done,
+                stream.failure
+            )),
+        }
+    }
+
+    async fn book(mut self) -> Tally {
+        let mut turn = 0_u64;
+        while self.pause().await {
+            turn += 1;
+            let key = format!("slot-{}-{turn}", self.number);
+            let body = format!("{{\"slot\":\"{key}\"}}");
+            let (one, two) = (self.caller(), self.caller());
+            // The same booking through two daemons at once, as an impatient client sends it.
+            let (first, second) = tokio::join!(
+                one.plain("POST", objects::BOOKINGS, &body, Some(&key)),
+                two.plain("POST", objects::BOOKINGS, &body, Some(&key)),
+            );
+            for answer in [first, second] {
+                match answer {
+                    Ok(answer) => self.booked(&key, answer),
+                    Err(error) => self.tally.broken.push(format!("booking: {error}")),
+                }
+            }
+            let path = format!("{}/{turn}", objects::STATUS);
+            let check = self.caller().plain("GET", &path, "", None).await;
+            match check {
+                Ok(answer) if answer.status == 200 => self.tally.checks += 1,
+                Ok(answer) => self.refuse(&answer.body),
+                Err(error) => self.tally.broken.push(format!("status check: {error}")),
+            }
+        }
+        self.tally
+    }
+
+    fn booked(&mut self, key: &str, answer: crate::caller::Answer) {
+        if answer.status != 201 {
+            self.refuse(&answer.body);
+        }
+        let booking = Booking {
+            status: answer.status,
+            ran: answer.ran,
+            body: answer.body,
+        };
+        let name = format!("{}/{key}", self.number);
+        self.tally.bookings.entry(name).or_default().push(booking);
+    }
+
+    fn refuse(&mut self, body: &str) {
+        let failure = cactusglade_wire::caller::Failure::try_new(body.as_bytes());
+        let code = failure.map_or_else(|_| "unnamed".to_owned(), |failure| failure.code);
+        *self.tally.refused.entry(code).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/cactusglade-cli/src/demo/mod.rs
@@ -0,0 +1,225 @@
+//! `cactusglade demo`: stand-ins and three daemons in one process, a minute of their life, and
+//! what came of it.
+
+mod fleet;
+mod load;
+pub mod objects;
+mod verdict;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use cactusglade_core::units::Generation;
+use cactusglade_daemon::boot::Daemon;
+use cactusglade_daemon::clock;
+use cactusglade_wire::platform::Notice;
+use tokio::sync::watch;
+
+use crate::publish;
+use fleet::Fleet;
+use load::Load;
+use objects::Rollout;
+use verdict::Verdict;
+
+/// Error of the demonstration: it did not run, or an invariant did not hold.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct Error(pub String);
+
+/// Result of the demonstration.
+pub type Result<T> = std::result::Result<T, Error>;
+
+const IN_FORCE: Duration = Duration::from_secs(4);
+const WARM_UP: Duration = Duration::from_secs(4);
+const ROLLOUT_SPAN: u64 = 25_000;
+const NOTICE: Duration = Duration::from_secs(3);
+const AFTER_RECLAIM: Duration = Duration::from_secs(3);
+const LOOK: Duration = Duration::from_millis(50);
+
+fn failed(error: &impl ToString) -> Error {
+    Error(error.to_string())
+}
+
+/// Runs the demonstration and gives back its report.
+///
+/// # Errors
+///
+/// Returns the report as an error when an invariant did not hold.
+pub async fn run(seed: u64, logs: bool) -> Result<String> {
+    let mut demo = Demo::try_new(seed, logs).await?;
+    demo.publish(None).await?;
+    let load = Load::start(&demo.addresses.subscribe(), seed);
+    tokio::time::sleep(WARM_UP).await;
+    demo.move_version().await?;
+    demo.reclaim_zone("c").await?;
+    demo.replace_daemon().await?;
+    let tally = load.stop().await;
+    demo.finish(tally).await
+}
+
+struct Demo {
+    fleet: Fleet,
+    addresses: watch::Sender<Vec<SocketAddr>>,
+    verdict: Verdict,
+    started: Instant,
+}
+
+impl Demo {
+    async fn try_new(seed: u64, logs: bool) -> Result<Self> {
+        let started = Instant::now();
+        let fleet = Fleet::try_new(logs).await?;
+        let addresses = fleet.daemons.iter().map(|daemon| daemon.callers).collect();
+        let verdict = Verdict::new(seed);
+        Ok(Self {
+            fleet,
+            addresses: watch::Sender::new(addresses),
+            verdict,
+            started,
+        })
+    }
+
+    fn say(&mut self, text: &str) {
+        let seconds = self.started.elapsed().as_secs_f64();
+        self.verdict.say(format!("{seconds:5.1} s  {text}"));
+    }
+
+    /// Publishes the set and waits until it is in force on every daemon.
+    async fn publish(&mut self, rollout: Option<Rollout>) -> Result<()> {
+        let sources = objects::sources(&self.fleet.upstreams(), rollout);
+        let document =
+            crate::objects::check(&sources).map_err(|problems| Error(format!("{problems:?}")))?;
+        let request = publish::Request {
+            document,
+            author: "demo".to_owned(),
+            expect: None,
+        };
+        let published = publish::publish(&self.fleet.client(), &request).await;
+        let generation = published.map_err(|error| failed(&error))?;
+        let began = Instant::now();
+        let there = self.wait_for(generation).await;
+        let took = began.elapsed().as_secs_f64();
+        let (number, count) = (generation.0, self.fleet.daemons.len());
+        self.say(&format!(
+            "generation {number} in force on {count} daemons after {took:.2} s"
+        ));
+        self.verdict.hold(
+            there,
+            "a published generation is in force everywhere within 4 s",
+        );
+        Ok(())
+    }
+
+    async fn wait_for(&self, generation: Generation) -> bool {
+        let all = async {
+            for daemon in &self.fleet.daemons {
+                let mut sets = daemon.sets.clone();
+                // The daemons outlive this wait.
+                let _ = sets.wait_for(|set| set.generation >= generation).await;
+            }
+        };
+        tokio::time::timeout(IN_FORCE, all).await.is_ok()
+    }
+
+    /// Moves the chat model to its new version and waits for the outcome.
+    async fn move_version(&mut self) -> Result<()> {
+        let deadline = clock::unix().0 + ROLLOUT_SPAN;
+        let rollout = Rollout {
+            deadline_unix_ms: deadline,
+            step_ms: 2_000,
+            evidence: 10,
+        };
+        self.publish(Some(rollout)).await?;
+        let key = format!("move/chat-v2/{deadline}");
+        let platform = self.fleet.client();
+        let mut status = "missing".to_owned();
+        while clock::unix().0 < deadline {
+            let row = platform.row::<serde_json::Value>(&key).await;
+            if let Ok(Some(row)) = row {
+                row["status"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .clone_into(&mut status);
+                if status != "moving" {
+                    break;
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        self.say(&format!("version move chat-v1 to chat-v2: {status}"));
+        self.verdict.hold(
+            status == "done",
+            "a good version move is done by its deadline",
+        );
+        Ok(())
+    }
+
+    /// Takes a whole zone's back ends away on a few seconds of notice.
+    async fn reclaim_zone(&mut self, zone: &str) -> Result<()> {
+        let gone = clock::unix().0 + u64::try_from(NOTICE.as_millis()).unwrap_or(u64::MAX);
+        let (leaving, staying) = std::mem::take(&mut self.fleet.backends)
+            .into_iter()
+            .partition::<Vec<_>, _>(|backend| backend.object.zone == zone);
+        self.fleet.backends = staying;
+        for backend in &leaving {
+            let notice = Notice {
+                host: backend.object.name.clone(),
+                gone_unix_ms: gone,
+            };
+            fleet::control(self.fleet.platform.address, "notice", &notice).await?;
+        }
+        self.say(&format!(
+            "zone {zone}: {} back ends are reclaimed with {} s of notice",
+            leaving.len(),
+            NOTICE.as_secs()
+        ));
+        tokio::time::sleep(NOTICE).await;
+        for backend in leaving {
+            backend.standin.stop();
+        }
+        self.say(&format!("zone {zone}: its back ends are gone"));
+        tokio::time::sleep(AFTER_RECLAIM).await;
+        Ok(())
+    }
+
+    /// Stops one daemon under load, as a planned replacement does.
+    async fn replace_daemon(&mut self) -> Result<()> {
+        let Some(daemon) = self.fleet.daemons.pop() else {
+            return Ok(());
+        };
+        // The balancer sees that it is not ready and sends nobody there any more.
+        let left = self
+            .fleet
+            .daemons
+            .iter()
+            .map(|daemon| daemon.callers)
+            .collect();
+        self.addresses.send_replace(left);
+        tokio::time::sleep(LOOK).await;
+        self.verdict.count(&daemon);
+        let drained = daemon.stop().await;
+        self.say("one daemon was stopped under load");
+        self.verdict
+            .hold(drained, "a planned stop lets every request finish");
+        Ok(())
+    }
+
+    async fn finish(mut self, tally: load::Tally) -> Result<String> {
+        let mut runs = Vec::new();
+        for backend in self.fleet.backends.iter().filter(|b| !b.object.engine) {
+            let address = backend.standin.address;
+            runs.extend(fleet::read::<Vec<_>>(address, "journal").await?);
+        }
+        for daemon in &self.fleet.daemons {
+            self.verdict.count(daemon);
+        }
+        for daemon in std::mem::take(&mut self.fleet.daemons) {
+            let drained = Daemon::stop(daemon).await;
+            self.verdict
+                .hold(drained, "a planned stop lets every request finish");
+        }
+        self.say("everything was stopped");
+        self.verdict.judge(&tally, &runs);
+        self.verdict.report()
+    }
+}
--- a/cactusglade-cli/src/lib.rs
+++ b/cactusglade-cli/src/lib.rs
@@ -1,1 +1,7 @@
-//! x
+//! What the operators' tool is made of, for its binary and for tests.
+
+pub mod caller;
+pub mod commands;
+pub mod demo;
+pub mod objects;
+pub mod publish;
--- /dev/null
+++ b/cactusglade-cli/src/main.rs
@@ -0,0 +1,11 @@
+//! `cactusglade` is the operators' tool.
+
+use std::process::ExitCode;
+
+use cactusglade_cli::commands;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let words = std::env::args().skip(1).collect::<Vec<_>>();
+    commands::run(&words).await
+}
--- /dev/null
+++ b/cactusglade-cli/src/publish/mod.rs
@@ -0,0 +1,173 @@
+//! Publishes an object set by a conditional write on the head.
+
+use cactusglade_core::meta::Document;
+use cactusglade_core::row::Head;
+use cactusglade_core::set::digest;
+use cactusglade_core::units::Generation;
+use cactusglade_daemon::config::fetch::delta;
+use cactusglade_daemon::platform;
+use cactusglade_daemon::platform::Committed;
+use cactusglade_daemon::platform::Platform;
+use cactusglade_wire::platform as wire;
+
+/// Reads of the head by which a lost answer is settled.
+const SETTLE_READS: u32 = 20;
+/// Time between two such reads.
+const SETTLE_PAUSE: std::time::Duration = std::time::Duration::from_millis(250);
+
+/// Error of publishing.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Another operator published first.
+    #[error("nothing was published: {winner} published generation {generation} first")]
+    Lost {
+        /// Who won.
+        winner: String,
+        /// The generation that won.
+        generation: u64,
+    },
+    /// The head is not the one that the operator expected.
+    #[error("nothing was published: generation {expected} was expected but {found} is in place")]
+    Unexpected {
+        /// The generation that was expected.
+        expected: u64,
+        /// The generation in place.
+        found: u64,
+    },
+    /// The platform did not do its part; nothing was published.
+    #[error("nothing was published: {0}")]
+    Platform(platform::Error),
+    /// Nobody knows whether the set was published.
+    #[error(
+        "the answer was lost and the head can't be read: generation {0} may have been \
+         published; run `cactusglade status` before publishing again"
+    )]
+    Unknown(u64),
+    /// The set can't be written.
+    #[error("nothing was published: {0}")]
+    Encode(#[from] serde_json::Error),
+}
+
+/// Result of publishing.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Request` is what an operator wants published.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The set, checked.
+    pub document: Document,
+    /// Who publishes.
+    pub author: String,
+    /// The generation that must be in place, if the operator says so.
+    pub expect: Option<Generation>,
+}
+
+/// Publishes a set and gives back its generation.
+///
+/// # Errors
+///
+/// Says who won a race, or that nothing was published, or that nobody knows; see [`Error`].
+pub async fn publish(platform: &Platform, request: &Request) -> Result<Generation> {
+    let before = platform.head().await.map_err(Error::Platform)?;
+    let in_place = before
+        .as_ref()
+        .map_or(Generation(0), |head| head.generation);
+    if let Some(expected) = request.expect
+        && expected != in_place
+    {
+        return Err(Error::Unexpected {
+            expected: expected.0,
+            found: in_place.0,
+        });
+    }
+    let snapshot = serde_json::to_string(&request.document)?;
+    let address = digest(snapshot.as_bytes());
+    platform
+        .put_object(&address, snapshot)
+        .await
+        .map_err(Error::Platform)?;
+    let head = Head {
+        generation: in_place.next(),
+        digest: address,
+        delta: put_delta(platform, before.as_ref(), &request.document).await?,
+        author: request.author.clone(),
+        publish: format!("{:032x}", rand::random::<u128>()),
+    };
+    commit(platform, before, head).await
+}
+
+/// Stores what changed; without it daemons fetch the whole snapshot.
+async fn put_delta(
+    platform: &Platform,
+    before: Option<&Head>,
+    after: &Document,
+) -> Result<Option<String>> {
+    let Some(before) = before else {
+        return Ok(None);
+    };
+    let Ok(snapshot) = platform.object(&before.digest).await else {
+        return Ok(None);
+    };
+    let Ok(document) = serde_json::from_str::<Document>(&snapshot) else {
+        return Ok(None);
+    };
+    let text = delta(&document, after)?.to_string();
+    let address = digest(text.as_bytes());
+    let stored = platform.put_object(&address, text).await;
+    Ok(stored.is_ok().then_some(address))
+}
+
+async fn commit(platform: &Platform, before: Option<Head>, head: Head) -> Result<Generation> {
+    let commit = wire::Commit {
+        writes: vec![wire::Write {
+            key: wire::HEAD_KEY.to_owned(),
+            expect: before.map(serde_json::to_value).transpose()?,
+            value: Some(serde_json::to_value(&head)?),
+        }],
+        checks: Vec::new(),
+    };
+    match platform.commit(&commit).await {
+        Ok(Committed::Yes) => Ok(head.generation),
+        Ok(Committed::No(_)) => Err(lost(platform, &head).await),
+        Err(platform::Error::Unknown) => settle(platform, &head).await,
+        Err(error) => Err(Error::Platform(error)),
+    }
+}
+
+async fn lost(platform: &Platform, head: &Head) -> Error {
+    match platform.head().await {
+        Ok(Some(winner)) => Error::Lost {
+            winner: winner.author,
+            generation: winner.generation.0,
+        },
+        _ => Error::Lost {
+            winner: "another operator".to_owned(),
+            generation: head.generation.0,
+        },
+    }
+}
+
+/// Finds out what became of a write whose answer was lost.
+///
+/// A head that still is as before settles nothing: the write may yet arrive.
+async fn settle(platform: &Platform, head: &Head) -> Result<Generation> {
+    for _ in 0..SETTLE_READS {
+        if let Ok(Some(found)) = platform.head().await
+            && found.generation >= head.generation
+        {
+            return if found.publish == head.publish {
+                Ok(head.generation)
+            } else if found.generation == head.generation {
+                Err(Error::Lost {
+                    winner: found.author,
+                    generation: found.generation.0,
+                })
+            } else {
+                // Later publishings stand on ours or on another's; only the row of then tells.
+                Err(Error::Unknown(head.generation.0))
+            };
+        }
+        tokio::time::sleep(SETTLE_PAUSE).await;
+    }
+    Err(Error::Unknown(head.generation.0))
+}
--- a/cactusglade-core/src/row/mod.rs
+++ b/cactusglade-core/src/row/mod.rs
@@ -148,8 +148,8 @@
     Daemon(Daemon),
     /// The head of the object set.
     Head(Head),
-    /// The upstream incarnation is leaving; this never changes back.
-    Leaving,
+    /// The upstream incarnation is leaving and gone at this Unix time; it never changes back.
+    Leaving(Millis),
     /// How a version move stands.
     Move(Move),
     /// Why the new version was vetoed; this never changes back.
@@ -163,7 +163,7 @@
         match self {
             Self::Daemon(daemon) => (daemon.incarnation, daemon.beat),
             Self::Head(head) => (head.generation.0, 0),
-            Self::Leaving | Self::Veto(_) => (0, 0),
+            Self::Leaving(_) | Self::Veto(_) => (0, 0),
             Self::Move(row) => (row.status as u64, row.step),
         }
     }
--- /dev/null
+++ b/cactusglade-daemon/src/config/mod.rs
@@ -0,0 +1,209 @@
+//! The service that takes published generations into force, only ever greater ones.
+
+pub mod fetch;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use cactusglade_core::meta::Document;
+use cactusglade_core::row::Head;
+use cactusglade_core::row::Key;
+use cactusglade_core::row::Value;
+use cactusglade_core::set::Set;
+use cactusglade_core::units::Generation;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::Context;
+use kameo::message::Message;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::sync::watch;
+
+use crate::dispatch;
+use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
+use crate::peer;
+use crate::peer::Peer;
+use crate::platform::Platform;
+
+/// Name of the service.
+pub const NAME: &str = "config";
+
+/// `Options` of the service.
+#[derive(Debug)]
+pub struct Options {
+    /// The platform.
+    pub platform: Platform,
+    /// Where the set in force is put for all to see.
+    pub sets: watch::Sender<Arc<Set>>,
+    /// The dispatch service, which takes a set before the callers' side does.
+    pub dispatch: ActorRef<Dispatch>,
+    /// The daemon's log.
+    pub log: Logger,
+    /// The daemon's metrics.
+    pub metrics: Metrics,
+}
+
+/// `Config` owns the generation in force.
+#[derive(Debug)]
+pub struct Config {
+    options: Options,
+    peer: Option<ActorRef<Peer>>,
+    head: Head,
+    document: Arc<Document>,
+    snapshot: String,
+    fetching: Option<Generation>,
+}
+
+/// `Announce` says that a head was seen, and where its snapshot may be had beside the platform.
+#[derive(Clone, Debug)]
+pub struct Announce {
+    /// The head.
+    pub head: Head,
+    /// Whether the platform's own table said so.
+    pub from_store: bool,
+    /// Peer addresses of daemons that may have the snapshot.
+    pub peers: Vec<String>,
+}
+
+/// `Introduce` makes the peer service known, which starts later.
+#[derive(Clone, Debug)]
+pub struct Introduce(pub ActorRef<Peer>);
+
+/// `Snapshot` asks for the snapshot of a generation.
+#[derive(Clone, Copy, Debug)]
+pub struct Snapshot(pub Generation);
+
+struct Fetched {
+    head: Head,
+    result: fetch::Result<fetch::Fetched>,
+}
+
+impl Actor for Config {
+    type Args = Options;
+    type Error = Infallible;
+
+    async fn on_start(options: Options, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Self {
+            options,
+            peer: None,
+            head: Head::default(),
+            document: Arc::default(),
+            snapshot: String::new(),
+            fetching: None,
+        })
+    }
+}
+
+impl Message<Introduce> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, introduce: Introduce, _: &mut Context<Self, ()>) {
+        self.peer = Some(introduce.0);
+    }
+}
+
+impl Message<Announce> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, announce: Announce, context: &mut Context<Self, ()>) {
+        let (seen, known) = (announce.head.generation, self.head.generation);
+        if seen < known && announce.from_store {
+            self.options.metrics.older_heads.inc();
+            warn!(self.options.log, "older_head"; "seen" => seen.0, "in_force" => known.0);
+        }
+        if seen == known && seen != Generation(0) && announce.head.digest != self.head.digest {
+            error!(self.options.log, "head_contradiction"; "generation" => seen.0);
+        }
+        if seen <= known || self.fetching.is_some_and(|fetching| fetching >= seen) {
+            return;
+        }
+        self.fetching = Some(seen);
+        let source = fetch::Source {
+            platform: self.options.platform.clone(),
+            peers: announce.peers,
+            document: (known.next() == seen).then(|| self.document.clone()),
+        };
+        let head = announce.head;
+        context.pipe(async move {
+            let result = source.fetch(&head).await;
+            Fetched { head, result }
+        });
+    }
+}
+
+impl Message<Fetched> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, fetched: Fetched, _: &mut Context<Self, ()>) {
+        let Fetched { head, result } = fetched;
+        if self.fetching == Some(head.generation) {
+            self.fetching = None;
+        }
+        if head.generation <= self.head.generation {
+            return;
+        }
+        let log = self.options.log.clone();
+        match result {
+            Ok(fetched) => self.adopt(head, fetched).await,
+            // The next announcement tries again.
+            Err(reason) => {
+                warn!(log, "fetch_failed"; "generation" => head.generation.0, "reason" => %reason);
+            }
+        }
+    }
+}
+
+impl Message<Snapshot> for Config {
+    type Reply = Option<String>;
+
+    async fn handle(
+        &mut self,
+        asked: Snapshot,
+        _: &mut Context<Self, Option<String>>,
+    ) -> Option<String> {
+        (asked.0 == self.head.generation && asked.0 != Generation(0)).then(|| self.snapshot.clone())
+    }
+}
+
+impl Config {
+    async fn adopt(&mut self, head: Head, fetched: fetch::Fetched) {
+        let before = self.options.sets.borrow().clone();
+        let set = match Set::try_new(&fetched.document, head.generation, &before) {
+            Ok(set) => Arc::new(set),
+            Err(problems) => {
+                self.options.metrics.refused_sets.inc();
+                error!(self.options.log, "set_refused";
+                    "generation" => head.generation.0, "problems" => problems.len());
+                return;
+            }
+        };
+        assert!(
+            set.generation > before.generation,
+            "a generation was to revert"
+        );
+        // The dispatch ends before this service only when the daemon does.
+        let _ = self
+            .options
+            .dispatch
+            .ask(dispatch::Adopt(set.clone()))
+            .await;
+        self.options.sets.send_replace(set);
+        let generation = head.generation.0;
+        self.options
+            .metrics
+            .generation
+            .set(i64::try_from(generation).unwrap_or(i64::MAX));
+        info!(self.options.log, "generation_in_force";
+            "generation" => generation, "digest" => &head.digest);
+        self.head = head.clone();
+        self.document = Arc::new(fetched.document);
+        self.snapshot = fetched.snapshot;
+        if let Some(peer) = &self.peer {
+            let rows = vec![(Key::Head, Value::Head(head))];
+            let _ = peer.tell(peer::Spread(rows)).try_send();
+        }
+    }
+}
--- a/cactusglade-daemon/src/lib.rs
+++ b/cactusglade-daemon/src/lib.rs
@@ -1,1 +1,19 @@
-//! x
+//! The entry host daemon: services and tasks that own sockets, and nothing that decides.
+//!
+//! [`boot::Daemon`] starts the services of one daemon in the order that `docs/DESIGN.md` gives.
+
+pub mod boot;
+pub mod clock;
+pub mod config;
+pub mod dispatch;
+pub mod driver;
+pub mod gate;
+pub mod ledger;
+pub mod link;
+pub mod log;
+pub mod metrics;
+pub mod ops;
+pub mod peer;
+pub mod platform;
+pub mod poll;
+pub mod store;
--- /dev/null
+++ b/cactusglade-daemon/src/link/mod.rs
@@ -0,0 +1,92 @@
+//! Connections to other systems over HTTP, each owned by one task.
+
+mod client;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+pub use client::Answer;
+pub use client::Client;
+
+/// Error of a connection, by what it proves about the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// No byte of the request left; it did not run.
+    #[error("the request was not sent")]
+    NotSent,
+    /// The connection was lost after the request may have left.
+    #[error("the connection was lost")]
+    Lost,
+    /// No answer came in time.
+    #[error("no answer came in time")]
+    Timeout,
+}
+
+/// Result of a connection.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Connection` sends requests over one socket, one at a time.
+///
+/// The socket belongs to a task that ends when the connection is dropped.
+#[derive(Debug)]
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects within a time.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotSent`] where nobody listens or the time is over.
+    pub async fn try_new(address: SocketAddr, within: Duration) -> Result<Self> {
+        let connect = async {
+            let socket = TcpStream::connect(address)
+                .await
+                .map_err(|_| Error::NotSent)?;
+            socket.set_nodelay(true).map_err(|_| Error::NotSent)?;
+            let io = TokioIo::new(socket);
+            let (sender, task) = http1::handshake(io).await.map_err(|_| Error::NotSent)?;
+            // The task's own error reaches whoever waits for an answer.
+            tokio::spawn(async move { drop(task.await) });
+            Ok(Self { sender })
+        };
+        tokio::time::timeout(within, connect)
+            .await
+            .unwrap_or(Err(Error::NotSent))
+    }
+
+    /// Whether another request can be sent.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotSent`] only where no byte of the request can have left.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        if self.sender.ready().await.is_err() {
+            return Err(Error::NotSent);
+        }
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|error| {
+            if error.message().is_some() {
+                Error::NotSent
+            } else {
+                Error::Lost
+            }
+        })
+    }
+}
--- /dev/null
+++ b/cactusglade-daemon/src/log/mod.rs
@@ -0,0 +1,20 @@
+//! Logs: one line of key=value pairs for each event, on the standard error.
+
+use std::io::Write;
+
+use slog::Drain;
+use slog::Logger;
+use slog::o;
+
+/// Events that wait for the writing thread before further ones are dropped and counted.
+const QUEUE: usize = 4_096;
+
+/// Makes the logger of a daemon; lines are written by a thread of their own.
+pub fn logger<W: Send + Write + 'static>(writer: W, daemon: &str) -> Logger {
+    let drain = slog_logfmt::Logfmt::new(writer).build().ignore_res();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUE)
+        .build()
+        .ignore_res();
+    Logger::root(drain, o!("daemon" => daemon.to_owned()))
+}
--- /dev/null
+++ b/cactusglade-daemon/src/main.rs
@@ -0,0 +1,133 @@
+//! `cactusgladed` runs one entry host daemon until it is told to stop.
+
+use std::process::ExitCode;
+
+use cactusglade_core::settings::Settings;
+use cactusglade_daemon::boot::Daemon;
+use cactusglade_daemon::boot::End;
+use cactusglade_daemon::log;
+use gumdrop::Options;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+const USAGE: u8 = 2;
+const FAULT: u8 = 1;
+
+/// Runs one cactusglade entry host daemon until SIGTERM, SIGINT or a reclaim of its host.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(
+        help = "settings file in TOML (docs/INTERFACES.md lists the settings)",
+        meta = "FILE"
+    )]
+    settings: Option<String>,
+    #[options(no_short, help = "check the settings, print every problem, and exit")]
+    check: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments =
+        match Arguments::parse_args_default(&std::env::args().skip(1).collect::<Vec<_>>()) {
+            Ok(arguments) => arguments,
+            Err(error) => return usage(&error.to_string()),
+        };
+    if arguments.help {
+        println!(
+            "Usage: cactusgladed --settings FILE\n\n{}",
+            Arguments::usage()
+        );
+        return ExitCode::SUCCESS;
+    }
+    if arguments.version {
+        println!("cactusgladed {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = arguments.settings else {
+        return usage("--settings is missing");
+    };
+    let settings = match read(&file) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if arguments.check {
+        println!("{file}: no problems");
+        return ExitCode::SUCCESS;
+    }
+    let log = log::logger(std::io::stderr(), &settings.name);
+    run(&settings, &log).await
+}
+
+fn usage(problem: &str) -> ExitCode {
+    eprintln!("cactusgladed: {problem}\nTry: cactusgladed --help");
+    ExitCode::from(USAGE)
+}
+
+fn read(file: &str) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?;
+    Settings::try_new(file, &text).map_err(|problems| {
+        problems
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join("\n")
+    })
+}
+
+async fn run(settings: &Settings, log: &Logger) -> ExitCode {
+    let mut daemon = match Daemon::try_new(settings, log.clone()).await {
+        Ok(daemon) => daemon,
+        Err(reason) => {
+            error!(log, "start_failed"; "reason" => %reason);
+            return ExitCode::from(FAULT);
+        }
+    };
+    let faulty = tokio::select! {
+        () = stop_signal() => {
+            info!(log, "stop_signal");
+            false
+        }
+        end = daemon.end() => match end {
+            End::Fault(service) => {
+                error!(log, "service_ended"; "service" => service);
+                true
+            }
+            End::Reclaim(gone) => {
+                warn!(log, "host_reclaimed"; "gone_unix_ms" => gone.0);
+                false
+            }
+        },
+    };
+    let drained = daemon.stop().await;
+    if faulty || !drained {
+        ExitCode::from(FAULT)
+    } else {
+        ExitCode::SUCCESS
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        // Without handlers the signals end the process on their own.
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -0,0 +1,143 @@
+//! The daemon's metrics, in the form that Prometheus reads.
+//!
+//! Label sets are bounded by the object set and by closed lists; `docs/OPERATIONS.md` lists all.
+
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Error of a metric's definition.
+pub type Error = prometheus::Error;
+
+/// Result of a metric's definition.
+pub type Result<T> = std::result::Result<T, Error>;
+
+const SECONDS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// `Metrics` of one daemon; clones count into the same.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route, organisation and code of their end.
+    pub requests: IntCounterVec,
+    /// Seconds to the first byte of the answer, by route.
+    pub first_byte: HistogramVec,
+    /// Seconds between tokens.
+    pub between_tokens: Histogram,
+    /// Tokens given to callers.
+    pub tokens: IntCounter,
+    /// Tokens that upstreams computed, of prompt and answer.
+    pub computed: IntCounter,
+    /// Tokens computed a second time because a stream had to move.
+    pub recomputed: IntCounter,
+    /// Attempts beyond the first.
+    pub retries: IntCounter,
+    /// Streams moved off a leaving upstream.
+    pub moves: IntCounter,
+    /// Answers that belonged to another attempt.
+    pub mismatches: IntCounter,
+    /// Older heads that the store answered with.
+    pub older_heads: IntCounter,
+    /// Object sets that a daemon refused.
+    pub refused_sets: IntCounter,
+    /// Generation in force.
+    pub generation: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Requests that wait for a slot.
+    pub waiting: IntGauge,
+    /// Bytes of rows sent to and received from peers.
+    pub gossip_bytes: IntCounter,
+}
+
+impl Metrics {
+    /// Defines the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two metrics have one name, which is a fault of this module.
+    pub fn try_new() -> Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let (requests, first_byte, between_tokens) = labelled(&registry)?;
+        Ok(Self {
+            requests,
+            first_byte,
+            between_tokens,
+            tokens: counter("cactusglade_tokens_total", "Tokens given to callers")?,
+            computed: counter(
+                "cactusglade_computed_tokens_total",
+                "Tokens computed upstream",
+            )?,
+            recomputed: counter(
+                "cactusglade_recomputed_tokens_total",
+                "Tokens computed again",
+            )?,
+            retries: counter("cactusglade_retries_total", "Attempts beyond the first")?,
+            moves: counter(
+                "cactusglade_moves_total",
+                "Streams moved off leaving upstreams",
+            )?,
+            mismatches: counter("cactusglade_mismatches_total", "Answers of other attempts")?,
+            older_heads: counter(
+                "cactusglade_older_heads_total",
+                "Older heads from the store",
+            )?,
+            refused_sets: counter("cactusglade_refused_sets_total", "Object sets refused")?,
+            generation: gauge("cactusglade_generation", "Generation in force")?,
+            connections: gauge("cactusglade_connections", "Open connections of callers")?,
+            waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
+            gossip_bytes: counter(
+                "cactusglade_gossip_bytes_total",
+                "Bytes of rows to and from peers",
+            )?,
+            registry,
+        })
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric can't be written as text.
+    pub fn text(&self) -> Result<String> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
+
+fn labelled(registry: &Registry) -> Result<(IntCounterVec, HistogramVec, Histogram)> {
+    let requests = IntCounterVec::new(
+        Opts::new("cactusglade_requests_total", "Requests by their end"),
+        &["route", "organisation", "code"],
+    )?;
+    let first_byte = HistogramVec::new(
+        HistogramOpts::new("cactusglade_first_byte_seconds", "Time to the first byte")
+            .buckets(SECONDS.to_vec()),
+        &["route", "organisation"],
+    )?;
+    let between_tokens = Histogram::with_opts(
+        HistogramOpts::new("cactusglade_between_tokens_seconds", "Time between tokens")
+            .buckets(SECONDS.to_vec()),
+    )?;
+    registry.register(Box::new(requests.clone()))?;
+    registry.register(Box::new(first_byte.clone()))?;
+    registry.register(Box::new(between_tokens.clone()))?;
+    Ok((requests, first_byte, between_tokens))
+}
--- /dev/null
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -0,0 +1,429 @@
+//! The service that exchanges rows with other daemons.
+
+mod server;
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusglade_core::row::Daemon;
+use cactusglade_core::row::Key;
+use cactusglade_core::row::Value;
+use cactusglade_core::units::Generation;
+use cactusglade_core::units::Millis;
+use cactusglade_policy::member;
+use cactusglade_policy::member::News;
+use cactusglade_policy::member::State;
+use cactusglade_wire::peer::Batch;
+use cactusglade_wire::peer::PeerClient;
+use cactusglade_wire::peer::Pull;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::actor::WeakActorRef;
+use kameo::message::Context;
+use kameo::message::Message;
+use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
+use slog::Logger;
+use slog::debug;
+use tarpc::client;
+use tarpc::context;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::clock::Clock;
+use crate::config;
+use crate::config::Config;
+use crate::dispatch;
+use crate::dispatch::Dispatch;
+use crate::dispatch::Lesson;
+use crate::metrics::Metrics;
+
+/// Name of the service.
+pub const NAME: &str = "peer";
+/// Peers that an urgent row is pushed to.
+const FANOUT: usize = 4;
+/// Time between two heartbeats.
+const BEAT: Millis = Millis(1_000);
+/// Longest wait for a peer.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// `Options` of the service.
+#[derive(Debug)]
+pub struct Options {
+    /// Name of the daemon.
+    pub name: String,
+    /// Availability zone of the daemon.
+    pub zone: String,
+    /// Address that peers reach it at.
+    pub address: SocketAddr,
+    /// The socket that peers connect to.
+    pub listener: std::net::TcpListener,
+    /// Addresses tried until others are known.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two exchanges.
+    pub gossip: Millis,
+    /// The dispatch service.
+    pub dispatch: ActorRef<Dispatch>,
+    /// The configuration service.
+    pub config: ActorRef<Config>,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// The daemon's log.
+    pub log: Logger,
+    /// The daemon's metrics.
+    pub metrics: Metrics,
+}
+
+/// `Peer` owns what the daemon knows of the others.
+#[derive(Debug)]
+pub struct Peer {
+    options: Options,
+    incarnation: u64,
+    state: State,
+    beat: u64,
+    beaten: Option<Millis>,
+    clients: BTreeMap<SocketAddr, PeerClient>,
+    pulled: BTreeMap<SocketAddr, Pull>,
+    hosts: Vec<SocketAddr>,
+    /// Ends the listening task when the service ends.
+    _stop: oneshot::Sender<()>,
+}
+
+/// `Spread` takes rows of this daemon and sends urgent ones on.
+#[derive(Clone, Debug)]
+pub struct Spread(pub Vec<(Key, Value)>);
+
+/// `Receive` takes rows that a peer pushed.
+#[derive(Clone, Debug)]
+pub struct Receive(pub Vec<(Key, Value)>);
+
+/// `Answer` gives a peer what it has not seen.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer(pub Pull);
+
+/// `List` asks for all rows, for status.
+#[derive(Clone, Copy, Debug)]
+pub struct List;
+
+/// `Hosts` gives peer addresses from the platform's list.
+#[derive(Clone, Debug)]
+pub struct Hosts(pub Vec<SocketAddr>);
+
+struct Tick;
+
+struct Pulled {
+    address: SocketAddr,
+    client: Option<PeerClient>,
+    batch: Option<Batch>,
+}
+
+impl Actor for Peer {
+    type Args = Options;
+    type Error = Infallible;
+
+    async fn on_start(mut options: Options, actor: ActorRef<Self>) -> Result<Self, Infallible> {
+        let (stop, stopped) = oneshot::channel();
+        if let Ok(listener) = options.listener.try_clone() {
+            let serve = server::Server {
+                peer: actor.clone(),
+                config: options.config.clone(),
+            };
+            tokio::spawn(server::listen(listener, serve, stopped));
+        }
+        options.seeds.retain(|seed| *seed != options.address);
+        let gossip = Duration::from_millis(options.gossip.0);
+        tokio::spawn(tick(actor.downgrade(), gossip));
+        Ok(Self {
+            options,
+            incarnation: clock::unix().0,
+            state: State::default(),
+            beat: 0,
+            beaten: None,
+            clients: BTreeMap::new(),
+            pulled: BTreeMap::new(),
+            hosts: Vec::new(),
+            _stop: stop,
+        })
+    }
+}
+
+/// Sends ticks until the service has ended.
+async fn tick(actor: WeakActorRef<Peer>, gossip: Duration) {
+    loop {
+        tokio::time::sleep(gossip).await;
+        let Some(actor) = actor.upgrade() else { return };
+        if actor.tell(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Message<Tick> for Peer {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
+        let now = self.options.clock.now();
+        if self.beaten.is_none_or(|beaten| now - beaten >= BEAT) {
+            self.beaten = Some(now);
+            self.heartbeat(now).await;
+        }
+        self.state.expire(now);
+        let Some(address) = self.peers(now).choose(&mut rand::rng()).copied() else {
+            return;
+        };
+        let known = self.clients.get(&address).cloned();
+        let pull = self.pulled.get(&address).copied().unwrap_or_default();
+        context.pipe(async move {
+            let client = match known {
+                Some(client) => Some(client),
+                None => connect(address).await,
+            };
+            let batch = match &client {
+                Some(client) => client.pull(deadline(), pull).await.ok(),
+                None => None,
+            };
+            Pulled {
+                address,
+                client,
+                batch,
+            }
+        });
+    }
+}
+
+impl Message<Pulled> for Peer {
+    type Reply = ();
+
+    async fn handle(&mut self, pulled: Pulled, _: &mut Context<Self, ()>) {
+        let Pulled {
+            address,
+            client,
+            batch,
+        } = pulled;
+        if let (Some(client), Some(batch)) = (client, batch) {
+            self.clients.insert(address, client);
+            let pull = Pull {
+                incarnation: batch.incarnation,
+                changes: batch.changes,
+            };
+            self.pulled.insert(address, pull);
+            self.receive(batch.rows).await;
+        } else {
+            debug!(self.options.log, "peer_unreachable"; "peer" => %address);
+            self.clients.remove(&address);
+        }
+    }
+}
+
+impl Message<Spread> for Peer {
+    type Reply = ();
+
+    async fn handle(&mut self, spread: Spread, _: &mut Context<Self, ()>) {
+        self.receive(spread.0).await;
+    }
+}
+
+impl Message<Receive> for Peer {
+    type Reply = ();
+
+    async fn handle(&mut self, received: Receive, _: &mut Context<Self, ()>) {
+        self.receive(received.0).await;
+    }
+}
+
+impl Message<Answer> for Peer {
+    type Reply = Option<Batch>;
+
+    async fn handle(
+        &mut self,
+        asked: Answer,
+        _: &mut Context<Self, Option<Batch>>,
+    ) -> Option<Batch> {
+        let same = asked.0.incarnation == self.incarnation;
+        let (changes, rows) = self.state.since(if same { asked.0.changes } else { 0 });
+        Some(Batch {
+            incarnation: self.incarnation,
+            changes,
+            rows,
+        })
+    }
+}
+
+impl Message<List> for Peer {
+    type Reply = Vec<(Key, Value)>;
+
+    async fn handle(
+        &mut self,
+        _: List,
+        _: &mut Context<Self, Vec<(Key, Value)>>,
+    ) -> Vec<(Key, Value)> {
+        self.state
+            .rows()
+            .map(|(key, value)| (key.clone(), value.clone()))
+            .collect()
+    }
+}
+
+impl Message<Hosts> for Peer {
+    type Reply = ();
+
+    async fn handle(&mut self, hosts: Hosts, _: &mut Context<Self, ()>) {
+        self.hosts = hosts.0;
+    }
+}
+
+impl Peer {
+    /// Peers that may be reached, in the order of their addresses.
+    fn peers(&self, now: Millis) -> Vec<SocketAddr> {
+        let alive = self.state.alive(now);
+        let known = alive.iter().filter_map(|(_, address)| address.parse().ok());
+        let listed = self.options.seeds.iter().chain(&self.hosts).copied();
+        let mut peers = known.chain(listed).collect::<Vec<SocketAddr>>();
+        peers.retain(|address| *address != self.options.address);
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+    }
+
+    async fn heartbeat(&mut self, now: Millis) {
+        self.beat += 1;
+        // The dispatch ends before this service only when the daemon does.
+        let summary = self
+            .options
+            .dispatch
+            .ask(dispatch::Summarise)
+            .await
+            .unwrap_or_default();
+        let generation = match self.state.get(&Key::Head) {
+            Some(Value::Head(head)) => head.generation,
+            _ => Generation(0),
+        };
+        let daemon = Daemon {
+            incarnation: self.incarnation,
+            beat: self.beat,
+            peers: self.options.address.to_string(),
+            zone: self.options.zone.clone(),
+            generation,
+            usage: summary.usage,
+            evidence: summary.evidence,
+        };
+        let key = Key::Daemon(self.options.name.clone());
+        self.state.merge(now, vec![(key, Value::Daemon(daemon))]);
+    }
+
+    /// Merges rows, tells the services what is news, and pushes what is urgent.
+    async fn receive(&mut self, rows: Vec<(Key, Value)>) {
+        let now = self.options.clock.now();
+        let own = Key::Daemon(self.options.name.clone());
+        let rows = rows
+            .into_iter()
+            .filter(|(key, _)| *key != own)
+            .collect::<Vec<_>>();
+        self.options.metrics.gossip_bytes.inc_by(size(&rows));
+        let news = self.state.merge(now, rows);
+        if news.is_empty() {
+            return;
+        }
+        let lessons = news.iter().filter_map(lesson).collect();
+        let _ = self.options.dispatch.tell(dispatch::Learn(lessons)).await;
+        for one in &news {
+            if let Value::Head(head) = &one.value {
+                let peers = self.peers(now).iter().map(ToString::to_string).collect();
+                let announce = config::Announce {
+                    head: head.clone(),
+                    from_store: false,
+                    peers,
+                };
+                let _ = self.options.config.tell(announce).try_send();
+            }
+        }
+        let urgent = news.into_iter().filter(|one| one.value.is_urgent());
+        let urgent = urgent.map(|one| (one.key, one.value)).collect::<Vec<_>>();
+        self.push(now, &urgent);
+    }
+
+    fn push(&self, now: Millis, rows: &[(Key, Value)]) {
+        if rows.is_empty() {
+            return;
+        }
+        let mut peers = self.peers(now);
+        peers.shuffle(&mut rand::rng());
+        for address in peers.into_iter().take(FANOUT) {
+            let rows = rows.to_vec();
+            let known = self.clients.get(&address).cloned();
+            self.options.metrics.gossip_bytes.inc_by(size(&rows));
+            tokio::spawn(push(address, known, rows));
+        }
+    }
+}
+
+/// Pushes rows to one peer; what does not arrive is pulled later.
+async fn push(address: SocketAddr, known: Option<PeerClient>, rows: Vec<(Key, Value)>) {
+    if let Some(client) = known
+        && client.push(deadline(), rows.clone()).await.is_ok()
+    {
+        return;
+    }
+    if let Some(client) = connect(address).await {
+        // The next exchange brings what was lost here.
+        let _ = client.push(deadline(), rows).await;
+    }
+}
+
+fn lesson(news: &News) -> Option<Lesson> {
+    match (&news.key, &news.value) {
+        (Key::Leaving(name, incarnation), Value::Leaving(gone)) => {
+            Some(Lesson::Leaving(name.clone(), *incarnation, *gone))
+        }
+        (Key::Move(name, _), Value::Move(row)) => Some(Lesson::Move(name.clone(), row.clone())),
+        (Key::Veto(name, deadline), Value::Veto(reason)) => {
+            Some(Lesson::Veto(name.clone(), *deadline, reason.clone()))
+        }
+        (Key::Daemon(_), Value::Daemon(daemon)) => {
+            let before = match &news.before {
+                Some(Value::Daemon(before)) => Some(before),
+                _ => None,
+            };
+            Some(Lesson::Daemon(Box::new(member::difference(before, daemon))))
+        }
+        _ => None,
+    }
+}
+
+/// Bytes of rows as they would be written in JSON, which is above what the peers' codec takes.
+fn size(rows: &[(Key, Value)]) -> u64 {
+    let bytes = serde_json::to_vec(rows).map_or(0, |bytes| bytes.len());
+    u64::try_from(bytes).unwrap_or(u64::MAX)
+}
+
+async fn connect(address: SocketAddr) -> Option<PeerClient> {
+    let connect = tcp::connect(address, Bincode::default);
+    let transport = tokio::time::timeout(WAIT, connect).await.ok()?.ok()?;
+    Some(PeerClient::new(client::Config::default(), transport).spawn())
+}
+
+fn deadline() -> context::Context {
+    let mut context = context::current();
+    context.deadline = std::time::Instant::now() + WAIT;
+    context
+}
+
+/// Asks one peer for the snapshot of a generation.
+pub async fn snapshot(
+    address: SocketAddr,
+    generation: Generation,
+    within: Duration,
+) -> Option<String> {
+    let ask = async {
+        connect(address)
+            .await?
+            .snapshot(deadline(), generation)
+            .await
+            .ok()?
+    };
+    tokio::time::timeout(within, ask).await.ok().flatten()
+}
--- /dev/null
+++ b/cactusglade-daemon/src/peer/server.rs
@@ -0,0 +1,88 @@
+//! Answers peers: one task owns the listening socket, one each connection.
+
+use cactusglade_core::row::Key;
+use cactusglade_core::row::Value;
+use cactusglade_core::units::Generation;
+use cactusglade_wire::peer as wire;
+use cactusglade_wire::peer::Batch;
+use cactusglade_wire::peer::Pull;
+use futures::StreamExt;
+use kameo::actor::ActorRef;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use crate::config;
+use crate::config::Config;
+use crate::peer::Answer;
+use crate::peer::Peer;
+use crate::peer::Receive;
+
+/// `Server` answers one peer's calls through the services.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub peer: ActorRef<Peer>,
+    pub config: ActorRef<Config>,
+}
+
+impl wire::Peer for Server {
+    async fn pull(self, _: Context, pull: Pull) -> Batch {
+        self.peer
+            .ask(Answer(pull))
+            .await
+            .ok()
+            .flatten()
+            .unwrap_or_default()
+    }
+
+    async fn push(self, _: Context, rows: Vec<(Key, Value)>) {
+        // A service that has ended needs no rows.
+        let _ = self.peer.tell(Receive(rows)).await;
+    }
+
+    async fn snapshot(self, _: Context, generation: Generation) -> Option<String> {
+        self.config
+            .ask(config::Snapshot(generation))
+            .await
+            .ok()
+            .flatten()
+    }
+}
+
+/// Accepts peers until the channel closes; their connections end with it.
+pub async fn listen(
+    listener: std::net::TcpListener,
+    server: Server,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            _ = &mut stopped => return,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                if let Ok((socket, _)) = accepted {
+                    connections.spawn(serve(socket, server.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// Answers the calls of one connection until it ends.
+async fn serve(socket: TcpStream, server: Server) {
+    let framed = LengthDelimitedCodec::builder().new_framed(socket);
+    let transport = serde_transport::new(framed, Bincode::default());
+    let answers = BaseChannel::with_defaults(transport).execute(wire::Peer::serve(server));
+    answers.for_each_concurrent(None, |answer| answer).await;
+}
--- /dev/null
+++ b/cactusglade-daemon/src/store/mod.rs
@@ -0,0 +1,160 @@
+//! The service that writes single rows, many in one transaction.
+//!
+//! The platform takes several hundred writes a second from all daemons together, so writes that
+//! come while a transaction is on its way go into the next one. See `docs/DESIGN.md`.
+
+use std::convert::Infallible;
+
+use cactusglade_wire::platform as wire;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::Context;
+use kameo::message::Message;
+use serde_json::Value;
+use tokio::sync::oneshot;
+
+use crate::platform::Committed;
+use crate::platform::Error;
+use crate::platform::Platform;
+
+/// Name of the service.
+pub const NAME: &str = "store";
+/// Rows written in one transaction.
+const MAX_BATCH: usize = 64;
+
+/// `Ending` of one write.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ending {
+    /// It took effect.
+    Written,
+    /// It did not: the row holds this.
+    Conflict(Option<Value>),
+    /// It did not: the platform refused.
+    Refused,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// `Put` asks for a write of one row.
+#[derive(Debug)]
+pub struct Put {
+    /// The write.
+    pub write: wire::Write,
+    /// Where its ending goes.
+    pub reply: oneshot::Sender<Ending>,
+}
+
+/// `Store` gathers writes and commits them.
+#[derive(Debug)]
+pub struct Store {
+    platform: Platform,
+    waiting: Vec<Put>,
+    committing: bool,
+}
+
+struct Finished {
+    batch: Vec<Put>,
+    result: Result<Committed, Error>,
+}
+
+impl Actor for Store {
+    type Args = Platform;
+    type Error = Infallible;
+
+    async fn on_start(platform: Platform, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Self {
+            platform,
+            waiting: Vec::new(),
+            committing: false,
+        })
+    }
+}
+
+impl Message<Put> for Store {
+    type Reply = ();
+
+    async fn handle(&mut self, put: Put, context: &mut Context<Self, ()>) {
+        self.waiting.push(put);
+        self.commit(context);
+    }
+}
+
+impl Message<Finished> for Store {
+    type Reply = ();
+
+    async fn handle(&mut self, finished: Finished, context: &mut Context<Self, ()>) {
+        self.committing = false;
+        let Finished { batch, result } = finished;
+        match result {
+            Ok(Committed::Yes) => answer(batch, &Ending::Written),
+            Ok(Committed::No(conflict)) => self.split(batch, &conflict),
+            Err(Error::Refused(_)) => answer(batch, &Ending::Refused),
+            Err(Error::Unknown) => answer(batch, &Ending::Unknown),
+        }
+        self.commit(context);
+    }
+}
+
+impl Store {
+    /// Starts the next transaction if none is on its way.
+    fn commit(&mut self, context: &Context<Self, ()>) {
+        self.waiting.retain(|put| !put.reply.is_closed());
+        if self.committing || self.waiting.is_empty() {
+            return;
+        }
+        self.committing = true;
+        let batch = self.next_batch();
+        let writes = batch.iter().map(|put| put.write.clone()).collect();
+        let commit = wire::Commit {
+            writes,
+            checks: Vec::new(),
+        };
+        let platform = self.platform.clone();
+        context.pipe(async move {
+            let result = platform.commit(&commit).await;
+            Finished { batch, result }
+        });
+    }
+
+    /// One write for each key: a second one for the same key waits for the first.
+    fn next_batch(&mut self) -> Vec<Put> {
+        let mut batch: Vec<Put> = Vec::new();
+        let mut rest = Vec::new();
+        for put in self.waiting.drain(..) {
+            let taken = batch.iter().any(|other| other.write.key == put.write.key);
+            if taken || batch.len() >= MAX_BATCH {
+                rest.push(put);
+            } else {
+                batch.push(put);
+            }
+        }
+        self.waiting = rest;
+        batch
+    }
+
+    /// Answers the writes that conflicted; the others, which did not take effect, go again.
+    fn split(&mut self, batch: Vec<Put>, conflict: &wire::Conflict) {
+        for put in batch {
+            match conflict.rows.get(&put.write.key) {
+                Some(found) => answer(vec![put], &Ending::Conflict(found.clone())),
+                None => self.waiting.push(put),
+            }
+        }
+    }
+}
+
+fn answer(batch: Vec<Put>, ending: &Ending) {
+    for put in batch {
+        // The asker may have given up.
+        let _ = put.reply.send(ending.clone());
+    }
+}
+
+/// Writes one row through the service.
+pub async fn put(store: &ActorRef<Store>, write: wire::Write) -> Ending {
+    let (reply, ending) = oneshot::channel();
+    if store.tell(Put { write, reply }).await.is_err() {
+        return Ending::Refused;
+    }
+    ending.await.unwrap_or(Ending::Unknown)
+}
--- a/cactusglade-policy/src/dispatch/mod.rs
+++ b/cactusglade-policy/src/dispatch/mod.rs
@@ -213,6 +213,7 @@
             return;
         };
         ticket.resumed |= cause.has_progress();
+        ticket.may_have_run |= cause != Cause::Refused;
         if cause != Cause::Leaving {
             ticket.attempts += 1;
             ticket.tried.push(upstream);
@@ -544,7 +545,8 @@
         };
         self.settle(&ticket, 0);
         self.counters.refused += 1;
-        self.actions.push(Action::Refuse(key, kind));
+        self.actions
+            .push(Action::Refuse(key, ticket.last_word(kind)));
     }
 
     fn remove_waiting(&mut self, key: arena::Ticket, ticket: &Ticket) {
--- a/cactusglade-policy/src/dispatch/ticket.rs
+++ b/cactusglade-policy/src/dispatch/ticket.rs
@@ -2,6 +2,7 @@
 
 use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::errors::Ran;
 use cactusglade_core::row::Count;
 use cactusglade_core::units::Millis;
 
@@ -126,6 +127,8 @@
     pub attempts: u32,
     /// Whether the caller may have part of the answer, which ties it to its version.
     pub resumed: bool,
+    /// Whether an attempt ended without proof that it did not run.
+    pub may_have_run: bool,
 }
 
 impl Ticket {
@@ -137,6 +140,7 @@
             tried: Vec::new(),
             attempts: 0,
             resumed: false,
+            may_have_run: false,
         }
     }
 
@@ -158,6 +162,15 @@
         }
     }
 
+    /// The kind that it is refused with: "not run" is never said once an attempt may have run.
+    pub fn last_word(&self, kind: Kind) -> Kind {
+        match kind.answer().ran {
+            Ran::No if self.resumed => Kind::StreamBroken,
+            Ran::No if self.may_have_run => Kind::UpstreamLost,
+            _ => kind,
+        }
+    }
+
     /// The error kind when its deadline passes while it waits.
     pub const fn late_kind(&self) -> Kind {
         if self.resumed {
--- a/cactusglade-policy/src/member/mod.rs
+++ b/cactusglade-policy/src/member/mod.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 
+use cactusglade_core::row::Count;
+use cactusglade_core::row::Daemon;
 use cactusglade_core::row::Key;
 use cactusglade_core::row::Value;
 use cactusglade_core::units::Millis;
@@ -22,6 +24,17 @@
     heard: Millis,
 }
 
+/// `News` is a row that a merge changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// Key of the row.
+    pub key: Key,
+    /// What it holds now.
+    pub value: Value,
+    /// What it held before.
+    pub before: Option<Value>,
+}
+
 /// `State` holds all rows that a daemon knows.
 #[derive(Clone, Debug, Default)]
 pub struct State {
@@ -31,19 +44,18 @@
 
 impl State {
     /// Merges rows and gives back those that were news.
-    pub fn merge(&mut self, now: Millis, rows: Vec<(Key, Value)>) -> Vec<(Key, Value)> {
-        rows.into_iter()
-            .filter(|(key, value)| self.put(now, key, value))
-            .collect()
+    pub fn merge(&mut self, now: Millis, rows: Vec<(Key, Value)>) -> Vec<News> {
+        let mut news = Vec::new();
+        for (key, value) in rows {
+            news.extend(self.put(now, key, value));
+        }
+        news
     }
 
-    fn put(&mut self, now: Millis, key: &Key, value: &Value) -> bool {
-        if self
-            .rows
-            .get(key)
-            .is_some_and(|entry| entry.value.rank() >= value.rank())
-        {
-            return false;
+    fn put(&mut self, now: Millis, key: Key, value: Value) -> Option<News> {
+        let known = self.rows.get(&key);
+        if known.is_some_and(|entry| entry.value.rank() >= value.rank()) {
+            return None;
         }
         self.changes += 1;
         let entry = Entry {
@@ -51,8 +63,9 @@
             changed: self.changes,
             heard: now,
         };
-        self.rows.insert(key.clone(), entry);
-        true
+        let before = self.rows.insert(key.clone(), entry);
+        let before = before.map(|entry| entry.value);
+        Some(News { key, value, before })
     }
 
     /// The value of a key.
@@ -98,3 +111,24 @@
         self.rows.iter().map(|(key, entry)| (key, &entry.value))
     }
 }
+
+/// What a daemon did between two of its rows; all of it where it has started anew.
+#[must_use]
+pub fn difference(before: Option<&Daemon>, after: &Daemon) -> Daemon {
+    let before = before.filter(|before| before.incarnation == after.incarnation);
+    let Some(before) = before else {
+        return after.clone();
+    };
+    let mut difference = after.clone();
+    for (name, tokens) in &mut difference.usage {
+        *tokens = tokens.saturating_sub(before.usage.get(name).copied().unwrap_or(0));
+    }
+    for (name, count) in &mut difference.evidence {
+        let known = before.evidence.get(name).copied().unwrap_or_default();
+        *count = Count {
+            good: count.good.saturating_sub(known.good),
+            bad: count.bad.saturating_sub(known.bad),
+        };
+    }
+    difference
+}
--- a/cactusglade-standin/src/engine/state.rs
+++ b/cactusglade-standin/src/engine/state.rs
@@ -223,7 +223,9 @@
             "/v1/kv/import" => {
                 let mut blocks: Vec<u64> = Vec::new();
                 let response = platform::set(&call.body, |imported| blocks = imported);
-                blocks.into_iter().for_each(|block| self.remember(block));
+                for block in blocks {
+                    self.remember(block);
+                }
                 response
             }
             "/v1/orders" => match serde_json::from_slice(&call.body) {
