--- a/cactusglade-cli/src/commands/mod.rs
+++ b/cactusglade-cli/src/commands/mod.rs
@@ -37,16 +37,16 @@
 /// Result of a subcommand: what to print.
 pub type Result<T> = std::result::Result<T, Error>;
 
-fn failed(message: impl ToString) -> Error {
+fn failed(message: impl Into<String>) -> Error {
     Error {
-        message: message.to_string(),
+        message: message.into(),
         code: FAILED,
     }
 }
 
-fn usage(message: impl ToString) -> Error {
+fn usage(message: impl Into<String>) -> Error {
     Error {
-        message: message.to_string(),
+        message: message.into(),
         code: USAGE,
     }
 }
@@ -154,7 +154,10 @@
             Self::Status(status) => status.run().await,
             Self::Rollout(rollout) => rollout.run().await,
             Self::Standin(standin) => standin.run().await,
-            Self::Demo(demo) => demo::run(demo.seed, demo.logs).await.map_err(failed),
+            Self::Demo(demo) => {
+                let report = demo::run(demo.seed, demo.logs).await;
+                report.map_err(|error| failed(error.to_string()))
+            }
         }
     }
 }
--- a/cactusglade-cli/src/commands/publish.rs
+++ b/cactusglade-cli/src/commands/publish.rs
@@ -60,6 +60,11 @@
 }
 
 impl Publish {
+    /// Checks, publishes and, where asked to, waits.
+    ///
+    /// # Errors
+    ///
+    /// Says every problem of the files, who won a race, or that nobody knows.
     pub async fn run(self) -> Result<String> {
         let document =
             objects::load(Path::new(&self.objects)).map_err(|problems| listed(&problems))?;
@@ -75,7 +80,7 @@
                 message: error.to_string(),
                 code: UNKNOWN,
             },
-            _ => failed(error),
+            _ => failed(error.to_string()),
         })?;
         let text = format!("published generation {}", generation.0);
         match self.wait {
--- a/cactusglade-cli/src/commands/rollout.rs
+++ b/cactusglade-cli/src/commands/rollout.rs
@@ -24,6 +24,11 @@
 }
 
 impl Rollout {
+    /// Asks the daemon and gives back a line for each rollout.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon does not answer or knows no such rollout.
     pub async fn run(self) -> Result<String> {
         let status = status::fetch(self.daemon.0).await.map_err(failed)?;
         let rows = status["rollouts"].as_object().cloned().unwrap_or_default();
--- a/cactusglade-cli/src/commands/standin.rs
+++ b/cactusglade-cli/src/commands/standin.rs
@@ -45,6 +45,11 @@
 }
 
 impl Standin {
+    /// Runs the stand-in until its process is ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the kind is unknown or the address is taken.
     pub async fn run(self) -> Result<String> {
         let running = match self.kind.as_str() {
             "platform" => platform::start(self.listen.0, platform::Options::default()).await,
@@ -56,7 +61,7 @@
                 )));
             }
         };
-        let running = running.map_err(failed)?;
+        let running = running.map_err(|error| failed(error.to_string()))?;
         println!("listening on {}", running.address);
         running.wait().await;
         Ok(String::new())
--- a/cactusglade-cli/src/commands/status.rs
+++ b/cactusglade-cli/src/commands/status.rs
@@ -27,6 +27,11 @@
 }
 
 impl Status {
+    /// Asks the daemon and gives back what it says.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon does not answer.
     pub async fn run(self) -> Result<String> {
         let status = fetch(self.daemon.0).await.map_err(failed)?;
         if self.json {
--- a/cactusglade-cli/src/demo/load.rs
+++ b/cactusglade-cli/src/demo/load.rs
@@ -16,7 +16,11 @@
 
 const CHATTERS: u64 = 12;
 const BOOKERS: u64 = 4;
-const MAX_TOKENS: std::ops::Range<u64> = 20..80;
+const SHORT_TOKENS: std::ops::Range<u64> = 20..80;
+/// Long answers are still under way when their zone is reclaimed.
+const LONG_TOKENS: std::ops::Range<u64> = 400..800;
+/// Of this many chats one has a long answer.
+const LONG_TURN: u64 = 4;
 const PAUSE: std::ops::Range<u64> = 20..80;
 
 /// `Tally` is what the callers saw.
@@ -174,7 +178,9 @@
             let caller = self.caller();
             let dossier = "lorem ipsum ".repeat(self.random.random_range(1..60));
             let content = format!("{} {turn} {dossier}", self.number);
-            let max_tokens = self.random.random_range(MAX_TOKENS);
+            let long = self.random.random_range(0..LONG_TURN) == 0;
+            let range = if long { LONG_TOKENS } else { SHORT_TOKENS };
+            let max_tokens = self.random.random_range(range);
             match caller.chat(objects::CHAT, &content, max_tokens).await {
                 Ok(stream) => self.judge(&stream, &content, max_tokens),
                 Err(error) => self.tally.broken.push(format!("chat: {error}")),
--- a/cactusglade-daemon/src/log/mod.rs
+++ b/cactusglade-daemon/src/log/mod.rs
@@ -6,12 +6,21 @@
 use slog::Logger;
 use slog::o;
 
+use crate::clock;
+
 /// Events that wait for the writing thread before further ones are dropped and counted.
 const QUEUE: usize = 4_096;
 
 /// Makes the logger of a daemon; lines are written by a thread of their own.
 pub fn logger<W: Send + Write + 'static>(writer: W, daemon: &str) -> Logger {
-    let drain = slog_logfmt::Logfmt::new(writer).build().ignore_res();
+    let drain = slog_logfmt::Logfmt::new(writer)
+        .set_prefix(|io, record| {
+            let (level, event) = (record.level().as_short_str(), record.msg());
+            write!(io, "ts={} level={level} event={event} ", clock::unix().0)?;
+            Ok(())
+        })
+        .build()
+        .ignore_res();
     let drain = slog_async::Async::new(drain)
         .chan_size(QUEUE)
         .build()
