--- a/cactusglade-cli/src/commands/publish.rs
+++ b/cactusglade-cli/src/commands/publish.rs
@@ -9,7 +9,9 @@
 use cactusglade_core::units::Generation;
 use cactusglade_daemon::link::Client;
 use cactusglade_daemon::platform::Platform;
+use cactusglade_wire::platform::Host;
 use gumdrop::Options;
+use serde_json::Value;
 
 use crate::commands::Error;
 use crate::commands::Result;
@@ -87,23 +89,33 @@
             None => Ok(text),
             Some(daemon) => {
                 let within = Duration::from_secs(self.wait_seconds);
-                let waited = wait(daemon.0, generation, within).await?;
+                let waited = wait(&platform, daemon.0, generation, within).await?;
                 Ok(format!("{text}\n{waited}"))
             }
         }
     }
 }
 
-/// Waits until every daemon that one knows of reports the generation, zone by zone.
-async fn wait(daemon: SocketAddr, generation: Generation, within: Duration) -> Result<String> {
+/// Waits until every daemon that is known or listed reports the generation, zone by zone.
+async fn wait(
+    platform: &Platform,
+    daemon: SocketAddr,
+    generation: Generation,
+    within: Duration,
+) -> Result<String> {
+    // Without the list, which may lag or be out, only those that the daemon knows are awaited.
+    let hosts = platform.hosts().await.unwrap_or_default();
     let started = Instant::now();
     loop {
         let status = status::fetch(daemon).await.map_err(usage)?;
-        let zones = zones(&status, generation);
-        let done = !zones.is_empty() && zones.values().all(|(there, all)| there == all);
+        let zones = zones(&status, &hosts, generation);
+        let done = !zones.is_empty() && zones.values().all(|zone| zone.there == zone.all);
         if done || started.elapsed() > within {
-            let lines = zones.iter().map(|(zone, (there, all))| {
-                format!("zone {zone}: in force on {there} of {all} daemons")
+            let lines = zones.iter().map(|(name, zone)| {
+                format!(
+                    "zone {name}: in force on {} of {} daemons",
+                    zone.there, zone.all
+                )
             });
             let text = lines.collect::<Vec<_>>().join("\n");
             let seconds = started.elapsed().as_secs_f64();
@@ -119,14 +131,36 @@
     }
 }
 
-fn zones(status: &serde_json::Value, generation: Generation) -> BTreeMap<String, (u64, u64)> {
-    let mut zones: BTreeMap<String, (u64, u64)> = BTreeMap::new();
-    for daemon in status["daemons"].as_object().into_iter().flatten() {
-        let zone = daemon.1["zone"].as_str().unwrap_or_default().to_owned();
-        let there = daemon.1["generation"].as_u64() >= Some(generation.0);
-        let counts = zones.entry(zone).or_default();
-        counts.0 += u64::from(there);
-        counts.1 += 1;
+#[derive(Clone, Copy, Debug, Default)]
+struct Zone {
+    there: u64,
+    all: u64,
+}
+
+fn zones(status: &Value, hosts: &[Host], generation: Generation) -> BTreeMap<String, Zone> {
+    let alive = status["alive"].as_array().into_iter().flatten();
+    let alive = alive.filter_map(Value::as_str).collect::<Vec<_>>();
+    let listed = hosts
+        .iter()
+        .filter(|host| host.peers.is_some() && !host.leaving);
+    let mut names = listed
+        .map(|host| (host.name.clone(), host.zone.clone()))
+        .collect::<BTreeMap<_, _>>();
+    let mut there = Vec::new();
+    for (name, daemon) in status["daemons"].as_object().into_iter().flatten() {
+        if alive.contains(&name.as_str()) {
+            let zone = daemon["zone"].as_str().unwrap_or_default();
+            names.insert(name.clone(), zone.to_owned());
+            if daemon["generation"].as_u64() >= Some(generation.0) {
+                there.push(name.clone());
+            }
+        }
+    }
+    let mut zones: BTreeMap<String, Zone> = BTreeMap::new();
+    for (name, zone) in names {
+        let zone = zones.entry(zone).or_default();
+        zone.there += u64::from(there.contains(&name));
+        zone.all += 1;
     }
     zones
 }
--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -254,6 +254,7 @@
             listener,
             seeds: self.settings.seeds.clone(),
             gossip: self.settings.gossip_ms,
+            sets: self.sets.clone(),
             dispatch: kernel.find(dispatch::NAME)?,
             config: kernel.find(config::NAME)?,
             clock: self.clock,
--- a/cactusglade-daemon/src/config/mod.rs
+++ b/cactusglade-daemon/src/config/mod.rs
@@ -150,6 +150,7 @@
             Ok(fetched) => self.adopt(head, fetched).await,
             // The next announcement tries again.
             Err(reason) => {
+                self.options.metrics.failed_fetches.inc();
                 warn!(log, "fetch_failed"; "generation" => head.generation.0, "reason" => %reason);
             }
         }
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -48,6 +48,8 @@
     pub older_heads: IntCounter,
     /// Object sets that a daemon refused.
     pub refused_sets: IntCounter,
+    /// Fetches of an object set that failed.
+    pub failed_fetches: IntCounter,
     /// Generation in force.
     pub generation: IntGauge,
     /// Open connections of callers.
@@ -100,6 +102,7 @@
                 "cactusglade_older_heads_total",
                 "Older heads from the store",
             )?,
+            failed_fetches: counter("cactusglade_failed_fetches_total", "Fetches that failed")?,
             refused_sets: counter("cactusglade_refused_sets_total", "Object sets refused")?,
             generation: gauge("cactusglade_generation", "Generation in force")?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
--- a/cactusglade-daemon/src/ops/mod.rs
+++ b/cactusglade-daemon/src/ops/mod.rs
@@ -140,7 +140,7 @@
     }
 
     async fn status(&self) -> Response<Full<Bytes>> {
-        let rows = self.peer.ask(peer::List).await.unwrap_or_default();
+        let peer::Listing { rows, alive } = self.peer.ask(peer::List).await.unwrap_or_default();
         let age = self.poll.ask(poll::Age).await.ok().flatten();
         let summary = self
             .dispatch
@@ -159,6 +159,7 @@
             "retried": summary.counters.retried,
             "moved": summary.counters.moved,
             "granted_leaving": summary.counters.granted_leaving,
+            "alive": alive,
             "daemons": part(&rows, |key, value| match (key, value) {
                 (Key::Daemon(name), Value::Daemon(daemon)) => {
                     Some((name.clone(), serde_json::to_value(daemon).ok()?))
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -5,11 +5,13 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cactusglade_core::row::Daemon;
 use cactusglade_core::row::Key;
 use cactusglade_core::row::Value;
+use cactusglade_core::set::Set;
 use cactusglade_core::units::Generation;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::member;
@@ -19,6 +21,7 @@
 use cactusglade_wire::peer::PeerClient;
 use cactusglade_wire::peer::Pull;
 use kameo::Actor;
+use kameo::Reply;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
 use kameo::message::Context;
@@ -32,6 +35,7 @@
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::clock::Clock;
@@ -66,6 +70,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between two exchanges.
     pub gossip: Millis,
+    /// The set in force.
+    pub sets: watch::Receiver<Arc<Set>>,
     /// The dispatch service.
     pub dispatch: ActorRef<Dispatch>,
     /// The configuration service.
@@ -109,6 +115,15 @@
 #[derive(Clone, Copy, Debug)]
 pub struct List;
 
+/// `Listing` is what a daemon knows of all.
+#[derive(Clone, Debug, Default, Reply)]
+pub struct Listing {
+    /// All rows.
+    pub rows: Vec<(Key, Value)>,
+    /// Names of the daemons heard of lately, this one included.
+    pub alive: Vec<String>,
+}
+
 /// `Hosts` gives peer addresses from the platform's list.
 #[derive(Clone, Debug)]
 pub struct Hosts(pub Vec<SocketAddr>);
@@ -254,17 +269,17 @@
 }
 
 impl Message<List> for Peer {
-    type Reply = Vec<(Key, Value)>;
-
-    async fn handle(
-        &mut self,
-        _: List,
-        _: &mut Context<Self, Vec<(Key, Value)>>,
-    ) -> Vec<(Key, Value)> {
-        self.state
-            .rows()
-            .map(|(key, value)| (key.clone(), value.clone()))
-            .collect()
+    type Reply = Listing;
+
+    async fn handle(&mut self, _: List, _: &mut Context<Self, Listing>) -> Listing {
+        let rows = self.state.rows();
+        let alive = self.state.alive(self.options.clock.now());
+        Listing {
+            rows: rows
+                .map(|(key, value)| (key.clone(), value.clone()))
+                .collect(),
+            alive: alive.into_iter().map(|(name, _)| name).collect(),
+        }
     }
 }
 
@@ -298,10 +313,7 @@
             .ask(dispatch::Summarise)
             .await
             .unwrap_or_default();
-        let generation = match self.state.get(&Key::Head) {
-            Some(Value::Head(head)) => head.generation,
-            _ => Generation(0),
-        };
+        let generation = self.options.sets.borrow().generation;
         let daemon = Daemon {
             incarnation: self.incarnation,
             beat: self.beat,
--- a/cactusglade-policy/src/ledger/mod.rs
+++ b/cactusglade-policy/src/ledger/mod.rs
@@ -134,11 +134,9 @@
             return self.claim();
         };
         if row.attempt == self.own.attempt {
-            return if row.outcome == Outcome::Open {
-                self.send()
-            } else {
-                Action::Refuse(Kind::StoreUnavailable)
-            };
+            // An attempt that recorded its end has ended and asks no more.
+            assert!(row.outcome == Outcome::Open, "an ended attempt went on");
+            return self.send();
         }
         if row.request != self.own.request && row.outcome != Outcome::NotRun {
             return Action::Refuse(Kind::KeyReused);
--- a/cactusglade-policy/tests/dispatch.rs
+++ b/cactusglade-policy/tests/dispatch.rs
@@ -125,7 +125,11 @@
     }
 
     fn leave(&mut self, number: usize, amount: u8) {
-        let kind = if amount % 2 == 0 { "engine" } else { "service" };
+        let kind = if amount.is_multiple_of(2) {
+            "engine"
+        } else {
+            "service"
+        };
         let name = format!("{kind}-{}", number % UPSTREAMS);
         let gone = self.now + Millis(u64::from(amount) * 100);
         self.dispatch.leave(self.now, &name, 0, gone);
@@ -289,3 +293,26 @@
         assert!(!matches!(action, Action::Grant(grant) if grant.upstream == leaving));
     }
 }
+
+#[test]
+fn when_every_attempt_fails_retries_stay_inside_the_budget() {
+    const REQUESTS: u64 = 200;
+    let mut world = World::new();
+    for _ in 0..REQUESTS {
+        let deadline = world.now + FAR;
+        let ask = support::ask(&world.set, "north", "book", deadline, 0.5);
+        let ticket = world.dispatch.arrive(world.now, UNIX, ask);
+        world.open.insert(ticket);
+        world.act();
+        while let Some(ticket) = world.pick(0) {
+            world.running.remove(&ticket);
+            world.doubtful.insert(ticket);
+            world.dispatch.again(world.now, UNIX, ticket, Cause::Lost);
+            // The pause after a failure passes, so that only the budget holds retries back.
+            world.now = world.now + Millis(10_000);
+            world.dispatch.tick(world.now, UNIX);
+            world.act();
+        }
+    }
+    assert!(world.dispatch.counters().retried >= REQUESTS / 10);
+}
--- a/cactusglade-policy/tests/fair.rs
+++ b/cactusglade-policy/tests/fair.rs
@@ -54,6 +54,8 @@
 fn an_idle_organisation_saves_no_credit() {
     let (one, two) = organisations();
     let mut queue = Queue::default();
+    queue.push(two, Class::Interactive, 1);
+    queue.pop(COST);
     for number in 0..1_000 {
         queue.push(one, Class::Interactive, number);
         queue.pop(COST);
--- a/cactusglade-policy/tests/ledger.rs
+++ b/cactusglade-policy/tests/ledger.rs
@@ -60,7 +60,7 @@
         };
         let event = match action {
             Action::Write { expected, row } => self.write(number, expected, row, fate),
-            Action::Read if fate % 4 == 0 => Event::Unknown,
+            Action::Read if fate.is_multiple_of(4) => Event::Unknown,
             Action::Read => Event::Row(self.row.clone()),
             Action::Send => return self.send(number, &entry, fate),
             Action::Replay(_) => {
@@ -127,7 +127,7 @@
         if kind == Kind::StoreUnavailable {
             assert_eq!(kind.answer().ran, Ran::No);
             // The mark that lets a repeat run; the process may die before it is written.
-            if fate % 4 != 0 {
+            if !fate.is_multiple_of(4) {
                 self.settle(number, entry, Outcome::NotRun);
             }
         }
--- a/cactusglade-policy/tests/support/mod.rs
+++ b/cactusglade-policy/tests/support/mod.rs
@@ -57,16 +57,17 @@
     let mut text = OBJECTS.to_owned();
     for number in 0..UPSTREAMS {
         let common = format!("zone = \"a\"\nclass = \"reclaimable\"\nslots = {SLOTS}\n");
-        text += &format!(
+        let engine = format!(
             "[upstream.engine-{number}]\nhost = \"e{number}\"\naddress = \"127.0.0.1:{}\"\n\
              versions = [\"v1\", \"v2\"]\n{common}",
             1000 + number
         );
-        text += &format!(
+        let service = format!(
             "[upstream.service-{number}]\nhost = \"s{number}\"\naddress = \"127.0.0.1:{}\"\n\
              service = \"bookings\"\n{common}",
             2000 + number
         );
+        text = [text, engine, service].concat();
     }
     let source = Source {
         file: "objects.toml".to_owned(),
--- a/cactusglade-standin/src/platform/mod.rs
+++ b/cactusglade-standin/src/platform/mod.rs
@@ -43,6 +43,10 @@
 /// `Faults` that the platform shows until it is told otherwise.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each fault is there or not, whatever the others are"
+)]
 pub struct Faults {
     /// Refuses everything with 503.
     pub down: bool,
@@ -54,6 +58,8 @@
     pub drop_commits: u64,
     /// Reads the head row as it was one generation ago.
     pub older_head: bool,
+    /// Gives out no objects, though it takes them.
+    pub hide_objects: bool,
     /// Keeps notices back, as a cloud does that is late.
     pub hide_notices: bool,
 }
@@ -231,6 +237,9 @@
             return server::whole(201, "text/plain", "stored");
         }
         let digest = digest.to_owned();
+        if self.faults.hide_objects {
+            return server::whole(503, "text/plain", "the object store is out");
+        }
         self.limited_read(|platform| match platform.objects.get(&digest) {
             Some(object) => server::whole(200, "application/json", object.clone()),
             None => server::whole(404, "text/plain", "there is no such object"),
