Drain in two steps: not ready but accepting, then closed; test hostile input and planned stops

Cause: a caller who had connected but was not yet accepted when the listener closed was cut off, and kept connections were closed without a word. Change: a stopping daemon is not ready yet accepts for lame_duck_ms, answers with "connection: close", serves whoever is in the accept queue, then lets requests finish.

--- a/cactusglade-cli/src/demo/fleet.rs
+++ b/cactusglade-cli/src/demo/fleet.rs
@@ -170,7 +170,7 @@
     let text = format!(
         "name = \"entry-{zone}\"\nzone = \"{zone}\"\ncallers = \"127.0.0.1:0\"\n\
          operators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nplatform = \"{platform}\"\n\
-         poll_ms = 500\ngossip_ms = 250\n"
+         poll_ms = 500\ngossip_ms = 250\nlame_duck_ms = 200\n"
     );
     let settings = Settings::try_new("(demo)", &text)
         .map_err(|problems| Error(problems.iter().map(ToString::to_string).collect()))?;
--- /dev/null
+++ b/cactusglade-cli/tests/drain.rs
@@ -0,0 +1,154 @@
+//! A planned stop cuts off no request.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusglade_cli::caller;
+use cactusglade_cli::caller::Caller;
+use cactusglade_cli::demo::objects;
+use cactusglade_daemon::link::Connection;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::task::JoinSet;
+
+use support::Fleet;
+use support::Plan;
+
+const LONG: u64 = 300;
+
+/// Calls until told to stop; a daemon that no longer listens is not called again for a while.
+async fn call(callers: Vec<Caller>, number: usize, stop: Arc<AtomicBool>) -> u64 {
+    let mut answered = 0;
+    let mut turn = number;
+    while !stop.load(Ordering::Relaxed) {
+        turn += 1;
+        let caller = &callers[turn % callers.len()];
+        let content = format!("{number} {turn}");
+        let tokens = if turn.is_multiple_of(3) { LONG } else { 10 };
+        match caller.chat(objects::CHAT, &content, tokens).await {
+            Ok(stream) => {
+                assert!(stream.is_whole(&content, tokens), "{stream:?}");
+                answered += 1;
+            }
+            Err(caller::Error::NotReached) => tokio::time::sleep(Duration::from_millis(5)).await,
+            Err(error) => panic!("a request was cut off: {error}"),
+        }
+        let body = format!("{{\"turn\":\"{content}\"}}");
+        let key = format!("key {content}");
+        match caller
+            .plain("POST", objects::BOOKINGS, &body, Some(&key))
+            .await
+        {
+            Ok(answer) => assert_eq!(answer.status, 201, "{answer:?}"),
+            Err(caller::Error::NotReached) => {}
+            Err(error) => panic!("a booking was cut off: {error}"),
+        }
+    }
+    answered
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_under_load_cuts_off_nothing() {
+    let mut fleet = Fleet::start(&Plan::default());
+    fleet.publish(None).await;
+    let callers = fleet.daemons.iter().map(|daemon| daemon.caller("north"));
+    let callers = callers.collect::<Vec<_>>();
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut calls = JoinSet::new();
+    for number in 0..8 {
+        calls.spawn(call(callers.clone(), number, stop.clone()));
+    }
+    for daemon in &mut fleet.daemons {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        daemon.process.signal("TERM");
+        let code = tokio::task::block_in_place(|| daemon.process.wait());
+        assert_eq!(code, Some(0), "{:#?}", daemon.process.log());
+        tokio::task::block_in_place(|| daemon.restart());
+        support::until("it is ready again", || daemon.is_ready()).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut answered = 0;
+    while let Some(call) = calls.join_next().await {
+        answered += call.expect("no request was cut off");
+    }
+    assert!(answered > 0);
+    let mut bodies = fleet
+        .journal()
+        .await
+        .into_iter()
+        .map(|run| run.body)
+        .collect::<Vec<_>>();
+    let runs = bodies.len();
+    bodies.sort();
+    bodies.dedup();
+    assert_eq!(bodies.len(), runs, "a booking ran twice");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_under_way_is_finished_before_the_daemon_ends() {
+    let mut fleet = Fleet::start(&Plan {
+        daemons: &["a"],
+        ..Plan::default()
+    });
+    fleet.publish(None).await;
+    let caller = fleet.daemons[0].caller("north");
+    let stream = tokio::spawn(async move { caller.chat(objects::CHAT, "long", LONG).await });
+    let daemon = &mut fleet.daemons[0];
+    support::until("it runs", || async {
+        daemon.status().await["open"].as_u64() > Some(0)
+    })
+    .await;
+    daemon.process.signal("TERM");
+    support::until("it is not ready", || async { !daemon.is_ready().await }).await;
+    let code = tokio::task::block_in_place(|| daemon.process.wait());
+    assert_eq!(code, Some(0));
+    let stream = stream.await.expect("it ends").expect("it is not cut off");
+    assert!(stream.is_whole("long", LONG), "{stream:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connections_are_asked_to_close_and_none_is_cut_off() {
+    let mut fleet = Fleet::start(&Plan {
+        daemons: &["a"],
+        ..Plan::default()
+    });
+    fleet.publish(None).await;
+    let address = fleet.daemons[0].callers;
+    let mut calls = JoinSet::new();
+    for _ in 0..8 {
+        calls.spawn(async move {
+            let connection = Connection::try_new(address, Duration::from_secs(1)).await;
+            let mut connection = connection.expect("it listens");
+            let mut answered = 0_u64;
+            loop {
+                let request = Request::get("/status/1")
+                    .header("host", "x")
+                    .header("authorization", "Bearer north-key")
+                    .body(Full::new(Bytes::new()))
+                    .expect("it is a request");
+                let response = connection.send(request).await.expect("it is not cut off");
+                assert_eq!(response.status(), 200);
+                let closing = response.headers().get("connection").is_some();
+                response.into_body().collect().await.expect("it is whole");
+                answered += 1;
+                if closing {
+                    return answered;
+                }
+            }
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let daemon = &mut fleet.daemons[0];
+    daemon.process.signal("TERM");
+    while let Some(call) = calls.join_next().await {
+        assert!(call.expect("it was asked to close") > 1);
+    }
+    let code = tokio::task::block_in_place(|| daemon.process.wait());
+    assert_eq!(code, Some(0));
+}
--- /dev/null
+++ b/cactusglade-cli/tests/hostile.rs
@@ -0,0 +1,132 @@
+//! Bad input gets a clear error and harms no other request.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusglade_cli::demo::objects;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use support::Fleet;
+use support::PATIENCE;
+use support::Plan;
+
+const LIMITS: &str = "max_body_bytes = 4096\nheader_timeout_ms = 500\nbody_timeout_ms = 500\n\
+                      max_connections = 16\n";
+
+async fn fleet() -> Fleet {
+    let fleet = Fleet::start(&Plan {
+        daemons: &["a"],
+        engines: &["a"],
+        services: &["a"],
+        settings: LIMITS,
+        ..Plan::default()
+    });
+    fleet.publish(None).await;
+    fleet
+}
+
+/// Sends bytes and reads until the daemon closes the connection.
+async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut socket = TcpStream::connect(address).await.expect("it listens");
+    // A daemon that has seen enough may close before all is written.
+    let _ = socket.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = socket.read_to_end(&mut answer);
+    let read = tokio::time::timeout(PATIENCE, read).await;
+    // A reset after the answer is the close of a connection with unread bytes.
+    let _ = read.expect("the daemon closes the connection");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(path: &str, key: &str, body: &str) -> Vec<u8> {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+async fn still_serves(fleet: &Fleet) {
+    let caller = fleet.daemons[0].caller("north");
+    let stream = caller.chat(objects::CHAT, "still there?", 5).await;
+    assert!(stream.expect("it answers").is_whole("still there?", 5));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_fault_of_a_request_has_its_own_answer() {
+    let fleet = fleet().await;
+    let address = fleet.daemons[0].callers;
+    let good = objects::api_key("north");
+    let chat = objects::CHAT;
+    let long = "x".repeat(10_000);
+    let cases = [
+        (post(chat, &good, "{"), "400", "bad_request"),
+        (post(chat, &good, "{\"messages\":[]}"), "400", "bad_request"),
+        (post(chat, &good, "[1,2]"), "400", "bad_request"),
+        (post(chat, "wrong", "{}"), "401", "unauthenticated"),
+        (post("/nowhere", &good, "{}"), "404", "unknown_route"),
+        (post("/status/1", &good, ""), "405", "method_not_allowed"),
+        (post(chat, &good, &long), "413", "body_too_large"),
+    ];
+    for (request, status, code) in cases {
+        let answer = exchange(address, &request).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{code}: {answer}"
+        );
+        assert!(
+            answer.contains(&format!("\"code\":\"{code}\"")),
+            "{code}: {answer}"
+        );
+        assert!(answer.contains("\"ran\":\"no\""), "{code}: {answer}");
+    }
+    still_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_and_malformed_requests_are_ended() {
+    let fleet = fleet().await;
+    let address = fleet.daemons[0].callers;
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n";
+    let key = objects::api_key("north");
+    // Headers that never end: the connection is closed.
+    exchange(address, head.as_bytes()).await;
+    // A body that never comes.
+    let body = format!("{head}authorization: Bearer {key}\r\ncontent-length: 100\r\n\r\n{{");
+    let answer = exchange(address, body.as_bytes()).await;
+    assert!(answer.contains("\"code\":\"slow_request\""), "{answer}");
+    // No HTTP at all, and a head that is too long.
+    let answer = exchange(address, b"\x00\x01\x02 hello\r\n\r\n").await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let long = format!("{head}x: {}\r\n\r\n", "y".repeat(40_000));
+    let answer = exchange(address, long.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    still_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_beyond_the_limit_are_told_why() {
+    let fleet = fleet().await;
+    let address = fleet.daemons[0].callers;
+    let mut idle = Vec::new();
+    for _ in 0..16 {
+        idle.push(TcpStream::connect(address).await.expect("it listens"));
+    }
+    let key = objects::api_key("north");
+    let answer = exchange(address, &post("/status/1", &key, "")).await;
+    assert!(answer.contains("\"code\":\"overloaded\""), "{answer}");
+    drop(idle);
+    // Their headers never came, so that they are closed at the latest when that time is over.
+    let caller = fleet.daemons[0].caller("north");
+    support::until("it serves again", || async {
+        let check = caller.plain("GET", "/status/1", "", None).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        check.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+}
--- a/cactusglade-cli/tests/support/mod.rs
+++ b/cactusglade-cli/tests/support/mod.rs
@@ -398,7 +398,7 @@
             .map(|daemon| format!("\"{}\"", daemon.peers));
         let seeds = seeds.collect::<Vec<_>>().join(", ");
         let more = format!(
-            "platform = \"{}\"\nseeds = [{seeds}]\npoll_ms = 500\ngossip_ms = 200\n{settings}",
+            "platform = \"{}\"\nseeds = [{seeds}]\npoll_ms = 500\ngossip_ms = 200\nlame_duck_ms = 200\n{settings}",
             self.platform.address
         );
         self.daemons
--- a/cactusglade-core/src/settings/mod.rs
+++ b/cactusglade-core/src/settings/mod.rs
@@ -32,7 +32,9 @@
     pub queue: usize,
     /// Longest answer of a plain service in bytes, 1 MiB by default.
     pub answer_bytes: usize,
-    /// Longest time for open requests to finish after SIGTERM, 30 s by default.
+    /// Time for which a stopping daemon still accepts while it is not ready, 2 s by default.
+    pub lame_duck_ms: Millis,
+    /// Longest time for open requests to finish after that, 30 s by default.
     pub drain_ms: Millis,
 }
 
@@ -169,6 +171,7 @@
         body_ms: span("body_timeout_ms", 10_000),
         queue,
         answer_bytes,
+        lame_duck_ms: span("lame_duck_ms", 2_000),
         drain_ms: span("drain_ms", 30_000),
     }
 }
--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -91,6 +91,7 @@
     notices: mpsc::Receiver<Millis>,
     draining: watch::Sender<bool>,
     gate: ActorRef<Gate>,
+    lame_duck: Duration,
     drain: Duration,
     log: Logger,
 }
@@ -135,6 +136,7 @@
         let (kernel, gate) = parts.start(kernel, sockets, set_sender, notice).await?;
         info!(log, "daemon_started"; "zone" => &settings.zone,
             "callers" => %callers, "operators" => %operators, "peers" => %peers);
+        let lame_duck = Duration::from_millis(settings.limits.lame_duck_ms.0);
         let drain = Duration::from_millis(settings.limits.drain_ms.0);
         Ok(Self {
             callers,
@@ -147,6 +149,7 @@
             notices,
             draining,
             gate,
+            lame_duck,
             drain,
             log,
         })
@@ -160,12 +163,14 @@
         }
     }
 
-    /// Stops accepting, lets every request finish, and stops the services in reverse order.
+    /// Says that it is not ready, stops accepting, lets every request finish, and stops the
+    /// services in reverse order.
     ///
     /// Gives back whether every request had ended in time.
     pub async fn stop(self) -> bool {
         self.draining.send_replace(true);
         info!(self.log, "draining"; "limit_ms" => self.drain.as_millis());
+        tokio::time::sleep(self.lame_duck).await;
         let drained = self
             .gate
             .ask(gate::Drain(self.drain))
@@ -326,6 +331,7 @@
             daemon: self.settings.name.clone(),
             limits: self.settings.limits,
             sets: self.sets.clone(),
+            draining: self.drains.clone(),
             dispatch: kernel.find(dispatch::NAME)?,
             ledger: Ledger::new(kernel.find(store::NAME)?, platform.clone()),
             clock: self.clock,
--- a/cactusglade-daemon/src/gate/connection.rs
+++ b/cactusglade-daemon/src/gate/connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cactusglade_core::errors::Kind;
+use futures::FutureExt;
 use http_body_util::Either;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -56,6 +57,10 @@
             .connections
             .set(i64::try_from(connections.len()).unwrap_or(i64::MAX));
     }
+    // Callers who have connected already are served; the next ones find nobody.
+    while let Some(Ok((socket, _))) = listener.accept().now_or_never() {
+        connections.spawn(serve(socket, context.clone(), closing.clone(), false));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
     drop(end);
@@ -70,8 +75,10 @@
     // Without it only the delay of small packets grows.
     let _ = socket.set_nodelay(true);
     let limits = context.limits;
+    let draining = context.draining.clone();
     let service = service_fn(move |request| {
         let context = context.clone();
+        let draining = draining.clone();
         async move {
             let response = if over {
                 let id = request::id(&context.daemon);
@@ -81,7 +88,13 @@
             } else {
                 request::handle(context, request).await
             };
-            Ok::<_, Infallible>(response)
+            // Callers that keep their connections are asked to go elsewhere.
+            let leaving = *draining.borrow();
+            Ok::<_, Infallible>(if leaving {
+                answer::closing(response)
+            } else {
+                response
+            })
         }
     });
     let mut builder = http1::Builder::new();
--- a/cactusglade-daemon/src/gate/mod.rs
+++ b/cactusglade-daemon/src/gate/mod.rs
@@ -40,6 +40,8 @@
     pub limits: Limits,
     /// The set in force.
     pub sets: watch::Receiver<Arc<Set>>,
+    /// Whether the daemon is shutting down.
+    pub draining: watch::Receiver<bool>,
     /// The dispatch service.
     pub dispatch: ActorRef<Dispatch>,
     /// The rows of attempts.
