--- /dev/null
+++ b/cactusglade-cli/tests/reclaim.rs
@@ -0,0 +1,168 @@
+//! Accepted requests survive reclaims, deaths and freezes of upstreams; leaving ones get no work.
+
+mod support;
+
+use std::time::Duration;
+
+use cactusglade_cli::demo::objects;
+use tokio::task::JoinSet;
+
+use support::Fleet;
+use support::Plan;
+use support::until;
+
+const TOKENS: u64 = 1_000;
+const STREAMS: u64 = 12;
+
+/// Starts long streams over all daemons and waits until all of them run.
+async fn streams(fleet: &Fleet) -> JoinSet<()> {
+    let mut streams = JoinSet::new();
+    for number in 0..STREAMS {
+        let place = usize::try_from(number).unwrap() % fleet.daemons.len();
+        let caller = fleet.daemons[place].caller("north");
+        streams.spawn(async move {
+            let content = format!("long {number}");
+            let stream = caller.chat(objects::CHAT, &content, TOKENS).await;
+            let stream = stream.expect("it is not cut off");
+            assert!(stream.is_whole(&content, TOKENS), "{:?}", stream.failure);
+        });
+    }
+    until("all streams run", || async {
+        let mut open = 0;
+        for daemon in &fleet.daemons {
+            open += daemon.status().await["open"].as_u64().unwrap_or(0);
+        }
+        open == STREAMS
+    })
+    .await;
+    // Some tokens have come of each by then.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    streams
+}
+
+async fn all_whole(mut streams: JoinSet<()>) {
+    while let Some(stream) = streams.join_next().await {
+        stream.expect("it is whole");
+    }
+}
+
+async fn metric(fleet: &Fleet, name: &str) -> f64 {
+    let mut sum = 0.0;
+    for daemon in &fleet.daemons {
+        sum += daemon.metric(name).await;
+    }
+    sum
+}
+
+async fn requests(fleet: &Fleet, engine: usize) -> u64 {
+    let totals: serde_json::Value = fleet.engines[engine].read("totals").await;
+    totals["requests"].as_u64().expect("it counts")
+}
+
+fn plan() -> Plan<'static> {
+    Plan {
+        daemons: &["a", "b"],
+        engines: &["a", "a", "b", "b"],
+        engine_arguments: &["--token-us", "3000"],
+        ..Plan::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_the_announced_reclaim_of_a_whole_zone() {
+    let mut fleet = Fleet::start(&plan());
+    fleet.publish(None).await;
+    let streams = streams(&fleet).await;
+    fleet.notice("engine-a-0", 2).await;
+    fleet.notice("engine-a-1", 2).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for engine in &fleet.engines[..2] {
+        engine.process.signal("KILL");
+    }
+    all_whole(streams).await;
+    assert!(metric(&fleet, "cactusglade_moves_total").await > 0.0);
+    assert!(metric(&fleet, "cactusglade_recomputed_tokens_total").await > 0.0);
+    fleet.engines.drain(..2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_a_second_reclaim_during_the_first() {
+    let fleet = Fleet::start(&plan());
+    fleet.publish(None).await;
+    let streams = streams(&fleet).await;
+    fleet.notice("engine-a-0", 2).await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    fleet.notice("engine-b-2", 1).await;
+    fleet.notice("engine-b-3", 1).await;
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    for engine in [0, 2, 3] {
+        fleet.engines[engine].process.signal("KILL");
+    }
+    all_whole(streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_the_death_and_the_freeze_of_upstreams() {
+    let fleet = Fleet::start(&plan());
+    fleet.publish(None).await;
+    let streams = streams(&fleet).await;
+    fleet.engines[0].process.signal("KILL");
+    fleet.engines[2].process.signal("STOP");
+    all_whole(streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_notice_that_one_daemon_hears_stops_new_work_everywhere_and_for_good() {
+    let mut fleet = Fleet::start(&Plan {
+        daemons: &["a", "a", "a"],
+        engines: &["a", "a"],
+        ..Plan::default()
+    });
+    fleet.publish(None).await;
+    // Only the first daemon reaches the platform; after the notice nobody does.
+    fleet.ways[1].cut(true);
+    fleet.ways[2].cut(true);
+    fleet.notice("engine-a-0", 60).await;
+    until("one daemon knows", || async {
+        fleet.daemons[0].status().await["leaving"]["engine-a-0/0"].is_u64()
+    })
+    .await;
+    let first = std::time::Instant::now();
+    fleet.ways[0].cut(true);
+    for daemon in &fleet.daemons {
+        until("every daemon knows", || async {
+            daemon.status().await["leaving"]["engine-a-0/0"].is_u64()
+        })
+        .await;
+    }
+    println!("known everywhere after {:?}", first.elapsed());
+    let before = requests(&fleet, 0).await;
+    call_all(&fleet).await;
+    assert_eq!(
+        requests(&fleet, 0).await,
+        before,
+        "a leaving upstream got work"
+    );
+    // A daemon that starts anew without the platform learns it from the others.
+    tokio::task::block_in_place(|| fleet.daemons[1].restart());
+    until("it is ready again", || fleet.daemons[1].is_ready()).await;
+    call_all(&fleet).await;
+    assert_eq!(
+        requests(&fleet, 0).await,
+        before,
+        "a restart forgot who is leaving"
+    );
+}
+
+async fn call_all(fleet: &Fleet) {
+    for daemon in &fleet.daemons {
+        for number in 0..5 {
+            let content = format!("short {number}");
+            let stream = daemon
+                .caller("south")
+                .chat(objects::CHAT, &content, 5)
+                .await;
+            assert!(stream.expect("it is answered").is_whole(&content, 5));
+        }
+    }
+}
--- a/cactusglade-cli/tests/support/mod.rs
+++ b/cactusglade-cli/tests/support/mod.rs
@@ -3,8 +3,12 @@
 // Each test file uses its own part of this.
 #![allow(dead_code)]
 
+mod link;
+
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -26,6 +30,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use link::Link;
+
 /// Longest wait for anything that must come about; only a fault takes this long.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(20);
@@ -209,11 +215,11 @@
 }
 
 impl Daemon {
-    pub fn start(folder: &Path, name: &str, zone: &str, more: &str) -> Self {
+    pub fn start(folder: &Path, name: &str, zone: &str, ip: IpAddr, more: &str) -> Self {
         let any = "127.0.0.1:0";
         let text = format!(
             "name = \"{name}\"\nzone = \"{zone}\"\ncallers = \"{any}\"\n\
-             operators = \"{any}\"\npeers = \"{any}\"\n{more}\n"
+             operators = \"{any}\"\npeers = \"{ip}:0\"\n{more}\n"
         );
         let settings = folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text).expect("the folder can be written");
@@ -333,6 +339,10 @@
     pub services: Vec<Standin>,
     pub daemons: Vec<Daemon>,
     pub upstreams: Vec<Upstream>,
+    /// The way of each daemon to the platform.
+    pub ways: Vec<Link>,
+    /// The way of the other daemons to each.
+    pub doors: Vec<Link>,
     pub folder: PathBuf,
 }
 
@@ -351,6 +361,8 @@
             services: Vec::new(),
             daemons: Vec::new(),
             upstreams: Vec::new(),
+            ways: Vec::new(),
+            doors: Vec::new(),
             folder,
         };
         for (number, zone) in plan.engines.iter().enumerate() {
@@ -393,16 +405,40 @@
     /// Starts a daemon that knows the addresses of those before it.
     pub fn daemon(&mut self, name: &str, zone: &str, settings: &str) {
         let seeds = self
-            .daemons
+            .doors
             .iter()
-            .map(|daemon| format!("\"{}\"", daemon.peers));
+            .map(|door| format!("\"{}\"", door.address));
         let seeds = seeds.collect::<Vec<_>>().join(", ");
+        let (way, door) = (Link::start(), Link::start());
+        way.lead_to(self.platform.address);
         let more = format!(
-            "platform = \"{}\"\nseeds = [{seeds}]\npoll_ms = 500\ngossip_ms = 200\nlame_duck_ms = 200\n{settings}",
-            self.platform.address
+            "platform = \"{}\"\nadvertised = \"{}\"\nseeds = [{seeds}]\npoll_ms = 500\n\
+             gossip_ms = 200\nlame_duck_ms = 200\n{settings}",
+            way.address, door.address
         );
-        self.daemons
-            .push(Daemon::start(&self.folder, name, zone, &more));
+        let ip = ip(self.daemons.len());
+        let daemon = Daemon::start(&self.folder, name, zone, ip, &more);
+        door.lead_to(daemon.peers);
+        self.daemons.push(daemon);
+        self.ways.push(way);
+        self.doors.push(door);
+    }
+
+    /// Cuts some daemons off from the platform and from all others.
+    pub fn cut_off(&self, cut: &[usize]) {
+        for one in cut {
+            self.ways[*one].cut(true);
+            for other in (0..self.daemons.len()).filter(|other| !cut.contains(other)) {
+                self.doors[*one].cut_from(ip(other));
+                self.doors[other].cut_from(ip(*one));
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        for link in self.ways.iter().chain(&self.doors) {
+            link.heal();
+        }
     }
 
     /// Writes the object files and gives back their folder.
@@ -417,12 +453,12 @@
 
     /// Tells the platform which hosts there are, as its lagging list shows them.
     pub async fn list_hosts(&self) {
-        let hosts = self.daemons.iter().map(|daemon| {
+        let hosts = self.daemons.iter().zip(&self.doors).map(|(daemon, door)| {
             serde_json::json!({
                 "name": daemon.name,
                 "zone": daemon.zone,
                 "leaving": false,
-                "peers": daemon.peers.to_string(),
+                "peers": door.address.to_string(),
             })
         });
         let hosts = hosts.collect::<Vec<_>>();
@@ -474,6 +510,16 @@
     }
 }
 
+/// The address that a daemon connects to the others from.
+fn ip(number: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        0,
+        0,
+        10 + u8::try_from(number).expect("they are few"),
+    ))
+}
+
 pub fn unix_ms() -> u64 {
     cactusglade_daemon::clock::unix().0
 }
--- /dev/null
+++ b/cactusglade-cli/tests/whole.rs
@@ -0,0 +1,117 @@
+//! Each caller gets the whole answer to its own request, and "not run" only where that is so.
+
+mod support;
+
+use cactusglade_cli::demo::objects;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use support::Fleet;
+use support::Plan;
+
+const TOKENS: u64 = 50;
+
+fn plan() -> Plan<'static> {
+    Plan {
+        daemons: &["a", "a"],
+        engines: &["a", "a"],
+        services: &["a"],
+        ..Plan::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_are_whole_under_every_fault_of_engines() {
+    let fleet = Fleet::start(&plan());
+    fleet.publish(None).await;
+    let faults = [
+        json!({ "cross": 5 }),
+        json!({ "truncate": 5 }),
+        json!({ "duplicate": 5 }),
+        json!({ "die": 5, "die_after": 20 }),
+        json!({ "refuse": true }),
+        json!({ "delay_ms": 200 }),
+    ];
+    for fault in faults {
+        fleet.engines[0].control("faults", &fault).await;
+        let mut chats = JoinSet::new();
+        for number in 0..20 {
+            let caller = fleet.daemons[number % 2].caller("north");
+            chats.spawn(async move {
+                let content = format!("question {number}");
+                let stream = caller.chat(objects::CHAT, &content, TOKENS).await;
+                (content, stream.expect("it is not cut off"))
+            });
+        }
+        while let Some(chat) = chats.join_next().await {
+            let (content, stream) = chat.expect("it ends");
+            assert!(
+                stream.is_whole(&content, TOKENS),
+                "{fault}: {:?}",
+                stream.failure
+            );
+        }
+        fleet.engines[0].control("faults", &json!({})).await;
+    }
+}
+
+/// Books once with each fault and compares what was said with what ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_said_of_a_booking_agrees_with_the_journal() {
+    let fleet = Fleet::start(&plan());
+    fleet.publish(None).await;
+    let faults = [
+        (json!({}), 201, None),
+        (json!({ "refuse": true }), 502, Some("no")),
+        (json!({ "lose_answers": 9 }), 502, Some("maybe")),
+        (json!({ "cross_answers": 9 }), 502, Some("maybe")),
+        (json!({ "cut_answers": 9 }), 502, Some("maybe")),
+    ];
+    for (number, (fault, status, ran)) in faults.iter().enumerate() {
+        for keyed in [false, true] {
+            fleet.services[0].control("faults", fault).await;
+            let body = format!("{{\"case\":\"{number} {keyed}\"}}");
+            let key = keyed.then(|| format!("key {number}"));
+            let caller = fleet.daemons[0].caller("cases");
+            let book = || caller.plain("POST", objects::BOOKINGS, &body, key.as_deref());
+            let answer = book().await.expect("it is answered");
+            assert_eq!(answer.status, *status, "{fault}: {answer:?}");
+            assert_eq!(answer.ran.as_deref(), *ran, "{fault}: {answer:?}");
+            let runs = || async {
+                let journal = fleet.journal().await;
+                journal.iter().filter(|run| run.body == body).count()
+            };
+            let expected = usize::from(*ran != Some("no"));
+            assert_eq!(runs().await, expected, "{fault}");
+            fleet.services[0].control("faults", &json!({})).await;
+            if keyed {
+                let repeat = book().await.expect("it is answered");
+                let settled = match ran {
+                    Some("maybe") => 409,
+                    _ => 201,
+                };
+                assert_eq!(repeat.status, settled, "{fault}: {repeat:?}");
+                assert_eq!(runs().await, 1, "{fault}: the repeat ran again");
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_check_is_tried_again_until_it_is_whole() {
+    let fleet = Fleet::start(&plan());
+    fleet.publish(None).await;
+    for fault in ["lose_answers", "cross_answers", "cut_answers"] {
+        fleet.services[0]
+            .control("faults", &json!({ fault: 1 }))
+            .await;
+        let caller = fleet.daemons[0].caller("south");
+        let answer = caller
+            .plain("GET", "/status/1", "", None)
+            .await
+            .expect("it is answered");
+        assert_eq!(answer.status, 200, "{fault}: {answer:?}");
+        let body: serde_json::Value = serde_json::from_str(&answer.body).expect("it is whole");
+        assert_eq!(body["path"], "/status/1");
+    }
+}
--- a/cactusglade-core/src/settings/mod.rs
+++ b/cactusglade-core/src/settings/mod.rs
@@ -53,6 +53,8 @@
     pub operators: SocketAddr,
     /// Address for other daemons.
     pub peers: SocketAddr,
+    /// Address that other daemons are told to reach it at, `peers` by default.
+    pub advertised: Option<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
     /// Peer addresses of other daemons that are tried until the host list is known.
@@ -107,6 +109,7 @@
     let operators = address(fields, "operators");
     let peers = address(fields, "peers");
     let platform = address(fields, "platform");
+    let advertised = optional_address(fields, "advertised");
     let seeds = seeds(fields);
     let limits = limits(fields);
     let threads = fields.whole("threads", 1..=MAX_THREADS, Some(2));
@@ -121,6 +124,7 @@
         callers: callers?,
         operators: operators?,
         peers: peers?,
+        advertised,
         platform: platform?,
         seeds,
         poll_ms,
@@ -140,6 +144,15 @@
     address
 }
 
+fn optional_address(fields: &mut Fields<'_>, field: &'static str) -> Option<SocketAddr> {
+    let text = fields.text_or_none(field)?;
+    let address = text.parse().ok();
+    if address.is_none() {
+        fields.reject(field, format!("{text:?} is not IP:port"));
+    }
+    address
+}
+
 fn seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
     let mut seeds = Vec::new();
     for text in fields.texts("seeds") {
--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -244,6 +244,7 @@
     ) -> Result<config::Options> {
         Ok(config::Options {
             platform: platform.clone(),
+            local: self.peers.ip(),
             sets,
             dispatch: kernel.find(dispatch::NAME)?,
             log: self.log.clone(),
@@ -255,7 +256,8 @@
         Ok(peer::Options {
             name: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
-            address: self.peers,
+            address: self.settings.advertised.unwrap_or(self.peers),
+            local: self.peers.ip(),
             listener,
             seeds: self.settings.seeds.clone(),
             gossip: self.settings.gossip_ms,
--- a/cactusglade-daemon/src/config/fetch.rs
+++ b/cactusglade-daemon/src/config/fetch.rs
@@ -1,5 +1,6 @@
 //! Gets the document of a generation: by its delta, by its snapshot, or from a peer.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
 pub struct Source {
     /// The platform.
     pub platform: Platform,
+    /// Address that peers are connected to from.
+    pub local: IpAddr,
     /// Peer addresses that are asked where the platform does not answer.
     pub peers: Vec<String>,
     /// The document of the generation before, where it is in force here.
@@ -71,7 +74,7 @@
             let Ok(address) = address.parse() else {
                 continue;
             };
-            let snapshot = peer::snapshot(address, head.generation, PEER_WAIT).await;
+            let snapshot = peer::snapshot(self.local, address, head.generation, PEER_WAIT).await;
             if let Some(snapshot) = snapshot
                 && let Ok(fetched) = read(snapshot, head)
             {
--- a/cactusglade-daemon/src/config/mod.rs
+++ b/cactusglade-daemon/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod fetch;
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use cactusglade_core::meta::Document;
@@ -36,6 +37,8 @@
 pub struct Options {
     /// The platform.
     pub platform: Platform,
+    /// Address that peers are connected to from.
+    pub local: IpAddr,
     /// Where the set in force is put for all to see.
     pub sets: watch::Sender<Arc<Set>>,
     /// The dispatch service, which takes a set before the callers' side does.
@@ -123,6 +126,7 @@
         self.fetching = Some(seen);
         let source = fetch::Source {
             platform: self.options.platform.clone(),
+            local: self.options.local,
             peers: announce.peers,
             document: (known.next() == seen).then(|| self.document.clone()),
         };
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,8 +33,10 @@
 use slog::debug;
 use tarpc::client;
 use tarpc::context;
-use tarpc::serde_transport::tcp;
+use tarpc::serde_transport;
 use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpSocket;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -64,6 +67,8 @@
     pub zone: String,
     /// Address that peers reach it at.
     pub address: SocketAddr,
+    /// Address that it connects to peers from.
+    pub local: IpAddr,
     /// The socket that peers connect to.
     pub listener: std::net::TcpListener,
     /// Addresses tried until others are known.
@@ -191,11 +196,12 @@
             return;
         };
         let known = self.clients.get(&address).cloned();
+        let local = self.options.local;
         let pull = self.pulled.get(&address).copied().unwrap_or_default();
         context.pipe(async move {
             let client = match known {
                 Some(client) => Some(client),
-                None => connect(address).await,
+                None => connect(local, address).await,
             };
             let batch = match &client {
                 Some(client) => client.pull(deadline(), pull).await.ok(),
@@ -368,19 +374,24 @@
             let rows = rows.to_vec();
             let known = self.clients.get(&address).cloned();
             self.options.metrics.gossip_bytes.inc_by(size(&rows));
-            tokio::spawn(push(address, known, rows));
+            tokio::spawn(push(self.options.local, address, known, rows));
         }
     }
 }
 
 /// Pushes rows to one peer; what does not arrive is pulled later.
-async fn push(address: SocketAddr, known: Option<PeerClient>, rows: Vec<(Key, Value)>) {
+async fn push(
+    local: IpAddr,
+    address: SocketAddr,
+    known: Option<PeerClient>,
+    rows: Vec<(Key, Value)>,
+) {
     if let Some(client) = known
         && client.push(deadline(), rows.clone()).await.is_ok()
     {
         return;
     }
-    if let Some(client) = connect(address).await {
+    if let Some(client) = connect(local, address).await {
         // The next exchange brings what was lost here.
         let _ = client.push(deadline(), rows).await;
     }
@@ -412,9 +423,18 @@
     u64::try_from(bytes).unwrap_or(u64::MAX)
 }
 
-async fn connect(address: SocketAddr) -> Option<PeerClient> {
-    let connect = tcp::connect(address, Bincode::default);
-    let transport = tokio::time::timeout(WAIT, connect).await.ok()?.ok()?;
+/// Connects from the daemon's own address, by which hosts with several are told apart.
+async fn connect(local: IpAddr, address: SocketAddr) -> Option<PeerClient> {
+    let socket = match local {
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.ok()?;
+    socket.bind(SocketAddr::new(local, 0)).ok()?;
+    let connect = socket.connect(address);
+    let stream = tokio::time::timeout(WAIT, connect).await.ok()?.ok()?;
+    let framed = LengthDelimitedCodec::builder().new_framed(stream);
+    let transport = serde_transport::new(framed, Bincode::default());
     Some(PeerClient::new(client::Config::default(), transport).spawn())
 }
 
@@ -426,12 +446,13 @@
 
 /// Asks one peer for the snapshot of a generation.
 pub async fn snapshot(
+    local: IpAddr,
     address: SocketAddr,
     generation: Generation,
     within: Duration,
 ) -> Option<String> {
     let ask = async {
-        connect(address)
+        connect(local, address)
             .await?
             .snapshot(deadline(), generation)
             .await
