--- a/cactusglade-cli/tests/moves.rs
+++ b/cactusglade-cli/tests/moves.rs
@@ -142,7 +142,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_good_version_is_done_by_its_deadline() {
-    let fleet = Fleet::start(&plan());
+    let mut fleet = Fleet::start(&plan());
     fleet.publish(None).await;
     let load = Load::start(&fleet);
     let rollout = rollout(30);
@@ -153,6 +153,22 @@
     all_on(&fleet, "chat-v2").await;
     let (whole, not) = load.stop().await;
     assert!(whole > 0 && not == 0, "{whole} whole, {not} not");
+    only_holders_moved(&mut fleet);
+}
+
+/// A daemon writes a step only after it has taken the lease.
+fn only_holders_moved(fleet: &mut Fleet) {
+    let mut steps = 0;
+    for daemon in &mut fleet.daemons {
+        let mut holds = false;
+        for line in daemon.process.log() {
+            holds |= line.contains("event=lease_taken");
+            let moved = line.contains("event=rollout_moved");
+            assert!(holds || !moved, "without the lease: {line}");
+            steps += u64::from(moved);
+        }
+    }
+    assert!(steps >= 3, "{steps} steps");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/cactusglade-cli/tests/soak.rs
@@ -0,0 +1,551 @@
+//! All faults at random over separate processes, with every promise checked at the end.
+//!
+//! `CACTUSGLADE_SEED` repeats a run's choices, `CACTUSGLADE_STEPS` sets how many faults there
+//! are; without it there are few, so that the run fits into CI.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactusglade_cli::caller::Answer;
+use cactusglade_cli::caller::Caller;
+use cactusglade_cli::caller::Stream;
+use cactusglade_cli::demo::objects;
+use cactusglade_cli::demo::objects::Rollout;
+use cactusglade_standin::engine;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use support::Fleet;
+use support::Plan;
+use support::RESTARTED;
+use support::Standin;
+use support::printed;
+use support::unix_ms;
+use support::until;
+
+const SHORT_RUN: u64 = 10;
+const CHATTERS: u64 = 6;
+const BOOKERS: u64 = 4;
+const ROLLOUT_MS: u64 = 12_000;
+
+fn setting(name: &str, default: u64) -> u64 {
+    let given = std::env::var(name).ok();
+    let value = given
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default);
+    println!("{name}={value}");
+    value
+}
+
+/// What callers were told.
+#[derive(Debug, Default)]
+struct Tally {
+    whole: u64,
+    refused: BTreeMap<String, u64>,
+    interrupted: u64,
+    bookings: BTreeMap<String, Vec<Option<Answer>>>,
+    reviews: Vec<(String, String)>,
+}
+
+/// One client; it calls whichever daemon the balancer names.
+struct One {
+    callers: Vec<Caller>,
+    stopped: watch::Receiver<()>,
+    random: StdRng,
+    number: u64,
+    tally: Tally,
+}
+
+impl One {
+    async fn goes_on(&mut self) -> bool {
+        let pause = Duration::from_millis(self.random.random_range(10..60));
+        tokio::time::timeout(pause, self.stopped.changed())
+            .await
+            .is_err()
+    }
+
+    fn caller(&mut self) -> Caller {
+        self.callers
+            .choose(&mut self.random)
+            .expect("there are daemons")
+            .clone()
+    }
+
+    async fn chat(mut self) -> Tally {
+        let mut turn = 0;
+        while self.goes_on().await {
+            turn += 1;
+            let tokens = self.random.random_range(5..400);
+            let content = format!("{} {turn}", self.number);
+            let Ok(mut stream) = self.caller().chat(objects::CHAT, &content, tokens).await else {
+                self.tally.interrupted += 1;
+                continue;
+            };
+            is_right_so_far(&stream, &content);
+            // As a client does whose stream broke: it goes on through another daemon.
+            for _ in 0..5 {
+                if stream.done || !(stream.moved || stream.cut) || stream.resume.is_none() {
+                    break;
+                }
+                let Ok(next) = self.caller().resume(stream.clone()).await else {
+                    continue;
+                };
+                is_right_so_far(&next, &content);
+                stream = next;
+            }
+            self.judge(&stream, &content, tokens);
+        }
+        self.tally
+    }
+
+    fn judge(&mut self, stream: &Stream, content: &str, tokens: u64) {
+        if stream.done {
+            assert!(
+                stream.is_whole(content, tokens),
+                "done but not whole: {stream:?}"
+            );
+            self.tally.whole += 1;
+        } else if let Some(failure) = &stream.failure {
+            *self.tally.refused.entry(failure.code.clone()).or_default() += 1;
+        } else {
+            self.tally.interrupted += 1;
+        }
+    }
+
+    async fn book(mut self) -> Tally {
+        let mut turn = 0;
+        while self.goes_on().await {
+            turn += 1;
+            let key = format!("slot {} {turn}", self.number);
+            let body = slot(&key);
+            let (one, two) = (self.caller(), self.caller());
+            let (one, two) = tokio::join!(
+                one.plain("POST", objects::BOOKINGS, &body, Some(&key)),
+                two.plain("POST", objects::BOOKINGS, &body, Some(&key)),
+            );
+            let later = self
+                .caller()
+                .plain("POST", objects::BOOKINGS, &body, Some(&key))
+                .await;
+            let answers = [one, two, later].map(Result::ok);
+            self.tally.bookings.insert(key, answers.into());
+            if turn % 8 == 0 {
+                self.review(turn).await;
+            }
+        }
+        self.tally
+    }
+
+    async fn review(&mut self, turn: u64) {
+        let content = format!("dossier {} {turn}", self.number);
+        let body = json!({
+            "messages": [{ "role": "user", "content": content }],
+            "max_tokens": 20,
+        });
+        let caller = self.caller();
+        let answer = caller
+            .plain("POST", objects::REVIEWS, &body.to_string(), None)
+            .await;
+        if let Ok(answer) = answer
+            && answer.status == 202
+        {
+            let body: Value = serde_json::from_str(&answer.body).expect("it is JSON");
+            let address = body["status"]
+                .as_str()
+                .expect("it has an address")
+                .to_owned();
+            self.tally.reviews.push((address, content));
+        }
+    }
+}
+
+fn slot(key: &str) -> String {
+    format!("{{\"slot\":\"{key}\"}}")
+}
+
+/// Whatever becomes of a stream, what came of it is its own, in order, each token once.
+fn is_right_so_far(stream: &Stream, content: &str) {
+    let prompt = cactusglade_cli::caller::prompt(content);
+    for (place, (index, text)) in stream.indices.iter().zip(&stream.tokens).enumerate() {
+        assert_eq!(
+            usize::try_from(*index).ok(),
+            Some(place),
+            "{:?}",
+            stream.indices
+        );
+        assert_eq!(
+            *text,
+            engine::token(&prompt, *index),
+            "a token of another answer"
+        );
+    }
+}
+
+struct Soak {
+    fleet: Fleet,
+    random: StdRng,
+    rollout: Option<Rollout>,
+    rollouts: Vec<Rollout>,
+    fresh: usize,
+}
+
+impl Soak {
+    fn callers(&self, organisation: &str) -> Vec<Caller> {
+        self.fleet
+            .daemons
+            .iter()
+            .map(|daemon| daemon.caller(organisation))
+            .collect()
+    }
+
+    fn pause(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.random.random_range(range))
+    }
+
+    async fn fault(&mut self) {
+        let kind = self.random.random_range(0..9);
+        println!("fault {kind}");
+        match kind {
+            0 => self.platform().await,
+            1 => self.kill_daemon(),
+            2 => self.freeze_daemon().await,
+            3 => self.cut_zone().await,
+            4 => self.engine_faults().await,
+            5 => self.service_faults().await,
+            6 => self.reclaim_engine().await,
+            7 => self.publish(),
+            _ => self.roll().await,
+        }
+        let pause = self.pause(200..1_500);
+        tokio::time::sleep(pause).await;
+    }
+
+    async fn platform(&mut self) {
+        let faults = [
+            json!({ "down": true }),
+            json!({ "delay_ms": 400 }),
+            json!({ "lose_commits": 5 }),
+            json!({ "drop_commits": 3 }),
+            json!({ "older_head": true }),
+            json!({ "delay_ms": 2_000 }),
+        ];
+        let fault = faults.choose(&mut self.random).expect("there are some");
+        println!("platform {fault}");
+        self.fleet.platform.control("faults", fault).await;
+        let pause = self.pause(500..3_000);
+        tokio::time::sleep(pause).await;
+        self.fleet.platform.control("faults", &json!({})).await;
+    }
+
+    fn kill_daemon(&mut self) {
+        let place = self.random.random_range(0..self.fleet.daemons.len());
+        let gently = self.random.random_bool(0.5);
+        println!("daemon {place} ends, gently: {gently}");
+        let daemon = &mut self.fleet.daemons[place];
+        if gently {
+            daemon.process.signal("TERM");
+            let code = tokio::task::block_in_place(|| daemon.process.wait());
+            assert_eq!(code, Some(0), "{:#?}", daemon.process.log());
+        }
+        tokio::task::block_in_place(|| daemon.restart());
+    }
+
+    async fn freeze_daemon(&mut self) {
+        let place = self.random.random_range(0..self.fleet.daemons.len());
+        let pause = self.pause(200..7_000);
+        println!("daemon {place} freezes for {pause:?}");
+        self.fleet.daemons[place].process.signal("STOP");
+        tokio::time::sleep(pause).await;
+        self.fleet.daemons[place].process.signal("CONT");
+    }
+
+    async fn cut_zone(&mut self) {
+        let place = self.random.random_range(0..self.fleet.daemons.len());
+        let pause = self.pause(500..4_000);
+        println!("daemon {place} is cut off for {pause:?}");
+        self.fleet.cut_off(&[place]);
+        tokio::time::sleep(pause).await;
+        self.fleet.heal();
+    }
+
+    async fn engine_faults(&mut self) {
+        let faults = [
+            json!({ "cross": 3 }),
+            json!({ "truncate": 3 }),
+            json!({ "duplicate": 3 }),
+            json!({ "die": 3, "die_after": 10 }),
+            json!({ "delay_ms": 300 }),
+            json!({ "refuse": true }),
+        ];
+        let fault = faults.choose(&mut self.random).expect("there are some");
+        let place = self.random.random_range(0..self.fleet.engines.len());
+        println!("engine {place} {fault}");
+        self.fleet.engines[place].control("faults", fault).await;
+        let pause = self.pause(500..2_000);
+        tokio::time::sleep(pause).await;
+        self.fleet.engines[place]
+            .control("faults", &json!({}))
+            .await;
+    }
+
+    async fn service_faults(&mut self) {
+        let faults = [
+            json!({ "lose_answers": 2 }),
+            json!({ "cross_answers": 2 }),
+            json!({ "cut_answers": 2 }),
+            json!({ "refuse": true }),
+            json!({ "delay_ms": 300 }),
+        ];
+        let fault = faults.choose(&mut self.random).expect("there are some");
+        let place = self.random.random_range(0..self.fleet.services.len());
+        println!("service {place} {fault}");
+        self.fleet.services[place].control("faults", fault).await;
+        let pause = self.pause(500..2_000);
+        tokio::time::sleep(pause).await;
+        self.fleet.services[place]
+            .control("faults", &json!({}))
+            .await;
+    }
+
+    /// Takes an engine away with or without notice, and puts a fresh one in its place.
+    async fn reclaim_engine(&mut self) {
+        let place = self.random.random_range(0..self.fleet.engines.len());
+        let noticed = self.random.random_bool(0.7);
+        let name = self.fleet.upstreams[place].name.clone();
+        println!("engine {name} is reclaimed, noticed: {noticed}");
+        if noticed {
+            self.fleet.notice(&name, 2).await;
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+        self.fleet.engines[place].process.signal("KILL");
+        self.fresh += 1;
+        let engine = Standin::start(&["engine", "--versions", "chat-v1,chat-v2"]);
+        self.fleet.upstreams[place].name = format!("engine-fresh-{}", self.fresh);
+        self.fleet.upstreams[place].address = engine.address;
+        self.fleet.engines[place] = engine;
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        let output = self.fleet.try_publish(self.rollout, &[]);
+        println!("publish: {}", printed(&output).trim());
+    }
+
+    /// Begins a version move, good or bad, or ends the object of the last one.
+    async fn roll(&mut self) {
+        if self.rollout.take().is_none() {
+            let rollout = Rollout {
+                deadline_unix_ms: unix_ms() + ROLLOUT_MS,
+                step_ms: 1_000,
+                evidence: 10,
+            };
+            let fail = if self.random.random_bool(0.5) {
+                0.6
+            } else {
+                0.0
+            };
+            println!("a version that fails {fail} of its requests");
+            for engine in &self.fleet.engines {
+                let bad = json!({ "versions": { "chat-v2": { "fail": fail } } });
+                engine.control("faults", &bad).await;
+            }
+            self.rollout = Some(rollout);
+            self.rollouts.push(rollout);
+        }
+        self.publish();
+    }
+
+    /// Ends all faults and waits until everything is as it should be.
+    async fn settle(&mut self) {
+        self.fleet.heal();
+        self.fleet.platform.control("faults", &json!({})).await;
+        for engine in &self.fleet.engines {
+            engine.control("faults", &json!({})).await;
+        }
+        for service in &self.fleet.services {
+            service.control("faults", &json!({})).await;
+        }
+        self.publish();
+        let rows: BTreeMap<String, Value> = self.fleet.platform.read("rows").await;
+        let head = rows["config/head"]["generation"].as_u64();
+        for daemon in &self.fleet.daemons {
+            until("the last generation is in force", || async {
+                daemon.status().await["generation"].as_u64() == head
+            })
+            .await;
+        }
+    }
+
+    /// Every move whose object is published ends, with one outcome that all know.
+    async fn check_moves(&self) {
+        let Some(rollout) = self.rollout else { return };
+        let key = format!("chat-v2/{}", rollout.deadline_unix_ms);
+        let row = || async {
+            let rows: BTreeMap<String, Value> = self.fleet.platform.read("rows").await;
+            rows.get(&format!("move/{key}"))
+                .map(|row| row["status"].clone())
+        };
+        until("the move has ended", || async {
+            row().await.is_some_and(|status| status != "moving")
+        })
+        .await;
+        let outcome = row().await;
+        println!("move: {outcome:?}");
+        for daemon in &self.fleet.daemons {
+            until("all know its outcome", || async {
+                Some(daemon.status().await["rollouts"][&key]["status"].clone()) == outcome
+            })
+            .await;
+        }
+    }
+
+    async fn check_bookings(&self, tally: &Tally) {
+        let mut runs: BTreeMap<String, u64> = BTreeMap::new();
+        for run in self.fleet.journal().await {
+            *runs.entry(run.body).or_default() += 1;
+        }
+        for (key, answers) in &tally.bookings {
+            let ran = runs.get(&slot(key)).copied().unwrap_or(0);
+            assert!(ran <= 1, "{key} ran {ran} times: {answers:?}");
+            let good = answers
+                .iter()
+                .flatten()
+                .filter(|answer| answer.status == 201);
+            let mut bodies = good.map(|answer| &answer.body).collect::<Vec<_>>();
+            assert!(
+                bodies.is_empty() || ran == 1,
+                "{key} was confirmed and did not run"
+            );
+            bodies.dedup();
+            assert!(bodies.len() <= 1, "{key} got different answers");
+            let no = |answer: &Option<Answer>| {
+                answer
+                    .as_ref()
+                    .is_some_and(|answer| answer.ran.as_deref() == Some("no"))
+            };
+            assert!(
+                ran == 0 || !answers.iter().all(no),
+                "{key} ran: {answers:?}"
+            );
+        }
+    }
+
+    async fn check_reviews(&self, tally: &Tally) {
+        let caller = self.fleet.daemons[0].caller("cases");
+        for (address, content) in &tally.reviews {
+            let get = || caller.plain("GET", address, "", None);
+            until("accepted work is finished", || async {
+                get().await.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+            let answer = get().await.expect("it is answered");
+            let prompt = cactusglade_cli::caller::prompt(content);
+            let first = engine::token(&prompt, 0);
+            assert!(
+                answer.body.contains(&first),
+                "the answer of another piece of work"
+            );
+        }
+    }
+
+    /// No daemon panicked, took a generation back or gave a leaving upstream work.
+    async fn check_daemons(&mut self) {
+        for daemon in &mut self.fleet.daemons {
+            assert_eq!(daemon.status().await["granted_leaving"], 0);
+            let mut last = 0;
+            for line in daemon.whole_log() {
+                assert!(!line.contains("panicked"), "{line}");
+                if line == RESTARTED {
+                    last = 0;
+                }
+                if line.contains("event=generation_in_force") {
+                    let mut words = line.split_whitespace();
+                    let number = words.find_map(|word| word.strip_prefix("generation="));
+                    let number = number.and_then(|number| number.parse().ok()).unwrap_or(0);
+                    assert!(number > last, "{}: {last}, then {number}", daemon.name);
+                    last = number;
+                }
+            }
+        }
+    }
+}
+
+fn load(callers: &[Vec<Caller>; 2], seed: u64) -> (JoinSet<Tally>, watch::Sender<()>) {
+    let (stop, stopped) = watch::channel(());
+    let mut load = JoinSet::new();
+    for number in 0..CHATTERS + BOOKERS {
+        let books = number >= CHATTERS;
+        let one = One {
+            callers: callers[usize::from(books)].clone(),
+            stopped: stopped.clone(),
+            random: StdRng::seed_from_u64(seed ^ (number << 32)),
+            number,
+            tally: Tally::default(),
+        };
+        if books {
+            load.spawn(one.book());
+        } else {
+            load.spawn(one.chat());
+        }
+    }
+    (load, stop)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_promise_holds_under_all_faults_at_random() {
+    let seed = setting("CACTUSGLADE_SEED", 1);
+    let steps = setting("CACTUSGLADE_STEPS", SHORT_RUN);
+    let fleet = Fleet::start(&Plan {
+        daemons: &["a", "b", "c"],
+        engines: &["a", "b", "c"],
+        services: &["a", "b"],
+        ..Plan::default()
+    });
+    fleet.publish(None).await;
+    let mut soak = Soak {
+        fleet,
+        random: StdRng::seed_from_u64(seed),
+        rollout: None,
+        rollouts: Vec::new(),
+        fresh: 0,
+    };
+    let callers = [soak.callers("north"), soak.callers("cases")];
+    let (mut load, stop) = load(&callers, seed);
+    for _ in 0..steps {
+        soak.fault().await;
+    }
+    soak.settle().await;
+    drop(stop);
+    let mut tally = Tally::default();
+    while let Some(one) = load.join_next().await {
+        let one = one.expect("no caller saw anything wrong");
+        tally.whole += one.whole;
+        tally.interrupted += one.interrupted;
+        for (code, count) in one.refused {
+            *tally.refused.entry(code).or_default() += count;
+        }
+        tally.bookings.extend(one.bookings);
+        tally.reviews.extend(one.reviews);
+    }
+    soak.check_bookings(&tally).await;
+    soak.check_reviews(&tally).await;
+    soak.check_moves().await;
+    soak.check_daemons().await;
+    println!(
+        "{} chats whole, {} interrupted, {} bookings, {} reviews, refused {:?}",
+        tally.whole,
+        tally.interrupted,
+        tally.bookings.len(),
+        tally.reviews.len(),
+        tally.refused
+    );
+    assert!(tally.whole > 0);
+}
--- a/cactusglade-cli/tests/support/mod.rs
+++ b/cactusglade-cli/tests/support/mod.rs
@@ -34,6 +34,8 @@
 
 /// Longest wait for anything that must come about; only a fault takes this long.
 pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Stands in a daemon's log before the lines of each of its processes.
+pub const RESTARTED: &str = "(started)";
 const LOOK: Duration = Duration::from_millis(20);
 const CALL: Duration = Duration::from_secs(5);
 
@@ -212,6 +214,8 @@
     pub operators: SocketAddr,
     pub peers: SocketAddr,
     settings: PathBuf,
+    /// Lines of the processes that were before.
+    history: Vec<String>,
 }
 
 impl Daemon {
@@ -246,6 +250,7 @@
             zone: zone.to_owned(),
             process,
             settings,
+            history: Vec::new(),
         }
     }
 
@@ -253,6 +258,8 @@
     pub fn restart(&mut self) {
         self.process.signal_quietly();
         self.process.wait();
+        self.history.push(RESTARTED.to_owned());
+        self.history.extend_from_slice(self.process.log());
         let text = std::fs::read_to_string(&self.settings).expect("it was written");
         let fixed = text.lines().map(|line| match line.split(" = ").next() {
             Some("callers") => format!("callers = \"{}\"", self.callers),
@@ -266,6 +273,14 @@
         self.process = next.process;
     }
 
+    /// Every line of all its processes, each after a line that says [`RESTARTED`].
+    pub fn whole_log(&mut self) -> Vec<String> {
+        let mut lines = self.history.clone();
+        lines.push(RESTARTED.to_owned());
+        lines.extend_from_slice(self.process.log());
+        lines
+    }
+
     pub fn caller(&self, organisation: &str) -> Caller {
         Caller {
             daemon: self.callers,
--- a/cactusglade-standin/src/engine/mod.rs
+++ b/cactusglade-standin/src/engine/mod.rs
@@ -186,6 +186,12 @@
     } else {
         request.attempt.clone()
     };
+    // A crossed answer is the whole answer to another prompt.
+    let prompt = if run.crossed {
+        format!("another {}", request.prompt)
+    } else {
+        request.prompt.clone()
+    };
     let mut due = tokio::time::Instant::now();
     for index in start..total {
         if run.die_after.is_some_and(|tokens| index - start >= tokens) {
@@ -194,7 +200,7 @@
         }
         due += paces.borrow().mul_f64(run.slowness);
         tokio::time::sleep_until(due).await;
-        let text = token(&request.prompt, index);
+        let text = token(&prompt, index);
         let event = wire::Event::Token {
             attempt: attempt.clone(),
             index,
