--- a/cactusglade-cli/tests/support/mod.rs
+++ b/cactusglade-cli/tests/support/mod.rs
@@ -431,9 +431,14 @@
         let seeds = seeds.collect::<Vec<_>>().join(", ");
         let (way, door) = (Link::start(), Link::start());
         way.lead_to(self.platform.address);
+        // Most tests do not wait for the pace of a real fleet.
+        let pace = if settings.contains("poll_ms") {
+            ""
+        } else {
+            "poll_ms = 500\ngossip_ms = 200\nlame_duck_ms = 200\n"
+        };
         let more = format!(
-            "platform = \"{}\"\nadvertised = \"{}\"\nseeds = [{seeds}]\npoll_ms = 500\n\
-             gossip_ms = 200\nlame_duck_ms = 200\n{settings}",
+            "platform = \"{}\"\nadvertised = \"{}\"\nseeds = [{seeds}]\n{pace}{settings}",
             way.address, door.address
         );
         let ip = ip(self.daemons.len());
