Charge a queue's credit only against what its grants charged

Cause: a request that ran out of time in the queue took its estimated cost off its organisation's virtual time although nothing had been charged, so an organisation that floods with requests bound to expire went before the others. Found by reading. The new policy test fails with the old line (0 of 2 slots went to the organisation that was due) and passes with the new one; two first drafts of it did not notice, since idling hides the credit and a report of no tokens gives one. Ruled out: the rate limit, which charges at arrival (tested too: 60 s at 100 tokens/s stay within rate, burst and one request).

--- a/cactusglade-policy/src/dispatch/grant.rs
+++ b/cactusglade-policy/src/dispatch/grant.rs
@@ -121,6 +121,7 @@
             return;
         };
         ticket.phase = Phase::Running(upstream);
+        ticket.charged += ticket.ask.cost;
         if let Some(state) = self.pool.get_mut(upstream) {
             state.outstanding += 1;
             state.prefixes.insert(&ticket.ask.prompt);
--- a/cactusglade-policy/src/dispatch/mod.rs
+++ b/cactusglade-policy/src/dispatch/mod.rs
@@ -336,18 +336,18 @@
             .push(Action::Refuse(key, ticket.last_word(kind)));
     }
 
-    /// Puts the real cost in the place of the estimate.
+    /// Puts the real cost in the place of what was charged.
     fn settle(&mut self, ticket: &Ticket, tokens: u64) {
         let organisation = ticket.ask.organisation;
         *self.usage.entry(organisation).or_default() += tokens;
         let Some(need) = ticket.need else { return };
         let signed = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
-        let difference = signed(tokens) - signed(ticket.ask.cost);
+        // The queue charges each grant, the limit charges the arrival.
         if let Some(queue) = self.queues.get_mut(&need) {
-            queue.correct(organisation, difference);
+            queue.correct(organisation, signed(tokens) - signed(ticket.charged));
         }
         if let Some(bucket) = self.buckets.get_mut(&organisation) {
-            bucket.charge(difference);
+            bucket.charge(signed(tokens) - signed(ticket.ask.cost));
         }
     }
 
--- a/cactusglade-policy/src/dispatch/ticket.rs
+++ b/cactusglade-policy/src/dispatch/ticket.rs
@@ -125,6 +125,8 @@
     pub phase: Phase,
     pub tried: Vec<arena::Upstream>,
     pub attempts: u32,
+    /// Tokens that its grants have charged in the queue.
+    pub charged: u64,
     /// Whether the caller may have part of the answer, which ties it to its version.
     pub resumed: bool,
     /// Whether an attempt failed, after which the old version of a rollout is asked.
@@ -141,6 +143,7 @@
             phase: Phase::Waiting,
             tried: Vec::new(),
             attempts: 0,
+            charged: 0,
             resumed: false,
             shunned: false,
             may_have_run: false,
--- a/cactusglade-policy/tests/dispatch.rs
+++ b/cactusglade-policy/tests/dispatch.rs
@@ -344,3 +344,69 @@
         world.now = world.now + Millis(200);
     }
 }
+
+#[test]
+fn a_limited_organisation_gets_its_rate_and_no_more() {
+    const SECONDS: u64 = 60;
+    const RATE: u64 = 100;
+    const BURST: u64 = 2 * RATE;
+    const COST: u64 = 100;
+    let mut world = World::new();
+    let mut served = 0;
+    for step in 0..SECONDS * 10 {
+        world.now = Millis(step * 100);
+        let ask = support::ask(&world.set, "limited", "book", world.now + FAR, 0.5);
+        let ticket = world.dispatch.arrive(world.now, UNIX, ask);
+        world.open.insert(ticket);
+        world.act();
+        if world.running.remove(&ticket).is_some() {
+            world.open.remove(&ticket);
+            served += COST;
+            let report = Report {
+                verdict: Verdict::Good,
+                tokens: COST,
+                first_token: None,
+            };
+            world.dispatch.finish(world.now, UNIX, ticket, report);
+        }
+    }
+    // A request is let in while anything is left, so one may go over.
+    assert!(served <= SECONDS * RATE + BURST + COST, "{served} tokens");
+    assert!(served >= SECONDS * RATE, "{served} tokens");
+}
+
+#[test]
+fn requests_that_run_out_of_time_in_the_queue_earn_no_credit() {
+    let mut world = World::new();
+    let arrive = |world: &mut World, organisation, deadline| {
+        let ask = support::ask(&world.set, organisation, "book", deadline, 0.5);
+        let ticket = world.dispatch.arrive(world.now, UNIX, ask);
+        world.open.insert(ticket);
+        world.act();
+        ticket
+    };
+    // Every slot is taken; both organisations wait, and most of one's requests wait in vain.
+    let far = world.now + FAR + FAR;
+    for _ in 0..SLOTS * UPSTREAMS as u64 + 4 {
+        arrive(&mut world, "north", far);
+    }
+    let south = (0..4)
+        .map(|_| arrive(&mut world, "south", far))
+        .collect::<Vec<_>>();
+    for _ in 0..MAX_WAITING - 8 {
+        arrive(&mut world, "north", Millis(10));
+    }
+    world.now = Millis(20);
+    world.dispatch.tick(world.now, UNIX);
+    world.act();
+    assert_eq!(world.dispatch.waiting(), 8);
+    for _ in 0..2 {
+        world.finish(0, 100);
+        world.act();
+    }
+    let served = south
+        .iter()
+        .filter(|ticket| world.running.contains_key(ticket))
+        .count();
+    assert_eq!(served, 2, "expired requests went before those that wait");
+}
--- a/cactusglade-policy/tests/support/mod.rs
+++ b/cactusglade-policy/tests/support/mod.rs
@@ -24,6 +24,8 @@
 [organisation.north]
 [organisation.south]
 weight = 2
+[organisation.limited]
+tokens_per_second = 100
 
 [model.chat]
 version = "v1"
