Keep moves and vetoes heard before their rollout; let askers be known; charge for hanging up

Found by reading, each test failing first: - A move or veto that arrived before the set with its rollout was lost for good, since a known row is no news: a daemon that started in an outage would have served the old version after the move was done, and after a lost veto the bad one. They are kept and applied when the set comes. - The test for it showed another: a daemon without seeds that started while the platform was out knew nobody and never became ready, although others pulled from it. A pull now says where its asker can be asked. - A caller that hung up early cost its organisation nothing; it now costs what the request was granted for.

--- a/cactusglade-cli/tests/moves.rs
+++ b/cactusglade-cli/tests/moves.rs
@@ -154,6 +154,14 @@
     let (whole, not) = load.stop().await;
     assert!(whole > 0 && not == 0, "{whole} whole, {not} not");
     only_holders_moved(&mut fleet);
+    // A daemon that starts without the platform hears the outcome together with the set.
+    fleet
+        .platform
+        .control("faults", &json!({ "down": true }))
+        .await;
+    tokio::task::block_in_place(|| fleet.daemons[0].restart());
+    until("it is ready again", || fleet.daemons[0].is_ready()).await;
+    all_on(&fleet, "chat-v2").await;
 }
 
 /// A daemon writes a step only after it has taken the lease.
--- a/cactusglade-daemon/src/dispatch/mod.rs
+++ b/cactusglade-daemon/src/dispatch/mod.rs
@@ -19,7 +19,6 @@
 use cactusglade_policy::dispatch::Action;
 use cactusglade_policy::dispatch::Grant;
 use cactusglade_policy::dispatch::Report;
-use cactusglade_policy::dispatch::Verdict;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
@@ -186,7 +185,7 @@
         });
         if sent.is_none() {
             self.orders.remove(&grant.ticket);
-            self.finish(grant.ticket, NOTHING);
+            self.abandon(grant.ticket);
         }
     }
 
@@ -211,6 +210,11 @@
         self.policy.finish(now, unix, ticket, report);
     }
 
+    fn abandon(&mut self, ticket: arena::Ticket) {
+        let (now, unix) = self.now();
+        self.policy.abandon(now, unix, ticket);
+    }
+
     fn keep(&mut self, upstream: arena::Upstream, connection: Option<Connection>) {
         let leaving = self
             .policy
@@ -253,7 +257,7 @@
         let gone = gone.map(|(ticket, _)| *ticket).collect::<Vec<_>>();
         for ticket in gone {
             self.orders.remove(&ticket);
-            self.finish(ticket, NOTHING);
+            self.abandon(ticket);
         }
         let set = self.policy.set();
         self.idle.retain(|key, idle| {
@@ -262,10 +266,3 @@
         });
     }
 }
-
-/// What a request that went away says about its upstream.
-const NOTHING: Report = Report {
-    verdict: Verdict::Neutral,
-    tokens: 0,
-    first_token: None,
-};
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod server;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -59,6 +60,8 @@
 const BEAT: Millis = Millis(1_000);
 /// Time after which a daemon goes on without having heard from any peer.
 const JOIN: Millis = Millis(1_500);
+/// Askers that are remembered before their rows are known.
+const MAX_ASKERS: usize = 64;
 /// Longest wait for a peer.
 const WAIT: Duration = Duration::from_secs(1);
 
@@ -106,6 +109,8 @@
     clients: BTreeMap<SocketAddr, PeerClient>,
     pulled: BTreeMap<SocketAddr, Pull>,
     hosts: Vec<SocketAddr>,
+    /// Addresses of daemons that have asked this one.
+    askers: BTreeSet<SocketAddr>,
     /// Whether a peer has answered, or too long a time has passed without.
     joined: bool,
     /// Ends the listening task when the service ends.
@@ -178,6 +183,7 @@
             clients: BTreeMap::new(),
             pulled: BTreeMap::new(),
             hosts: Vec::new(),
+            askers: BTreeSet::new(),
             joined: false,
             _stop: stop,
         })
@@ -213,7 +219,10 @@
         };
         let known = self.clients.get(&address).cloned();
         let local = self.options.local;
-        let pull = self.pulled.get(&address).copied().unwrap_or_default();
+        let pull = Pull {
+            from: Some(self.options.address),
+            ..self.pulled.get(&address).copied().unwrap_or_default()
+        };
         context.pipe(async move {
             let client = match known {
                 Some(client) => Some(client),
@@ -246,6 +255,7 @@
             let pull = Pull {
                 incarnation: batch.incarnation,
                 changes: batch.changes,
+                from: None,
             };
             self.pulled.insert(address, pull);
             self.receive(batch.rows).await;
@@ -253,6 +263,7 @@
         } else {
             debug!(self.options.log, "peer_unreachable"; "peer" => %address);
             self.clients.remove(&address);
+            self.askers.remove(&address);
         }
     }
 }
@@ -281,6 +292,11 @@
         asked: Answer,
         _: &mut Context<Self, Option<Batch>>,
     ) -> Option<Batch> {
+        if let Some(from) = asked.0.from
+            && self.askers.len() < MAX_ASKERS
+        {
+            self.askers.insert(from);
+        }
         let same = asked.0.incarnation == self.incarnation;
         let (changes, rows) = self.state.since(if same { asked.0.changes } else { 0 });
         Some(Batch {
@@ -319,7 +335,8 @@
     fn peers(&self, now: Millis) -> Vec<SocketAddr> {
         let alive = self.state.alive(now);
         let known = alive.iter().filter_map(|(_, address)| address.parse().ok());
-        let listed = self.options.seeds.iter().chain(&self.hosts).copied();
+        let listed = self.options.seeds.iter().chain(&self.hosts);
+        let listed = listed.chain(&self.askers).copied();
         let mut peers = known.chain(listed).collect::<Vec<SocketAddr>>();
         peers.retain(|address| *address != self.options.address);
         peers.sort_unstable();
--- a/cactusglade-policy/src/dispatch/mod.rs
+++ b/cactusglade-policy/src/dispatch/mod.rs
@@ -80,6 +80,8 @@
     queues: BTreeMap<Need, Queue<arena::Ticket>>,
     tickets: SlotMap<arena::Ticket, Ticket>,
     trials: BTreeMap<arena::Rollout, Trial>,
+    /// Moves and vetoes by rollout and deadline, whether or not a set names the rollout.
+    heard: BTreeMap<(String, Millis), Trial>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
     usage: BTreeMap<arena::Organisation, u64>,
     departures: BTreeMap<arena::Upstream, Millis>,
@@ -101,6 +103,7 @@
             queues: BTreeMap::new(),
             tickets: SlotMap::with_key(),
             trials: BTreeMap::new(),
+            heard: BTreeMap::new(),
             buckets: BTreeMap::new(),
             usage: BTreeMap::new(),
             departures: BTreeMap::new(),
@@ -176,6 +179,7 @@
         for key in live {
             self.trials.entry(key).or_default();
         }
+        self.recall();
         for (key, organisation) in self.set.organisations.iter() {
             self.buckets
                 .entry(key)
@@ -265,6 +269,19 @@
         self.pump(now, unix);
     }
 
+    /// Closes the ticket of a request whose caller went away without a word.
+    ///
+    /// It costs what it was granted for: hanging up early must not make it free.
+    pub fn abandon(&mut self, now: Millis, unix: Millis, key: arena::Ticket) {
+        let charged = self.tickets.get(key).map_or(0, |ticket| ticket.charged);
+        let report = Report {
+            verdict: Verdict::Neutral,
+            tokens: charged,
+            first_token: None,
+        };
+        self.finish(now, unix, key, report);
+    }
+
     /// Notes that an upstream incarnation is leaving and is gone at `gone`.
     ///
     /// Gives back whether this is news.
--- a/cactusglade-policy/src/dispatch/version.rs
+++ b/cactusglade-policy/src/dispatch/version.rs
@@ -18,27 +18,32 @@
 impl<R: Rule> Dispatch<R> {
     /// Takes in how a version move stands; only what is ahead of the known counts.
     pub fn moved(&mut self, rollout: &str, row: &Move) {
-        let Some(key) = self.set.rollouts.find(rollout) else {
-            return;
-        };
-        let Some(object) = self.set.rollouts.get(key) else {
-            return;
-        };
-        if object.meta.deadline_unix_ms == row.deadline_unix_ms {
-            self.trials.entry(key).or_default().moved(row);
-        }
+        let heard = self.heard.entry((rollout.to_owned(), row.deadline_unix_ms));
+        heard.or_default().moved(row);
+        self.recall();
     }
 
     /// Takes in a veto, from another daemon or from this one's own evidence.
     pub fn veto(&mut self, rollout: &str, deadline: Millis, reason: &str) {
-        let Some(key) = self.set.rollouts.find(rollout) else {
-            return;
-        };
-        let Some(object) = self.set.rollouts.get(key) else {
-            return;
-        };
-        if object.meta.deadline_unix_ms == deadline {
-            self.trials.entry(key).or_default().veto(reason);
+        let heard = self.heard.entry((rollout.to_owned(), deadline));
+        heard.or_default().veto(reason);
+        self.recall();
+    }
+
+    /// Puts what was heard of rollouts into their trials, also what came before their objects.
+    pub(super) fn recall(&mut self) {
+        for (key, rollout) in self.set.rollouts.iter() {
+            let name = (rollout.name.clone(), rollout.meta.deadline_unix_ms);
+            let Some(heard) = self.heard.get(&name) else {
+                continue;
+            };
+            let trial = self.trials.entry(key).or_default();
+            if let Some(row) = heard.row() {
+                trial.moved(row);
+            }
+            if let Some(reason) = heard.vetoed() {
+                trial.veto(reason);
+            }
         }
     }
 
--- a/cactusglade-policy/tests/dispatch.rs
+++ b/cactusglade-policy/tests/dispatch.rs
@@ -410,3 +410,41 @@
         .count();
     assert_eq!(served, 2, "expired requests went before those that wait");
 }
+
+#[test]
+fn moves_and_vetoes_heard_before_their_rollout_count_once_it_is_known() {
+    let set = support::set(1, &Set::default());
+    let key = set.rollouts.find("move").expect("it is there");
+    let row = Move {
+        status: Status::Moving,
+        step: 1,
+        reason: String::new(),
+        at_unix_ms: UNIX,
+        deadline_unix_ms: DEADLINE,
+    };
+    let mut dispatch = Dispatch::new("a", Cheapest, MAX_WAITING);
+    dispatch.moved("move", &row);
+    dispatch.veto("move", DEADLINE, "bad");
+    dispatch.adopt(Millis(0), UNIX, set);
+    let trial = &dispatch.trials()[&key];
+    assert_eq!(trial.row(), Some(&row));
+    assert_eq!(trial.vetoed(), Some("bad"));
+}
+
+#[test]
+fn a_request_whose_caller_went_away_costs_what_it_was_granted_for() {
+    let mut world = World::new();
+    let ask = support::ask(&world.set, "limited", "book", world.now + FAR, 0.5);
+    let ticket = world.dispatch.arrive(world.now, UNIX, ask);
+    world.open.insert(ticket);
+    world.act();
+    assert!(world.running.remove(&ticket).is_some());
+    world.open.remove(&ticket);
+    world.dispatch.abandon(world.now, UNIX, ticket);
+    let key = world
+        .set
+        .organisations
+        .find("limited")
+        .expect("it is there");
+    assert_eq!(world.dispatch.usage()[&key], 100);
+}
--- a/cactusglade-wire/src/peer/mod.rs
+++ b/cactusglade-wire/src/peer/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(missing_docs)] // The service macro writes items that cannot carry doc comments.
 
+use std::net::SocketAddr;
+
 use cactusglade_core::row::Handover;
 use cactusglade_core::row::Key;
 use cactusglade_core::row::Value;
@@ -16,6 +18,8 @@
     pub incarnation: u64,
     /// Count of changes up to which the asker has everything.
     pub changes: u64,
+    /// Address at which the asker can be asked, so that a daemon that knows nobody learns of it.
+    pub from: Option<SocketAddr>,
 }
 
 /// `Batch` answers a pull.
