--- a/cactusglade-cli/tests/drain.rs
+++ b/cactusglade-cli/tests/drain.rs
@@ -36,7 +36,7 @@
     while !stop.load(Ordering::Relaxed) {
         turn += 1;
         let target = &targets[turn % targets.len()];
-        if !support::is_ready(target.operators).await {
+        if !support::daemon::is_ready(target.operators).await {
             tokio::time::sleep(Duration::from_millis(2)).await;
             continue;
         }
@@ -46,7 +46,7 @@
         let stream = stream.expect("it is not cut off");
         assert!(stream.is_whole(&content, tokens), "{stream:?}");
         answered += 1;
-        if !support::is_ready(target.operators).await {
+        if !support::daemon::is_ready(target.operators).await {
             continue;
         }
         let body = format!("{{\"turn\":\"{content}\"}}");
--- a/cactusglade-cli/tests/soak.rs
+++ b/cactusglade-cli/tests/soak/main.rs
@@ -3,6 +3,8 @@
 //! `CACTUSGLADE_SEED` repeats a run's choices, `CACTUSGLADE_STEPS` sets how many faults there
 //! are; without it there are few, so that the run fits into CI.
 
+mod client;
+#[path = "../support/mod.rs"]
 mod support;
 
 use std::collections::BTreeMap;
@@ -10,8 +12,6 @@
 
 use cactusglade_cli::caller::Answer;
 use cactusglade_cli::caller::Caller;
-use cactusglade_cli::caller::Stream;
-use cactusglade_cli::demo::objects;
 use cactusglade_cli::demo::objects::Rollout;
 use cactusglade_standin::engine;
 use rand::Rng;
@@ -20,9 +20,10 @@
 use rand::seq::IndexedRandom;
 use serde_json::Value;
 use serde_json::json;
-use tokio::sync::watch;
-use tokio::task::JoinSet;
 
+use client::Tally;
+use client::load;
+use client::slot;
 use support::Fleet;
 use support::Plan;
 use support::RESTARTED;
@@ -32,8 +33,6 @@
 use support::until;
 
 const SHORT_RUN: u64 = 10;
-const CHATTERS: u64 = 6;
-const BOOKERS: u64 = 4;
 const ROLLOUT_MS: u64 = 12_000;
 
 fn setting(name: &str, default: u64) -> u64 {
@@ -45,150 +44,6 @@
     value
 }
 
-/// What callers were told.
-#[derive(Debug, Default)]
-struct Tally {
-    whole: u64,
-    refused: BTreeMap<String, u64>,
-    interrupted: u64,
-    bookings: BTreeMap<String, Vec<Option<Answer>>>,
-    reviews: Vec<(String, String)>,
-}
-
-/// One client; it calls whichever daemon the balancer names.
-struct One {
-    callers: Vec<Caller>,
-    stopped: watch::Receiver<()>,
-    random: StdRng,
-    number: u64,
-    tally: Tally,
-}
-
-impl One {
-    async fn goes_on(&mut self) -> bool {
-        let pause = Duration::from_millis(self.random.random_range(10..60));
-        tokio::time::timeout(pause, self.stopped.changed())
-            .await
-            .is_err()
-    }
-
-    fn caller(&mut self) -> Caller {
-        self.callers
-            .choose(&mut self.random)
-            .expect("there are daemons")
-            .clone()
-    }
-
-    async fn chat(mut self) -> Tally {
-        let mut turn = 0;
-        while self.goes_on().await {
-            turn += 1;
-            let tokens = self.random.random_range(5..400);
-            let content = format!("{} {turn}", self.number);
-            let Ok(mut stream) = self.caller().chat(objects::CHAT, &content, tokens).await else {
-                self.tally.interrupted += 1;
-                continue;
-            };
-            is_right_so_far(&stream, &content);
-            // As a client does whose stream broke: it goes on through another daemon.
-            for _ in 0..5 {
-                if stream.done || !(stream.moved || stream.cut) || stream.resume.is_none() {
-                    break;
-                }
-                let Ok(next) = self.caller().resume(stream.clone()).await else {
-                    continue;
-                };
-                is_right_so_far(&next, &content);
-                stream = next;
-            }
-            self.judge(&stream, &content, tokens);
-        }
-        self.tally
-    }
-
-    fn judge(&mut self, stream: &Stream, content: &str, tokens: u64) {
-        if stream.done {
-            assert!(
-                stream.is_whole(content, tokens),
-                "done but not whole: {stream:?}"
-            );
-            self.tally.whole += 1;
-        } else if let Some(failure) = &stream.failure {
-            *self.tally.refused.entry(failure.code.clone()).or_default() += 1;
-        } else {
-            self.tally.interrupted += 1;
-        }
-    }
-
-    async fn book(mut self) -> Tally {
-        let mut turn = 0;
-        while self.goes_on().await {
-            turn += 1;
-            let key = format!("slot {} {turn}", self.number);
-            let body = slot(&key);
-            let (one, two) = (self.caller(), self.caller());
-            let (one, two) = tokio::join!(
-                one.plain("POST", objects::BOOKINGS, &body, Some(&key)),
-                two.plain("POST", objects::BOOKINGS, &body, Some(&key)),
-            );
-            let later = self
-                .caller()
-                .plain("POST", objects::BOOKINGS, &body, Some(&key))
-                .await;
-            let answers = [one, two, later].map(Result::ok);
-            self.tally.bookings.insert(key, answers.into());
-            if turn % 8 == 0 {
-                self.review(turn).await;
-            }
-        }
-        self.tally
-    }
-
-    async fn review(&mut self, turn: u64) {
-        let content = format!("dossier {} {turn}", self.number);
-        let body = json!({
-            "messages": [{ "role": "user", "content": content }],
-            "max_tokens": 20,
-        });
-        let caller = self.caller();
-        let answer = caller
-            .plain("POST", objects::REVIEWS, &body.to_string(), None)
-            .await;
-        if let Ok(answer) = answer
-            && answer.status == 202
-        {
-            let body: Value = serde_json::from_str(&answer.body).expect("it is JSON");
-            let address = body["status"]
-                .as_str()
-                .expect("it has an address")
-                .to_owned();
-            self.tally.reviews.push((address, content));
-        }
-    }
-}
-
-fn slot(key: &str) -> String {
-    format!("{{\"slot\":\"{key}\"}}")
-}
-
-/// Whatever becomes of a stream, what came of it is its own, in order, each token once.
-fn is_right_so_far(stream: &Stream, content: &str) {
-    let prompt = cactusglade_cli::caller::prompt(content);
-    for (place, (index, text)) in stream.indices.iter().zip(&stream.tokens).enumerate() {
-        assert_eq!(
-            usize::try_from(*index).ok(),
-            Some(place),
-            "{:?}",
-            stream.indices
-        );
-        assert_eq!(
-            *text,
-            engine::token(&prompt, *index),
-            "a token of another answer"
-        );
-    }
-}
-
 struct Soak {
     fleet: Fleet,
     random: StdRng,
@@ -478,27 +333,6 @@
     }
 }
 
-fn load(callers: &[Vec<Caller>; 2], seed: u64) -> (JoinSet<Tally>, watch::Sender<()>) {
-    let (stop, stopped) = watch::channel(());
-    let mut load = JoinSet::new();
-    for number in 0..CHATTERS + BOOKERS {
-        let books = number >= CHATTERS;
-        let one = One {
-            callers: callers[usize::from(books)].clone(),
-            stopped: stopped.clone(),
-            random: StdRng::seed_from_u64(seed ^ (number << 32)),
-            number,
-            tally: Tally::default(),
-        };
-        if books {
-            load.spawn(one.book());
-        } else {
-            load.spawn(one.chat());
-        }
-    }
-    (load, stop)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn every_promise_holds_under_all_faults_at_random() {
     let seed = setting("CACTUSGLADE_SEED", 1);
--- /dev/null
+++ b/cactusglade-cli/tests/support/daemon.rs
@@ -0,0 +1,129 @@
+//! Daemons in processes of their own.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+
+use cactusglade_cli::caller::Caller;
+use cactusglade_cli::demo::objects;
+use cactusglade_daemon::link::Client;
+
+use super::CALL;
+use super::Process;
+use super::RESTARTED;
+use super::process::daemon_binary;
+
+/// A daemon in a process of its own.
+pub struct Daemon {
+    pub process: Process,
+    pub name: String,
+    pub zone: String,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+    settings: PathBuf,
+    /// Lines of the processes that were before.
+    history: Vec<String>,
+}
+
+impl Daemon {
+    pub fn start(folder: &Path, name: &str, zone: &str, ip: IpAddr, more: &str) -> Self {
+        let any = "127.0.0.1:0";
+        let text = format!(
+            "name = \"{name}\"\nzone = \"{zone}\"\ncallers = \"{any}\"\n\
+             operators = \"{any}\"\npeers = \"{ip}:0\"\n{more}\n"
+        );
+        let settings = folder.join(format!("{name}.toml"));
+        std::fs::write(&settings, text).expect("the folder can be written");
+        Self::run(settings, name, zone)
+    }
+
+    fn run(settings: PathBuf, name: &str, zone: &str) -> Self {
+        let mut command = Command::new(daemon_binary());
+        command.arg("--settings").arg(&settings);
+        let mut process = Process::start(command);
+        let line = process.wait_line("event=daemon_started");
+        let address = |key: &str| {
+            let field = line
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(key));
+            let field = field.expect("it logs its addresses").trim_matches('"');
+            field.parse().expect("it is an address")
+        };
+        Self {
+            callers: address("callers="),
+            operators: address("operators="),
+            peers: address("peers="),
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            process,
+            settings,
+            history: Vec::new(),
+        }
+    }
+
+    /// Ends it if it still runs and starts it again at the same addresses.
+    pub fn restart(&mut self) {
+        self.process.end();
+        self.process.wait();
+        self.history.push(RESTARTED.to_owned());
+        self.history.extend_from_slice(self.process.log());
+        let text = std::fs::read_to_string(&self.settings).expect("it was written");
+        let fixed = text.lines().map(|line| match line.split(" = ").next() {
+            Some("callers") => format!("callers = \"{}\"", self.callers),
+            Some("operators") => format!("operators = \"{}\"", self.operators),
+            Some("peers") => format!("peers = \"{}\"", self.peers),
+            _ => line.to_owned(),
+        });
+        let fixed = fixed.collect::<Vec<_>>().join("\n");
+        std::fs::write(&self.settings, fixed).expect("the folder can be written");
+        let next = Self::run(self.settings.clone(), &self.name, &self.zone);
+        self.process = next.process;
+    }
+
+    /// Every line of all its processes, each after a line that says [`RESTARTED`].
+    pub fn whole_log(&mut self) -> Vec<String> {
+        let mut lines = self.history.clone();
+        lines.push(RESTARTED.to_owned());
+        lines.extend_from_slice(self.process.log());
+        lines
+    }
+
+    pub fn caller(&self, organisation: &str) -> Caller {
+        Caller {
+            daemon: self.callers,
+            key: objects::api_key(organisation),
+        }
+    }
+
+    /// The daemon's own status.
+    pub async fn status(&self) -> serde_json::Value {
+        let client = Client::new(self.operators, CALL);
+        let answer = client.call("GET", "/status", Vec::new()).await;
+        serde_json::from_slice(&answer.expect("it answers").body).expect("it is JSON")
+    }
+
+    /// A metric's value, summed over its labels.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let client = Client::new(self.operators, CALL);
+        let answer = client.call("GET", "/metrics", Vec::new()).await;
+        let text = String::from_utf8_lossy(&answer.expect("it answers").body).into_owned();
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        is_ready(self.operators).await
+    }
+}
+
+/// Whether a daemon says that it is ready; one that does not answer is not.
+pub async fn is_ready(operators: SocketAddr) -> bool {
+    let client = Client::new(operators, CALL);
+    let answer = client.call("GET", "/ready", Vec::new()).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
--- a/cactusglade-daemon/src/gate/chat/mod.rs
+++ b/cactusglade-daemon/src/gate/chat/mod.rs
@@ -1,6 +1,8 @@
 //! Answers chats: as a stream that the connection's own task drives, or whole.
 
+mod leave;
 mod lines;
+mod pace;
 mod progress;
 
 use std::convert::Infallible;
--- a/cactusglade-daemon/src/gate/chat/progress.rs
+++ b/cactusglade-daemon/src/gate/chat/progress.rs
@@ -4,7 +4,6 @@
 
 use cactusglade_core::errors::Kind;
 use cactusglade_core::meta::Class;
-use cactusglade_core::row::Handover;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::dispatch::Ask;
 use cactusglade_policy::dispatch::Cause;
@@ -19,7 +18,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use crate::clock;
 use crate::dispatch::Again;
 use crate::dispatch::Arrive;
 use crate::dispatch::Finish;
@@ -30,10 +28,11 @@
 use crate::gate::attempt::Call;
 use crate::gate::attempt::Error;
 use crate::gate::attempt::Reached;
+use crate::gate::chat::leave::soon;
 use crate::gate::chat::lines::Lines;
+use crate::gate::chat::pace::Pace;
 use crate::gate::request::Entry;
 use crate::link::Connection;
-use crate::peer;
 
 /// Bytes of text that are taken for one token in estimates.
 const BYTES_PER_TOKEN: usize = 4;
@@ -88,38 +87,29 @@
 
 /// `Chat` holds all that is known of one chat; dropping it gives its upstream back.
 pub struct Chat {
-    entry: Entry,
-    body: caller::Chat,
-    prompt: String,
-    orders: mpsc::Receiver<Order>,
-    leaving: watch::Receiver<Leaving>,
-    running: Option<Running>,
-    cursor: Cursor,
-    emitted: Vec<String>,
-    attempts: u64,
-    pace: Pace,
-    ended: bool,
-    version: String,
+    pub(super) entry: Entry,
+    pub(super) body: caller::Chat,
+    pub(super) prompt: String,
+    pub(super) orders: mpsc::Receiver<Order>,
+    pub(super) leaving: watch::Receiver<Leaving>,
+    pub(super) running: Option<Running>,
+    pub(super) cursor: Cursor,
+    pub(super) emitted: Vec<String>,
+    pub(super) attempts: u64,
+    pub(super) pace: Pace,
+    pub(super) ended: bool,
+    pub(super) version: String,
 }
 
 /// `Running` is the attempt under way.
-struct Running {
-    start: Start,
-    attempt: String,
-    sent: Millis,
+pub(super) struct Running {
+    pub(super) start: Start,
+    pub(super) attempt: String,
+    pub(super) sent: Millis,
     /// Tokens that the caller had before it.
-    before: u64,
+    pub(super) before: u64,
     /// The answer, once it has begun.
-    answer: Option<(Lines, Connection)>,
-}
-
-/// `Pace` is how fast the tokens came, over all attempts.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    first: Option<Millis>,
-    last: Millis,
-    gaps: u64,
-    waited: Millis,
+    pub(super) answer: Option<(Lines, Connection)>,
 }
 
 /// `Wake` is whatever comes first while an attempt waits.
@@ -387,49 +377,6 @@
         self.fail(kind)
     }
 
-    /// Gives peers what they need to go on, and says whether the chat is to end here.
-    async fn leave(&mut self) -> bool {
-        let leaving = *self.leaving.borrow_and_update();
-        if leaving == Leaving::No {
-            return false;
-        }
-        let handover = peer::HandOver(self.handover());
-        let peer = self.entry.context.peer.clone();
-        if leaving == Leaving::Noticed {
-            // The stream goes on meanwhile; should this process die, the copy is there.
-            drop(tokio::spawn(async move { peer.ask(handover).await }));
-            return false;
-        }
-        peer.ask(handover).await.is_ok_and(|kept| kept > 0)
-    }
-
-    fn handover(&self) -> Handover {
-        let left = self.entry.deadline - self.entry.context.clock.now();
-        Handover {
-            id: self.entry.id.clone(),
-            organisation: self.entry.organisation_name().to_owned(),
-            route: self.entry.route_name().to_owned(),
-            body: String::from_utf8_lossy(&self.entry.body).into_owned(),
-            emitted: self.emitted.clone(),
-            deadline_unix_ms: clock::unix() + left,
-        }
-    }
-
-    /// Ends the chat here, after a peer has taken it.
-    async fn moved(&mut self) -> Part {
-        if let Some(running) = self.running.take() {
-            let report = Report {
-                verdict: Verdict::Neutral,
-                tokens: self.cursor.passed(),
-                first_token: None,
-            };
-            self.finish(&running, report, None).await;
-        }
-        self.ended = true;
-        self.entry.record("moved");
-        Part::Moved
-    }
-
     async fn complete(&mut self, running: &Running, prompt: u64, connection: Connection) -> Part {
         let answer = self.cursor.passed();
         let (verdict, first_token) = self.verdict(running.sent);
@@ -455,11 +402,10 @@
         let Some(route) = self.entry.object() else {
             return (Verdict::Neutral, None);
         };
-        let first = self.pace.first.map(|first| first - sent);
-        let first_late = first.is_some_and(|first| first > route.meta.first_token_ms);
-        let gap = self.pace.waited.0 / self.pace.gaps.max(1);
-        let slow = first_late || gap > route.meta.between_tokens_ms.0;
-        let verdict = if slow { Verdict::Slow } else { Verdict::Good };
+        let (first_token, between_tokens) =
+            (route.meta.first_token_ms, route.meta.between_tokens_ms);
+        let verdict = self.pace.verdict(sent, first_token, between_tokens);
+        let first = self.pace.first_since(sent);
         (verdict, first.filter(|_| self.attempts == 1))
     }
 
@@ -476,18 +422,13 @@
 
     /// Notes a token that is passed on.
     fn pass(&mut self, index: u64, text: &str) {
-        let now = self.entry.context.clock.now();
-        if self.pace.first.is_none() {
-            self.pace.first = Some(now);
-            self.entry.first_byte();
-        } else {
-            let gap = now - self.pace.last;
-            self.pace.gaps += 1;
-            self.pace.waited = self.pace.waited + gap;
-            let seconds = Duration::from_millis(gap.0).as_secs_f64();
-            self.entry.context.metrics.between_tokens.observe(seconds);
+        match self.pace.note(self.entry.context.clock.now()) {
+            None => self.entry.first_byte(),
+            Some(gap) => {
+                let seconds = Duration::from_millis(gap.0).as_secs_f64();
+                self.entry.context.metrics.between_tokens.observe(seconds);
+            }
         }
-        self.pace.last = now;
         // A resumed chat may know fewer tokens than its caller has.
         if index == count(self.emitted.len()) {
             self.emitted.push(text.to_owned());
@@ -509,7 +450,12 @@
         }
     }
 
-    async fn finish(&self, running: &Running, report: Report, connection: Option<Connection>) {
+    pub(super) async fn finish(
+        &self,
+        running: &Running,
+        report: Report,
+        connection: Option<Connection>,
+    ) {
         let (ticket, upstream) = (running.start.ticket, running.start.upstream);
         let finish = Finish {
             ticket,
@@ -531,20 +477,6 @@
     }
 }
 
-/// Waits until the host is gone soon.
-async fn soon(leaving: &mut watch::Receiver<Leaving>) {
-    let handed_over = !leaving.has_changed().unwrap_or(false) && *leaving.borrow() == Leaving::Soon;
-    if handed_over
-        || leaving
-            .wait_for(|leaving| *leaving == Leaving::Soon)
-            .await
-            .is_err()
-    {
-        // It was tried already, or nobody will ever say so.
-        std::future::pending::<()>().await;
-    }
-}
-
 fn count(number: usize) -> u64 {
     u64::try_from(number).unwrap_or(u64::MAX)
 }
--- a/cactusglade-daemon/src/peer/handover.rs
+++ b/cactusglade-daemon/src/peer/handover.rs
@@ -12,8 +12,8 @@
 use rand::seq::SliceRandom;
 
 use crate::peer::Peer;
-use crate::peer::connect;
-use crate::peer::deadline;
+use crate::peer::reach::connect;
+use crate::peer::reach::deadline;
 
 /// Peers that a chat is given to.
 const COPIES: usize = 2;
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! The service that exchanges rows with other daemons.
 
 mod handover;
+mod reach;
 mod server;
 
 use std::collections::BTreeMap;
@@ -15,7 +16,6 @@
 use cactusglade_core::row::Key;
 use cactusglade_core::row::Value;
 use cactusglade_core::set::Set;
-use cactusglade_core::units::Generation;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::member;
 use cactusglade_policy::member::News;
@@ -33,12 +33,6 @@
 use rand::seq::SliceRandom;
 use slog::Logger;
 use slog::debug;
-use tarpc::client;
-use tarpc::context;
-use tarpc::serde_transport;
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::net::TcpSocket;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -60,8 +54,6 @@
 const JOIN: Millis = Millis(1_500);
 /// Askers that are remembered before their rows are known.
 const MAX_ASKERS: usize = 64;
-/// Longest wait for a peer.
-const WAIT: Duration = Duration::from_secs(1);
 
 /// `Options` of the service.
 #[derive(Debug)]
@@ -117,6 +109,11 @@
 
 pub use handover::Find;
 pub use handover::HandOver;
+pub use reach::snapshot;
+
+use reach::connect;
+use reach::deadline;
+use reach::push;
 
 /// `Spread` takes rows of this daemon and sends urgent ones on.
 #[derive(Clone, Debug)]
@@ -423,24 +420,6 @@
     }
 }
 
-/// Pushes rows to one peer; what does not arrive is pulled later.
-async fn push(
-    local: IpAddr,
-    address: SocketAddr,
-    known: Option<PeerClient>,
-    rows: Vec<(Key, Value)>,
-) {
-    if let Some(client) = known
-        && client.push(deadline(), rows.clone()).await.is_ok()
-    {
-        return;
-    }
-    if let Some(client) = connect(local, address).await {
-        // The next exchange brings what was lost here.
-        let _ = client.push(deadline(), rows).await;
-    }
-}
-
 fn lesson(news: &News) -> Option<Lesson> {
     match (&news.key, &news.value) {
         (Key::Leaving(name, incarnation), Value::Leaving(gone)) => {
@@ -466,41 +445,3 @@
     let bytes = serde_json::to_vec(rows).map_or(0, |bytes| bytes.len());
     u64::try_from(bytes).unwrap_or(u64::MAX)
 }
-
-/// Connects from the daemon's own address, by which hosts with several are told apart.
-async fn connect(local: IpAddr, address: SocketAddr) -> Option<PeerClient> {
-    let socket = match local {
-        IpAddr::V4(_) => TcpSocket::new_v4(),
-        IpAddr::V6(_) => TcpSocket::new_v6(),
-    };
-    let socket = socket.ok()?;
-    socket.bind(SocketAddr::new(local, 0)).ok()?;
-    let connect = socket.connect(address);
-    let stream = tokio::time::timeout(WAIT, connect).await.ok()?.ok()?;
-    let framed = LengthDelimitedCodec::builder().new_framed(stream);
-    let transport = serde_transport::new(framed, Bincode::default());
-    Some(PeerClient::new(client::Config::default(), transport).spawn())
-}
-
-fn deadline() -> context::Context {
-    let mut context = context::current();
-    context.deadline = std::time::Instant::now() + WAIT;
-    context
-}
-
-/// Asks one peer for the snapshot of a generation.
-pub async fn snapshot(
-    local: IpAddr,
-    address: SocketAddr,
-    generation: Generation,
-    within: Duration,
-) -> Option<String> {
-    let ask = async {
-        connect(local, address)
-            .await?
-            .snapshot(deadline(), generation)
-            .await
-            .ok()?
-    };
-    tokio::time::timeout(within, ask).await.ok().flatten()
-}
