Revert "Let heartbeats grow rarer as the fleet grows"

A failed try. Cause found: not the heartbeats but the pulls. Each goes to a random peer and brings every row that changed since the last exchange with that very peer, which at 40 daemons is 20 s ago: nearly all rows, known from others by then.

--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -50,6 +50,8 @@
 pub const NAME: &str = "peer";
 /// Peers that an urgent row is pushed to.
 const FANOUT: usize = 4;
+/// Time between two heartbeats.
+const BEAT: Millis = Millis(1_000);
 /// Time after which a daemon goes on without having heard from any peer.
 const JOIN: Millis = Millis(1_500);
 /// Askers that are remembered before their rows are known.
@@ -201,10 +203,7 @@
 
     async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
         let now = self.options.clock.now();
-        if self
-            .beaten
-            .is_none_or(|beaten| now - beaten >= self.state.beat())
-        {
+        if self.beaten.is_none_or(|beaten| now - beaten >= BEAT) {
             self.beaten = Some(now);
             self.heartbeat(now).await;
         }
--- a/cactusglade-policy/src/member/mod.rs
+++ b/cactusglade-policy/src/member/mod.rs
@@ -12,13 +12,8 @@
 use cactusglade_core::row::Value;
 use cactusglade_core::units::Millis;
 
-/// Heartbeats of other daemons that one takes in a second, at most.
-const BEATS_PER_SECOND: u64 = 8;
-/// Shortest time between two heartbeats of one daemon.
-const SHORTEST_BEAT: Millis = Millis(1_000);
-/// Heartbeats that may be missed before a daemon counts as gone, and the time to spread them.
-const MISSED_BEATS: u64 = 5;
-const SPREAD: Millis = Millis(5_000);
+/// Time without a new heartbeat after which a daemon counts as gone.
+const SILENCE: Millis = Millis(10_000);
 /// Time after which a row of a daemon that is gone is dropped.
 const RETENTION: Millis = Millis(120_000);
 
@@ -91,22 +86,13 @@
         (self.changes, rows)
     }
 
-    /// Time between two heartbeats: the more daemons, the longer, so that the bytes stay bounded.
-    #[must_use]
-    pub fn beat(&self) -> Millis {
-        let daemons = self.rows.keys().filter(|key| matches!(key, Key::Daemon(_)));
-        let daemons = u64::try_from(daemons.count()).unwrap_or(u64::MAX);
-        Millis(daemons.saturating_mul(1_000) / BEATS_PER_SECOND).max(SHORTEST_BEAT)
-    }
-
     /// Names and peer addresses of the daemons heard of lately, in the order of their names.
     #[must_use]
     pub fn alive(&self, now: Millis) -> Vec<(String, String)> {
-        let silence = Millis(self.beat().0 * MISSED_BEATS) + SPREAD;
         let mut alive = Vec::new();
         for (key, entry) in &self.rows {
             if let (Key::Daemon(name), Value::Daemon(daemon)) = (key, &entry.value)
-                && now - entry.heard < silence
+                && now - entry.heard < SILENCE
             {
                 alive.push((name.clone(), daemon.peers.clone()));
             }
@@ -116,9 +102,8 @@
 
     /// Drops rows of daemons that have long been gone.
     pub fn expire(&mut self, now: Millis) {
-        let retention = RETENTION.max(Millis(self.beat().0 * MISSED_BEATS * 2));
         self.rows
-            .retain(|key, entry| !matches!(key, Key::Daemon(_)) || now - entry.heard < retention);
+            .retain(|key, entry| !matches!(key, Key::Daemon(_)) || now - entry.heard < RETENTION);
     }
 
     /// All rows in the order of their keys.
