A whole answer stays whole whatever follows it; patience by the route's target

Found by reading: an answer that was whole was tried again when its engine did not end the body within a second, and an engine that took over 5 s to its first token was given up on a route that allows more. Now only the connection is given up, after 100 ms, and silence is four times the route's first-token target, at least 5 s. The engine stand-in's cache events now lag as its options say.

--- a/cactusglade-daemon/src/gate/chat/lines.rs
+++ b/cactusglade-daemon/src/gate/chat/lines.rs
@@ -11,7 +11,7 @@
 use tokio_util::codec::LinesCodec;
 
 /// Longest wait for the end of a body after its last event.
-const END: Duration = Duration::from_secs(1);
+const END: Duration = Duration::from_millis(100);
 
 /// `Lines` holds what of an answer has come and was not taken yet.
 pub struct Lines {
--- a/cactusglade-daemon/src/gate/chat/progress.rs
+++ b/cactusglade-daemon/src/gate/chat/progress.rs
@@ -38,8 +38,10 @@
 const BYTES_PER_TOKEN: usize = 4;
 /// Orders that may wait for the chat.
 const ORDERS: usize = 4;
-/// Longest silence of an upstream.
+/// Longest silence of an upstream on a route with the usual targets.
 const SILENCE: Duration = Duration::from_secs(5);
+/// Longest silence as a multiple of the route's target for the first token.
+const SILENT_TARGETS: u64 = 4;
 
 /// `Part` is what comes next of an answer.
 pub enum Part {
@@ -250,10 +252,12 @@
                     ..
                 } = event
                 {
-                    if !self.cursor.is_whole(total) || !lines.ends().await {
+                    if !self.cursor.is_whole(total) {
                         return self.again(&running, self.lost()).await;
                     }
                     self.count(&running, total, computed_tokens);
+                    // The answer is whole; whatever follows it only spoils the connection.
+                    let connection = lines.ends().await.then_some(connection);
                     return Some(self.complete(&running, prompt_tokens, connection).await);
                 }
                 running.answer = Some((lines, connection));
@@ -330,7 +334,7 @@
     /// Waits for something, an order to move, the deadline, or too long a silence.
     async fn wait<T>(&mut self, something: impl Future<Output = T>) -> Wake<T> {
         let deadline = self.entry.context.clock.instant(self.entry.deadline);
-        let silence = tokio::time::Instant::now() + SILENCE;
+        let silence = tokio::time::Instant::now() + self.silence();
         let mut leaving = self.leaving.clone();
         tokio::select! {
             ready = something => Wake::Ready(ready),
@@ -342,6 +346,15 @@
         }
     }
 
+    /// Longest silence that is waited for; a route with a slow first token has more patience.
+    fn silence(&self) -> Duration {
+        let target = self
+            .entry
+            .object()
+            .map_or(0, |route| route.meta.first_token_ms.0);
+        Duration::from_millis(target.saturating_mul(SILENT_TARGETS)).max(SILENCE)
+    }
+
     /// Asks the dispatch for another attempt.
     async fn again(&mut self, running: &Running, cause: Cause) -> Option<Part> {
         let again = Again {
@@ -377,7 +390,12 @@
         self.fail(kind)
     }
 
-    async fn complete(&mut self, running: &Running, prompt: u64, connection: Connection) -> Part {
+    async fn complete(
+        &mut self,
+        running: &Running,
+        prompt: u64,
+        connection: Option<Connection>,
+    ) -> Part {
         let answer = self.cursor.passed();
         let (verdict, first_token) = self.verdict(running.sent);
         let report = Report {
@@ -385,7 +403,7 @@
             tokens: prompt + answer,
             first_token,
         };
-        self.finish(running, report, Some(connection)).await;
+        self.finish(running, report, connection).await;
         self.ended = true;
         self.entry.record("ok");
         Part::Done { prompt, answer }
--- a/cactusglade-standin/src/engine/state.rs
+++ b/cactusglade-standin/src/engine/state.rs
@@ -71,7 +71,7 @@
     waiting: VecDeque<(wire::Request, oneshot::Sender<Permit>)>,
     cache: VecDeque<u64>,
     cached: BTreeSet<u64>,
-    events: Vec<u64>,
+    events: Vec<(Instant, u64)>,
     report: (Instant, wire::Load),
     versions: BTreeSet<String>,
     fence: u64,
@@ -212,7 +212,7 @@
             return;
         }
         self.cache.push_back(block);
-        self.events.push(block);
+        self.events.push((Instant::now(), block));
         if self.cache.len() > self.options.cache_blocks
             && let Some(oldest) = self.cache.pop_front()
         {
@@ -262,16 +262,15 @@
         }
     }
 
-    /// Blocks that entered the cache, with gaps.
+    /// Blocks that entered the cache some time ago, with gaps.
     fn cache_events(&self) -> Vec<u64> {
-        let kept = |place: &usize| {
-            u64::try_from(place + 1).unwrap_or(u64::MAX) % self.options.event_gap.max(2) != 0
-        };
+        let lag = Duration::from_millis(self.options.lag_ms);
+        let gap = self.options.event_gap.max(2);
+        let lost =
+            |place: usize| u64::try_from(place + 1).is_ok_and(|number| number.is_multiple_of(gap));
         let events = self.events.iter().enumerate();
-        events
-            .filter(|(place, _)| kept(place))
-            .map(|(_, block)| *block)
-            .collect()
+        let events = events.filter(|(place, (at, _))| at.elapsed() >= lag && !lost(*place));
+        events.map(|(_, (_, block))| *block).collect()
     }
 
     fn order(&mut self, order: &Order) -> Outcome {
