--- a/cactusglade-cli/src/caller/mod.rs
+++ b/cactusglade-cli/src/caller/mod.rs
@@ -22,6 +22,7 @@
 const WITHIN: Duration = Duration::from_secs(60);
 const EVENT: &str = "data: ";
 const ERROR: &str = "event: error";
+const MOVED: &str = "event: moved";
 const LAST: &str = "[DONE]";
 
 /// Error of a call: the connection was not made or broke.
@@ -60,6 +61,12 @@
     pub version: String,
     /// Whether the last event came.
     pub done: bool,
+    /// Path at which the stream can be resumed through any daemon.
+    pub resume: Option<String>,
+    /// Whether the stream ended because it is to be resumed.
+    pub moved: bool,
+    /// Whether the connection broke in the middle.
+    pub cut: bool,
     /// The error, if there was one.
     pub failure: Option<wire::Failure>,
     /// Time to the first token.
@@ -114,12 +121,32 @@
             max_tokens,
         };
         let body = serde_json::to_vec(&chat).unwrap_or_default();
-        let stream = self.stream(path, body);
+        let stream = self.stream("POST", path, body);
         tokio::time::timeout(WITHIN, stream)
             .await
             .unwrap_or(Err(Error::CutOff))
     }
 
+    /// Goes on with a stream that another daemon began.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon is not reached or answers with no stream.
+    pub async fn resume(&self, mut stream: Stream) -> Result<Stream> {
+        let resume = stream.resume.clone().ok_or(Error::CutOff)?;
+        let path = format!("{resume}?from={}", stream.tokens.len());
+        let rest = self.stream("GET", &path, Vec::new());
+        let rest = tokio::time::timeout(WITHIN, rest).await;
+        let rest = rest.unwrap_or(Err(Error::CutOff))?;
+        stream.tokens.extend(rest.tokens);
+        stream.indices.extend(rest.indices);
+        Ok(Stream {
+            tokens: stream.tokens,
+            indices: stream.indices,
+            ..rest
+        })
+    }
+
     /// Calls a plain service.
     ///
     /// # Errors
@@ -148,11 +175,17 @@
             .unwrap_or(Err(Error::CutOff))
     }
 
-    async fn stream(&self, path: &str, body: Vec<u8>) -> Result<Stream> {
+    async fn stream(&self, method: &str, path: &str, body: Vec<u8>) -> Result<Stream> {
         let started = Instant::now();
-        let (_connection, response) = self.send("POST", path, body, None).await?;
+        let (_connection, response) = self.send(method, path, body, None).await?;
+        let word = |name: &str| {
+            let value = response.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
         let mut stream = Stream {
             status: response.status().as_u16(),
+            resume: word(header::RESUME).or_else(|| word(hyper::header::LOCATION.as_str())),
+            moved: response.status() == hyper::StatusCode::SEE_OTHER,
             ..Stream::default()
         };
         if stream.status != 200 {
@@ -167,7 +200,7 @@
             started,
             failing: false,
         };
-        reader.read(response.into_body()).await?;
+        reader.stream.cut = reader.read(response.into_body()).await.is_err();
         reader.stream.took = started.elapsed();
         Ok(reader.stream)
     }
@@ -222,6 +255,8 @@
     fn line(&mut self, line: &str) {
         if line == ERROR {
             self.failing = true;
+        } else if line == MOVED {
+            self.stream.moved = true;
         } else if let Some(data) = line.strip_prefix(EVENT) {
             self.event(data);
         }
--- a/cactusglade-cli/src/demo/objects.rs
+++ b/cactusglade-cli/src/demo/objects.rs
@@ -10,6 +10,8 @@
 pub const ORGANISATIONS: [(&str, u64); 3] = [("north", 1), ("south", 1), ("cases", 2)];
 /// Path of the chat route.
 pub const CHAT: &str = "/v1/chat/completions";
+/// Path of the route for work that may wait.
+pub const REVIEWS: &str = "/v1/reviews";
 /// Path of the booking route, which is not idempotent.
 pub const BOOKINGS: &str = "/bookings";
 /// Path of the status route, which is idempotent.
@@ -79,6 +81,11 @@
 path = "/v1/chat/completions"
 model = "chat"
 
+[route.review]
+path = "/v1/reviews"
+model = "chat"
+class = "deferrable"
+
 [route.book]
 path = "/bookings"
 method = "POST"
--- a/cactusglade-core/src/errors/mod.rs
+++ b/cactusglade-core/src/errors/mod.rs
@@ -38,6 +38,8 @@
     BadRequest,
     /// The API key is missing or belongs to no organisation.
     Unauthenticated,
+    /// No request or work of the organisation has this name.
+    UnknownWork,
     /// No route has this path.
     UnknownRoute,
     /// The route exists but not for this method.
@@ -62,6 +64,8 @@
     NoUpstream,
     /// The platform's table is needed for at-most-once and does not answer.
     StoreUnavailable,
+    /// Work may have been accepted, but the platform's answer was lost.
+    Unsettled,
     /// The deadline passed before the request was sent to an upstream.
     Expired,
     /// Every upstream tried refused the request without running it.
@@ -105,9 +109,10 @@
 
 impl Kind {
     /// Every kind, in the order of the table in `docs/INTERFACES.md`.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::Unauthenticated,
+        Self::UnknownWork,
         Self::UnknownRoute,
         Self::MethodNotAllowed,
         Self::SlowRequest,
@@ -120,6 +125,7 @@
         Self::Draining,
         Self::NoUpstream,
         Self::StoreUnavailable,
+        Self::Unsettled,
         Self::Expired,
         Self::UpstreamRefused,
         Self::UpstreamLost,
@@ -135,6 +141,7 @@
         match self {
             Self::BadRequest => answer(400, "bad_request", Ran::No, None),
             Self::Unauthenticated => answer(401, "unauthenticated", Ran::No, None),
+            Self::UnknownWork => answer(404, "unknown_work", Ran::Maybe, None),
             Self::UnknownRoute => answer(404, "unknown_route", Ran::No, None),
             Self::MethodNotAllowed => answer(405, "method_not_allowed", Ran::No, None),
             Self::SlowRequest => answer(408, "slow_request", Ran::No, None),
@@ -147,6 +154,7 @@
             Self::Draining => answer(503, "draining", Ran::No, SOON),
             Self::NoUpstream => answer(503, "no_upstream", Ran::No, LATER),
             Self::StoreUnavailable => answer(503, "store_unavailable", Ran::No, LATER),
+            Self::Unsettled => answer(503, "unsettled", Ran::Maybe, None),
             Self::Expired => answer(504, "expired", Ran::No, SOON),
             Self::UpstreamRefused => answer(502, "upstream_refused", Ran::No, SOON),
             Self::UpstreamLost => answer(502, "upstream_lost", Ran::Maybe, None),
--- a/cactusglade-core/src/meta/read.rs
+++ b/cactusglade-core/src/meta/read.rs
@@ -37,6 +37,7 @@
 const DEFAULT_STEP_MS: u64 = 10_000;
 const DEFAULT_EVIDENCE: u64 = 50;
 const KEY_PREFIX: &str = "sha256:";
+const RESERVED: [&str; 2] = ["/resume/", "/work/"];
 const KEY_DIGITS: usize = 64;
 
 /// `Source` is one object file.
@@ -234,6 +235,9 @@
     if !path.is_empty() && !path.starts_with('/') {
         fields.reject("path", "must start with /");
     }
+    if RESERVED.iter().any(|reserved| path.starts_with(reserved)) {
+        fields.reject("path", "must not start with /resume/ or /work/");
+    }
     let model = fields.text_or_none("model");
     let service = fields.text_or_none("service");
     if model.is_some() == service.is_some() {
--- a/cactusglade-core/src/row/mod.rs
+++ b/cactusglade-core/src/row/mod.rs
@@ -126,6 +126,47 @@
     pub evidence: BTreeMap<String, Count>,
 }
 
+/// `Handover` is a chat that another daemon may have to go on with.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Handover {
+    /// Names the request, and the address at which its caller resumes it.
+    pub id: String,
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Name of the route.
+    pub route: String,
+    /// Body of the request.
+    pub body: String,
+    /// Tokens that were passed on.
+    pub emitted: Vec<String>,
+    /// Unix time after which no answer helps any more.
+    pub deadline_unix_ms: Millis,
+}
+
+/// `Work` is a request that was accepted to be finished later.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Work {
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Name of the route.
+    pub route: String,
+    /// Content address of the request's body.
+    pub request: String,
+    /// Who works on it.
+    pub lease: Option<Lease>,
+}
+
+/// `Finished` is work whose answer is there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Finished {
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Content address of the request's body.
+    pub request: String,
+    /// Content address of the answer.
+    pub answer: String,
+}
+
 /// `Key` names one spread row.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Key {
--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -29,6 +29,7 @@
 use crate::driver::Driver;
 use crate::gate;
 use crate::gate::Gate;
+use crate::gate::Leaving;
 use crate::ledger::Ledger;
 use crate::link::Client;
 use crate::metrics;
@@ -40,8 +41,15 @@
 use crate::platform::Platform;
 use crate::poll;
 use crate::poll::Poll;
+use crate::relay;
+use crate::relay::Relay;
 use crate::store;
 use crate::store::Store;
+use crate::work;
+use crate::work::Work;
+
+/// Time before the host is gone at which chats are handed over.
+const HAND_OVER: Millis = Millis(2_000);
 
 /// Error of starting a daemon.
 #[derive(Debug, thiserror::Error)]
@@ -90,6 +98,7 @@
     faults: mpsc::UnboundedReceiver<Fault>,
     notices: mpsc::Receiver<Millis>,
     draining: watch::Sender<bool>,
+    leaving: watch::Sender<Leaving>,
     gate: ActorRef<Gate>,
     lame_duck: Duration,
     drain: Duration,
@@ -123,6 +132,7 @@
         let (kernel, faults) = Kernel::new(&settings.name, log.clone());
         let (set_sender, sets) = watch::channel(Arc::default());
         let (draining, drains) = watch::channel(false);
+        let (leaving, leavings) = watch::channel(Leaving::No);
         let (notice, notices) = mpsc::channel(1);
         let parts = Parts {
             settings,
@@ -132,6 +142,7 @@
             metrics: metrics.clone(),
             sets: sets.clone(),
             drains,
+            leaving: leavings,
         };
         let (kernel, gate) = parts.start(kernel, sockets, set_sender, notice).await?;
         info!(log, "daemon_started"; "zone" => &settings.zone,
@@ -148,6 +159,7 @@
             faults,
             notices,
             draining,
+            leaving,
             gate,
             lame_duck,
             drain,
@@ -163,6 +175,19 @@
         }
     }
 
+    /// Leaves a host that is gone at a Unix time: chats that can't finish go on elsewhere.
+    ///
+    /// Gives back whether every request had ended or was handed over in time.
+    pub async fn leave(self, gone: Millis) -> bool {
+        self.draining.send_replace(true);
+        self.leaving.send_replace(Leaving::Noticed);
+        let left = gone - clock::unix() - HAND_OVER;
+        tokio::time::sleep(Duration::from_millis(left.0)).await;
+        info!(self.log, "handing_over");
+        self.leaving.send_replace(Leaving::Soon);
+        self.drain_and_stop().await
+    }
+
     /// Says that it is not ready, stops accepting, lets every request finish, and stops the
     /// services in reverse order.
     ///
@@ -171,6 +196,10 @@
         self.draining.send_replace(true);
         info!(self.log, "draining"; "limit_ms" => self.drain.as_millis());
         tokio::time::sleep(self.lame_duck).await;
+        self.drain_and_stop().await
+    }
+
+    async fn drain_and_stop(self) -> bool {
         let drained = self
             .gate
             .ask(gate::Drain(self.drain))
@@ -193,6 +222,7 @@
     metrics: Metrics,
     sets: watch::Receiver<Arc<Set>>,
     drains: watch::Receiver<bool>,
+    leaving: watch::Receiver<Leaving>,
 }
 
 impl Parts<'_> {
@@ -212,6 +242,7 @@
             .await?;
         let config = self.config(&kernel, &platform, sets)?;
         kernel.start::<Config>(config::NAME, config).await?;
+        kernel.start::<Relay>(relay::NAME, ()).await?;
         let peer = self.peer(&kernel, sockets.peers)?;
         let peer = kernel.start::<Peer>(peer::NAME, peer).await?;
         self.introduce(&kernel, &peer).await?;
@@ -221,11 +252,25 @@
         kernel.start::<Driver>(driver::NAME, driver).await?;
         let ops = self.ops(&kernel, sockets.operators)?;
         kernel.start::<Ops>(ops::NAME, ops).await?;
-        let gate = self.gate(&kernel, &platform, sockets.callers)?;
+        let context = self.context(&kernel, &platform)?;
+        let work = work::Options {
+            holder: self.holder(),
+            context: context.clone(),
+        };
+        kernel.start::<Work>(work::NAME, work).await?;
+        let gate = gate::Options {
+            listener: sockets.callers,
+            context,
+        };
         let gate = kernel.start::<Gate>(gate::NAME, gate).await?;
         Ok((kernel, gate))
     }
 
+    /// Name of this start of the daemon, as holder of leases.
+    fn holder(&self) -> String {
+        format!("{}/{}", self.settings.name, clock::unix().0)
+    }
+
     fn dispatch(&self) -> dispatch::Options {
         dispatch::Options {
             zone: self.settings.zone.clone(),
@@ -264,6 +309,7 @@
             sets: self.sets.clone(),
             dispatch: kernel.find(dispatch::NAME)?,
             config: kernel.find(config::NAME)?,
+            relay: kernel.find(relay::NAME)?,
             clock: self.clock,
             log: self.log.clone(),
             metrics: self.metrics.clone(),
@@ -300,7 +346,7 @@
 
     fn driver(&self, kernel: &Kernel, platform: &Platform) -> Result<driver::Options> {
         Ok(driver::Options {
-            holder: format!("{}/{}", self.settings.name, clock::unix().0),
+            holder: self.holder(),
             platform: platform.clone(),
             dispatch: kernel.find(dispatch::NAME)?,
             peer: kernel.find(peer::NAME)?,
@@ -323,28 +369,23 @@
         Ok(ops::Options { listener, context })
     }
 
-    fn gate(
-        &self,
-        kernel: &Kernel,
-        platform: &Platform,
-        listener: TcpListener,
-    ) -> Result<gate::Options> {
-        let context = gate::Context {
+    fn context(&self, kernel: &Kernel, platform: &Platform) -> Result<Arc<gate::Context>> {
+        Ok(Arc::new(gate::Context {
             daemon: self.settings.name.clone(),
             limits: self.settings.limits,
             sets: self.sets.clone(),
             draining: self.drains.clone(),
+            leaving: self.leaving.clone(),
             dispatch: kernel.find(dispatch::NAME)?,
+            peer: kernel.find(peer::NAME)?,
+            relay: kernel.find(relay::NAME)?,
+            platform: platform.clone(),
             ledger: Ledger::new(kernel.find(store::NAME)?, platform.clone()),
             clock: self.clock,
             log: self.log.clone(),
             metrics: self.metrics.clone(),
             requests: TaskTracker::new(),
-        };
-        Ok(gate::Options {
-            listener,
-            context: Arc::new(context),
-        })
+        }))
     }
 }
 
--- a/cactusglade-daemon/src/gate/answer.rs
+++ b/cactusglade-daemon/src/gate/answer.rs
@@ -14,8 +14,11 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::header::LOCATION;
 use hyper::header::RETRY_AFTER;
 
+/// Prefix of the paths at which chats are resumed.
+pub const RESUME_PREFIX: &str = "/resume/";
 const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// `Whole` is the body of an answer that is there at once.
@@ -39,9 +42,22 @@
     put(&mut response, CONTENT_TYPE.as_str(), "text/event-stream");
     put(&mut response, header::REQUEST, id);
     put(&mut response, header::VERSION, version);
+    put(&mut response, header::RESUME, &resume_path(id));
     response
 }
 
+/// Path at which a chat can be resumed through any daemon.
+pub fn resume_path(id: &str) -> String {
+    format!("{RESUME_PREFIX}{id}")
+}
+
+/// The answer to a caller whose chat goes on at another daemon.
+pub fn elsewhere(id: &str) -> Response<Whole> {
+    let mut response = whole(303, "application/json", "{}", id);
+    put(&mut response, LOCATION.as_str(), &resume_path(id));
+    closing(response)
+}
+
 /// The answer that a plain service gave.
 pub fn reply(reply: Reply, id: &str) -> Response<Whole> {
     whole(reply.status, &reply.content_type, reply.body, id)
--- a/cactusglade-daemon/src/gate/chat/mod.rs
+++ b/cactusglade-daemon/src/gate/chat/mod.rs
@@ -6,7 +6,6 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
-use cactusglade_core::errors::Kind;
 use cactusglade_wire::caller;
 use cactusglade_wire::caller::Failure;
 use futures::Stream;
@@ -20,36 +19,39 @@
 use crate::gate::answer::Body;
 use crate::gate::request::Entry;
 
-use progress::Chat;
-use progress::Part;
+pub use progress::Chat;
+pub use progress::Part;
+pub use progress::Seed;
 
 const MESSAGE: &str = "the chat could not be answered";
-const NO_CHAT: &str = "the body is no chat with messages and max_tokens above zero";
 
-/// Answers one chat.
+/// Body of the answer to a chat.
+pub type Answer<S> = Response<Body<S>>;
+
+/// The chat that a request's body asks for.
+pub fn read(entry: &Entry) -> Option<caller::Chat> {
+    let body = caller::Chat::try_new(&entry.body).ok()?;
+    (!body.messages.is_empty() && body.max_tokens > 0).then_some(body)
+}
+
+/// Answers one chat from where it stands.
 ///
 /// The answer's body holds all that the chat is; when the caller goes away it is dropped, and
 /// with it everything that was done for the caller.
 pub async fn answer(
     entry: Entry,
-) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, Infallible>>>> {
+    seed: Seed,
+) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Infallible>>> {
     let id = entry.id.clone();
-    let body = match caller::Chat::try_new(&entry.body) {
-        Ok(body) if !body.messages.is_empty() && body.max_tokens > 0 => body,
-        _ => {
-            let kind = Kind::BadRequest;
-            entry.record(kind.answer().code);
-            return answer::failure(kind, NO_CHAT, &id).map(Either::Left);
-        }
-    };
-    let streamed = body.stream;
-    let mut chat = Chat::start(entry, body).await;
+    let streamed = seed.body.stream;
+    let mut chat = Chat::start(entry, seed).await;
     if !streamed {
         return whole(chat).await.map(Either::Left);
     }
     // Nothing is said before the first token is there, so that an error can still be an answer.
     match chat.next().await {
         Part::Failed(kind) => answer::failure(kind, MESSAGE, &id).map(Either::Left),
+        Part::Moved => answer::elsewhere(&id).map(Either::Left),
         first => {
             let version = chat.version().to_owned();
             let body = Either::Right(StreamBody::new(events(chat, first)));
@@ -60,15 +62,25 @@
 
 /// Gathers the whole answer before anything is said.
 async fn whole(mut chat: Chat) -> Response<answer::Whole> {
-    let mut text = String::new();
+    match gather(&mut chat).await {
+        Ok(body) => answer::whole(200, "application/json", body, chat.id()),
+        Err(Part::Failed(kind)) => answer::failure(kind, MESSAGE, chat.id()),
+        Err(_) => answer::elsewhere(chat.id()),
+    }
+}
+
+/// The body of a whole answer, or the part that ended it before.
+///
+/// # Errors
+///
+/// Returns the last part of an answer that did not become whole here.
+pub async fn gather(chat: &mut Chat) -> Result<String, Part> {
+    let mut text = chat.known();
     loop {
         match chat.next().await {
             Part::Token { text: token, .. } => text.push_str(&token),
-            Part::Failed(kind) => return answer::failure(kind, MESSAGE, chat.id()),
-            Part::Done { prompt, answer } => {
-                let body = head(&chat).whole(&text, prompt, answer);
-                return answer::whole(200, "application/json", body, chat.id());
-            }
+            Part::Done { prompt, answer } => return Ok(head(chat).whole(&text, prompt, answer)),
+            part => return Err(part),
         }
     }
 }
@@ -90,6 +102,7 @@
     match part {
         Part::Token { index, text } => head(chat).token(index, &text).unwrap_or_default(),
         Part::Done { .. } => head(chat).stop().unwrap_or_default() + caller::DONE,
+        Part::Moved => Failure::moved(&answer::resume_path(chat.id())),
         Part::Failed(kind) => Failure::new(kind, MESSAGE, chat.id()).event(),
     }
 }
--- a/cactusglade-daemon/src/gate/chat/progress.rs
+++ b/cactusglade-daemon/src/gate/chat/progress.rs
@@ -4,6 +4,7 @@
 
 use cactusglade_core::errors::Kind;
 use cactusglade_core::meta::Class;
+use cactusglade_core::row::Handover;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::dispatch::Ask;
 use cactusglade_policy::dispatch::Cause;
@@ -16,12 +17,15 @@
 use cactusglade_wire::engine;
 use cactusglade_wire::engine::Event;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
+use crate::clock;
 use crate::dispatch::Again;
 use crate::dispatch::Arrive;
 use crate::dispatch::Finish;
 use crate::dispatch::Order;
 use crate::dispatch::Start;
+use crate::gate::Leaving;
 use crate::gate::attempt;
 use crate::gate::attempt::Call;
 use crate::gate::attempt::Error;
@@ -29,6 +33,7 @@
 use crate::gate::chat::lines::Lines;
 use crate::gate::request::Entry;
 use crate::link::Connection;
+use crate::peer;
 
 /// Bytes of text that are taken for one token in estimates.
 const BYTES_PER_TOKEN: usize = 4;
@@ -53,16 +58,41 @@
         /// Tokens of the answer.
         answer: u64,
     },
+    /// The answer is resumed through another daemon.
+    Moved,
     /// The answer can't be finished.
     Failed(Kind),
 }
 
+/// `Seed` is where a chat begins: with nothing, or where another daemon left it.
+pub struct Seed {
+    /// What the caller asked for.
+    pub body: caller::Chat,
+    /// Tokens that are known.
+    pub emitted: Vec<String>,
+    /// How many of them the caller has.
+    pub passed: u64,
+}
+
+impl Seed {
+    /// A chat that begins here.
+    #[must_use]
+    pub const fn new(body: caller::Chat) -> Self {
+        Self {
+            body,
+            emitted: Vec::new(),
+            passed: 0,
+        }
+    }
+}
+
 /// `Chat` holds all that is known of one chat; dropping it gives its upstream back.
 pub struct Chat {
     entry: Entry,
     body: caller::Chat,
     prompt: String,
     orders: mpsc::Receiver<Order>,
+    leaving: watch::Receiver<Leaving>,
     running: Option<Running>,
     cursor: Cursor,
     emitted: Vec<String>,
@@ -96,14 +126,24 @@
 enum Wake<T> {
     Ready(T),
     Move,
+    HandOver,
     Late,
     Silent,
 }
 
 impl Chat {
     /// Asks the dispatch for admission.
-    pub async fn start(entry: Entry, body: caller::Chat) -> Self {
+    pub async fn start(entry: Entry, seed: Seed) -> Self {
+        let Seed {
+            body,
+            emitted,
+            passed,
+        } = seed;
         let (sender, orders) = mpsc::channel(ORDERS);
+        let mut leaving = entry.context.leaving.clone();
+        if *leaving.borrow() != Leaving::No {
+            leaving.mark_changed();
+        }
         let prompt = body.prompt();
         let ask = Ask {
             organisation: entry.organisation,
@@ -127,9 +167,10 @@
             body,
             prompt,
             orders,
+            leaving,
             running: None,
-            cursor: Cursor::default(),
-            emitted: Vec::new(),
+            cursor: Cursor::new(passed),
+            emitted,
             attempts: 0,
             pace: Pace::default(),
             ended: false,
@@ -142,6 +183,16 @@
         &self.entry.id
     }
 
+    /// The text that the caller has of the answer so far.
+    pub fn known(&self) -> String {
+        let passed = usize::try_from(self.cursor.passed()).unwrap_or(usize::MAX);
+        self.emitted
+            .iter()
+            .take(passed)
+            .map(String::as_str)
+            .collect()
+    }
+
     /// Name of the version that answers.
     pub fn version(&self) -> &str {
         &self.version
@@ -155,6 +206,9 @@
     /// The next part of the answer, from whichever upstream it takes.
     pub async fn next(&mut self) -> Part {
         loop {
+            if self.leaving.has_changed().unwrap_or(false) && self.leave().await {
+                return self.moved().await;
+            }
             let part = match self.running.take() {
                 Some(running) => self.run(running).await,
                 None => self.follow().await,
@@ -167,7 +221,12 @@
 
     /// Follows the next order of the dispatch.
     async fn follow(&mut self) -> Option<Part> {
-        match self.orders.recv().await {
+        let mut leaving = self.leaving.clone();
+        let order = tokio::select! {
+            order = self.orders.recv() => order,
+            () = soon(&mut leaving) => return None,
+        };
+        match order {
             None => Some(self.fail(Kind::Internal)),
             Some(Order::Refuse(kind)) => Some(self.fail(kind)),
             // It came too late: the attempt that it speaks of has ended.
@@ -215,6 +274,11 @@
                 self.again(&running, self.lost()).await
             }
             Wake::Ready(None) | Wake::Silent => self.again(&running, self.lost()).await,
+            Wake::HandOver => {
+                running.answer = Some((lines, connection));
+                self.running = Some(running);
+                None
+            }
             Wake::Move => self.again(&running, Cause::Leaving).await,
             Wake::Late => Some(self.late(&running).await),
         }
@@ -227,11 +291,14 @@
         };
         match self.cursor.accept(index) {
             stream::Verdict::Pass => {
-                self.pass(&text);
+                self.pass(index, &text);
                 self.running = Some(running);
                 Some(Part::Token { index, text })
             }
             stream::Verdict::Drop => {
+                if index == count(self.emitted.len()) {
+                    self.emitted.push(text);
+                }
                 self.running = Some(running);
                 None
             }
@@ -264,7 +331,8 @@
             }
             Wake::Ready(Err(Error::Refused)) => self.again(&running, Cause::Refused).await,
             Wake::Ready(_) | Wake::Silent => self.again(&running, self.lost()).await,
-            Wake::Move => self.again(&running, Cause::Leaving).await,
+            // Should no peer take it, it is tried here once more.
+            Wake::HandOver | Wake::Move => self.again(&running, Cause::Leaving).await,
             Wake::Late => Some(self.late(&running).await),
         }
     }
@@ -273,9 +341,11 @@
     async fn wait<T>(&mut self, something: impl Future<Output = T>) -> Wake<T> {
         let deadline = self.entry.context.clock.instant(self.entry.deadline);
         let silence = tokio::time::Instant::now() + SILENCE;
+        let mut leaving = self.leaving.clone();
         tokio::select! {
             ready = something => Wake::Ready(ready),
             Some(Order::Move) = self.orders.recv() => Wake::Move,
+            () = soon(&mut leaving) => Wake::HandOver,
             () = tokio::time::sleep_until(deadline.min(silence)) => {
                 if deadline <= silence { Wake::Late } else { Wake::Silent }
             }
@@ -317,6 +387,49 @@
         self.fail(kind)
     }
 
+    /// Gives peers what they need to go on, and says whether the chat is to end here.
+    async fn leave(&mut self) -> bool {
+        let leaving = *self.leaving.borrow_and_update();
+        if leaving == Leaving::No {
+            return false;
+        }
+        let handover = peer::HandOver(self.handover());
+        let peer = self.entry.context.peer.clone();
+        if leaving == Leaving::Noticed {
+            // The stream goes on meanwhile; should this process die, the copy is there.
+            drop(tokio::spawn(async move { peer.ask(handover).await }));
+            return false;
+        }
+        peer.ask(handover).await.is_ok_and(|kept| kept > 0)
+    }
+
+    fn handover(&self) -> Handover {
+        let left = self.entry.deadline - self.entry.context.clock.now();
+        Handover {
+            id: self.entry.id.clone(),
+            organisation: self.entry.organisation_name().to_owned(),
+            route: self.entry.route_name().to_owned(),
+            body: String::from_utf8_lossy(&self.entry.body).into_owned(),
+            emitted: self.emitted.clone(),
+            deadline_unix_ms: clock::unix() + left,
+        }
+    }
+
+    /// Ends the chat here, after a peer has taken it.
+    async fn moved(&mut self) -> Part {
+        if let Some(running) = self.running.take() {
+            let report = Report {
+                verdict: Verdict::Neutral,
+                tokens: self.cursor.passed(),
+                first_token: None,
+            };
+            self.finish(&running, report, None).await;
+        }
+        self.ended = true;
+        self.entry.record("moved");
+        Part::Moved
+    }
+
     async fn complete(&mut self, running: &Running, prompt: u64, connection: Connection) -> Part {
         let answer = self.cursor.passed();
         let (verdict, first_token) = self.verdict(running.sent);
@@ -362,7 +475,7 @@
     }
 
     /// Notes a token that is passed on.
-    fn pass(&mut self, text: &str) {
+    fn pass(&mut self, index: u64, text: &str) {
         let now = self.entry.context.clock.now();
         if self.pace.first.is_none() {
             self.pace.first = Some(now);
@@ -375,7 +488,10 @@
             self.entry.context.metrics.between_tokens.observe(seconds);
         }
         self.pace.last = now;
-        self.emitted.push(text.to_owned());
+        // A resumed chat may know fewer tokens than its caller has.
+        if index == count(self.emitted.len()) {
+            self.emitted.push(text.to_owned());
+        }
     }
 
     fn request(&self, attempt: &str) -> engine::Request {
@@ -415,6 +531,20 @@
     }
 }
 
+/// Waits until the host is gone soon.
+async fn soon(leaving: &mut watch::Receiver<Leaving>) {
+    let handed_over = !leaving.has_changed().unwrap_or(false) && *leaving.borrow() == Leaving::Soon;
+    if handed_over
+        || leaving
+            .wait_for(|leaving| *leaving == Leaving::Soon)
+            .await
+            .is_err()
+    {
+        // It was tried already, or nobody will ever say so.
+        std::future::pending::<()>().await;
+    }
+}
+
 fn count(number: usize) -> u64 {
     u64::try_from(number).unwrap_or(u64::MAX)
 }
--- a/cactusglade-daemon/src/gate/mod.rs
+++ b/cactusglade-daemon/src/gate/mod.rs
@@ -1,11 +1,13 @@
 //! The callers' side: one task owns the listening socket, one each connection, one each request.
 
-mod answer;
+pub(crate) mod answer;
 mod attempt;
-mod chat;
+pub(crate) mod chat;
 mod connection;
 mod plain;
-mod request;
+pub(crate) mod request;
+mod resume;
+pub(crate) mod work;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -27,10 +29,25 @@
 use crate::dispatch::Dispatch;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
+use crate::peer::Peer;
+use crate::platform::Platform;
+use crate::relay::Relay;
 
 /// Name of the service.
 pub const NAME: &str = "gate";
 
+/// `Leaving` says how far the reclaim of the daemon's own host is.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Leaving {
+    /// The host stays.
+    #[default]
+    No,
+    /// The cloud gave notice: peers get a copy of every chat.
+    Noticed,
+    /// The host is gone soon: chats end here and are resumed elsewhere.
+    Soon,
+}
+
 /// `Context` is what every request needs; its parts are handles and settings.
 #[derive(Debug)]
 pub struct Context {
@@ -42,8 +59,16 @@
     pub sets: watch::Receiver<Arc<Set>>,
     /// Whether the daemon is shutting down.
     pub draining: watch::Receiver<bool>,
+    /// Whether the daemon's host is taken back, and how far that is.
+    pub leaving: watch::Receiver<Leaving>,
     /// The dispatch service.
     pub dispatch: ActorRef<Dispatch>,
+    /// The peer service, which hands chats over.
+    pub peer: ActorRef<Peer>,
+    /// The service that keeps chats which were handed over to this daemon.
+    pub relay: ActorRef<Relay>,
+    /// The platform.
+    pub platform: Platform,
     /// The rows of attempts.
     pub ledger: Ledger,
     /// The daemon's clock.
--- a/cactusglade-daemon/src/gate/request.rs
+++ b/cactusglade-daemon/src/gate/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::meta::Class;
 use cactusglade_core::set;
 use cactusglade_core::set::Set;
 use cactusglade_core::set::Target;
@@ -31,13 +32,16 @@
 use crate::gate::answer::Body;
 use crate::gate::answer::Whole;
 use crate::gate::chat;
+use crate::gate::chat::Seed;
 use crate::gate::plain;
+use crate::gate::resume;
+use crate::gate::work;
 
 /// What a refused request names in logs and metrics where nothing better is known.
 const NOBODY: &str = "-";
 
 /// `Entry` is a request that was let in, before it is told apart by what it wants.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Entry {
     /// What every request needs.
     pub context: Arc<Context>,
@@ -77,6 +81,14 @@
     format!("{daemon}-{:016x}", rand::random::<u64>())
 }
 
+/// `Way` is how a request is answered.
+enum Way {
+    /// With what is there already.
+    Whole(Response<Whole>),
+    /// By a chat that goes on from here.
+    Chat(Entry, Seed),
+}
+
 /// Answers one request.
 pub async fn handle(
     context: Arc<Context>,
@@ -84,17 +96,42 @@
 ) -> Response<Body<impl Stream<Item = std::result::Result<Frame<Bytes>, Infallible>>>> {
     let id = id(&context.daemon);
     let arrived = context.clock.now();
-    let entry = match enter(context.clone(), request, &id, arrived).await {
-        Ok(entry) => entry,
-        Err(refusal) => {
-            let response = refuse(&context, refusal, &id, arrived);
-            return response.map(Either::Left);
-        }
+    let way = match choose(&context, request, &id, arrived).await {
+        Ok(way) => way,
+        Err(refusal) => Way::Whole(refuse(&context, refusal, &id, arrived)),
+    };
+    match way {
+        Way::Whole(response) => response.map(Either::Left),
+        Way::Chat(entry, seed) => chat::answer(entry, seed).await,
+    }
+}
+
+async fn choose(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+    id: &str,
+    arrived: Millis,
+) -> Result<Way> {
+    let path = request.uri().path();
+    if let Some(chat) = path.strip_prefix(answer::RESUME_PREFIX) {
+        let (entry, seed) = resume::enter(context, &request, chat, id, arrived).await?;
+        return Ok(Way::Chat(entry, seed));
+    }
+    if let Some(name) = path.strip_prefix(work::PREFIX) {
+        let status = work::status(context, request.headers(), name, id).await?;
+        return Ok(Way::Whole(status));
+    }
+    let entry = enter(context.clone(), request, id, arrived).await?;
+    let class = entry.object().map(|route| (route.target, route.meta.class));
+    let Some((Target::Chat(_), class)) = class else {
+        return Ok(Way::Whole(plain::answer(entry).await));
     };
-    match entry.object().map(|route| route.target) {
-        Some(Target::Chat(_)) => chat::answer(entry).await,
-        _ => plain::answer(entry).await.map(Either::Left),
+    let no_chat = "the body is no chat with messages and max_tokens above zero";
+    let body = chat::read(&entry).ok_or(Refusal(Kind::BadRequest, no_chat))?;
+    if class == Class::Deferrable && !body.stream {
+        return Ok(Way::Whole(work::accept(entry).await));
     }
+    Ok(Way::Chat(entry, Seed::new(body)))
 }
 
 fn refuse(context: &Context, refusal: Refusal, id: &str, arrived: Millis) -> Response<Whole> {
@@ -161,7 +198,8 @@
     })
 }
 
-fn organisation(set: &Set, headers: &HeaderMap) -> Result<arena::Organisation> {
+/// The organisation whose API key the headers carry.
+pub fn organisation(set: &Set, headers: &HeaderMap) -> Result<arena::Organisation> {
     let refusal = Refusal(Kind::Unauthenticated, "a valid API key is needed");
     let value = text(headers, AUTHORIZATION.as_str()).ok_or(refusal)?;
     let key = value.strip_prefix("Bearer ").ok_or(refusal)?;
--- /dev/null
+++ b/cactusglade-daemon/src/gate/work.rs
@@ -0,0 +1,159 @@
+//! Accepts work that may wait, and says how it stands.
+
+use std::sync::Arc;
+
+use cactusglade_core::errors::Kind;
+use cactusglade_core::row::Finished;
+use cactusglade_core::row::Work;
+use cactusglade_core::set::digest;
+use cactusglade_wire::platform as wire;
+use hyper::HeaderMap;
+use hyper::Response;
+use serde_json::Value;
+
+use crate::gate::Context;
+use crate::gate::answer;
+use crate::gate::answer::Whole;
+use crate::gate::request;
+use crate::gate::request::Entry;
+use crate::gate::request::Refusal;
+use crate::platform::Committed;
+use crate::platform::Error;
+
+/// Prefix of the paths at which work is asked for.
+pub const PREFIX: &str = "/work/";
+const UNKNOWN: Refusal = Refusal(
+    Kind::UnknownWork,
+    "no work of this organisation has this name",
+);
+const NAME_DIGITS: usize = 32;
+
+/// Keeps a chat in the platform's service, where any daemon finds and finishes it.
+///
+/// Under an idempotency key the name of the work follows from the key, so that a repeat finds it.
+pub async fn accept(entry: Entry) -> Response<Whole> {
+    let name = match &entry.idempotency_key {
+        Some(key) => digest(format!("{} {key}", entry.organisation_name()).as_bytes()),
+        None => digest(entry.id.as_bytes()),
+    };
+    let name = &name[..NAME_DIGITS];
+    match store(&entry, name).await {
+        Ok(()) => {
+            entry.record("accepted");
+            accepted(name, &entry.id)
+        }
+        Err(kind) => {
+            entry.record(kind.answer().code);
+            answer::failure(kind, "the work could not be accepted", &entry.id)
+        }
+    }
+}
+
+fn accepted(name: &str, id: &str) -> Response<Whole> {
+    let body = serde_json::json!({ "work": name, "status": format!("{PREFIX}{name}") });
+    answer::whole(202, "application/json", body.to_string(), id)
+}
+
+async fn store(entry: &Entry, name: &str) -> Result<(), Kind> {
+    let platform = &entry.context.platform;
+    let body = String::from_utf8_lossy(&entry.body).into_owned();
+    let request = digest(body.as_bytes());
+    let stored = platform.put_object(&request, body).await;
+    stored.map_err(|_| Kind::StoreUnavailable)?;
+    let work = Work {
+        organisation: entry.organisation_name().to_owned(),
+        route: entry.route_name().to_owned(),
+        request: request.clone(),
+        lease: None,
+    };
+    let commit = wire::Commit {
+        writes: vec![wire::Write {
+            key: format!("{}{name}", wire::WORK_PREFIX),
+            expect: None,
+            value: serde_json::to_value(&work).ok(),
+        }],
+        checks: vec![wire::Check {
+            key: format!("{}{name}", wire::FINISHED_PREFIX),
+            expect: None,
+        }],
+    };
+    match platform.commit(&commit).await {
+        Ok(Committed::Yes) => Ok(()),
+        Ok(Committed::No(conflict)) => same(conflict.rows.into_values().flatten(), &request),
+        Err(Error::Refused(_)) => Err(Kind::StoreUnavailable),
+        Err(Error::Unknown) => settle(entry, name, &request).await,
+    }
+}
+
+/// A row that stands already is this work's own where it is about the same request.
+fn same(mut rows: impl Iterator<Item = Value>, request: &str) -> Result<(), Kind> {
+    if rows.any(|row| row["request"] == request) {
+        Ok(())
+    } else {
+        Err(Kind::KeyReused)
+    }
+}
+
+/// Finds out whether a write whose answer was lost took effect.
+async fn settle(entry: &Entry, name: &str, request: &str) -> Result<(), Kind> {
+    let keys = keys(name);
+    let rows = entry
+        .context
+        .platform
+        .read(&[&keys[0], &keys[1]], &[])
+        .await;
+    let rows = rows.map_err(|_| Kind::Unsettled)?;
+    if rows.is_empty() {
+        return Err(Kind::Unsettled);
+    }
+    same(rows.into_values(), request)
+}
+
+fn keys(name: &str) -> [String; 2] {
+    [wire::WORK_PREFIX, wire::FINISHED_PREFIX].map(|prefix| format!("{prefix}{name}"))
+}
+
+/// Says how work stands, with its answer where that is there.
+///
+/// # Errors
+///
+/// Refuses other organisations, unknown names, and while the platform does not answer.
+pub async fn status(
+    context: &Arc<Context>,
+    headers: &HeaderMap,
+    name: &str,
+    id: &str,
+) -> request::Result<Response<Whole>> {
+    let set = context.sets.borrow().clone();
+    let organisation = request::organisation(&set, headers)?;
+    let organisation = set.organisations.get(organisation).ok_or(UNKNOWN)?;
+    let out = Refusal(Kind::StoreUnavailable, "the platform does not answer");
+    let [open, finished] = keys(name);
+    let rows = context.platform.read(&[&open, &finished], &[]).await;
+    let mut rows = rows.map_err(|_| out)?;
+    if let Some(row) = rows.remove(&finished) {
+        let row: Finished = serde_json::from_value(row).map_err(|_| UNKNOWN)?;
+        if row.organisation != organisation.name {
+            return Err(UNKNOWN);
+        }
+        let answer = context
+            .platform
+            .object(&row.answer)
+            .await
+            .map_err(|_| out)?;
+        let body = format!("{{\"status\":\"done\",\"answer\":{answer}}}");
+        return Ok(answer::whole(200, "application/json", body, id));
+    }
+    let row = rows.remove(&open).ok_or(UNKNOWN)?;
+    let row: Work = serde_json::from_value(row).map_err(|_| UNKNOWN)?;
+    if row.organisation != organisation.name {
+        return Err(UNKNOWN);
+    }
+    let status = if row.lease.is_some() {
+        "running"
+    } else {
+        "waiting"
+    };
+    let body = serde_json::json!({ "status": status }).to_string();
+    Ok(answer::whole(202, "application/json", body, id))
+}
--- a/cactusglade-daemon/src/lib.rs
+++ b/cactusglade-daemon/src/lib.rs
@@ -16,4 +16,6 @@
 pub mod peer;
 pub mod platform;
 pub mod poll;
+pub mod relay;
 pub mod store;
+pub mod work;
--- a/cactusglade-daemon/src/main.rs
+++ b/cactusglade-daemon/src/main.rs
@@ -103,27 +103,29 @@
             return ExitCode::from(FAULT);
         }
     };
-    let faulty = tokio::select! {
-        () = stop_signal() => {
+    let end = tokio::select! {
+        () = stop_signal() => None,
+        end = daemon.end() => Some(end),
+    };
+    let ended_well = match end {
+        None => {
             info!(log, "stop_signal");
+            daemon.stop().await
+        }
+        Some(End::Reclaim(gone)) => {
+            warn!(log, "host_reclaimed"; "gone_unix_ms" => gone.0);
+            daemon.leave(gone).await
+        }
+        Some(End::Fault(service)) => {
+            error!(log, "service_ended"; "service" => service);
+            daemon.stop().await;
             false
         }
-        end = daemon.end() => match end {
-            End::Fault(service) => {
-                error!(log, "service_ended"; "service" => service);
-                true
-            }
-            End::Reclaim(gone) => {
-                warn!(log, "host_reclaimed"; "gone_unix_ms" => gone.0);
-                false
-            }
-        },
     };
-    let drained = daemon.stop().await;
-    if faulty || !drained {
-        ExitCode::from(FAULT)
-    } else {
+    if ended_well {
         ExitCode::SUCCESS
+    } else {
+        ExitCode::from(FAULT)
     }
 }
 
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! The service that exchanges rows with other daemons.
 
+mod handover;
 mod server;
 
 use std::collections::BTreeMap;
@@ -48,6 +49,7 @@
 use crate::dispatch::Dispatch;
 use crate::dispatch::Lesson;
 use crate::metrics::Metrics;
+use crate::relay::Relay;
 
 /// Name of the service.
 pub const NAME: &str = "peer";
@@ -83,6 +85,8 @@
     pub dispatch: ActorRef<Dispatch>,
     /// The configuration service.
     pub config: ActorRef<Config>,
+    /// The service that keeps chats which were handed over.
+    pub relay: ActorRef<Relay>,
     /// The daemon's clock.
     pub clock: Clock,
     /// The daemon's log.
@@ -108,6 +112,9 @@
     _stop: oneshot::Sender<()>,
 }
 
+pub use handover::Find;
+pub use handover::HandOver;
+
 /// `Spread` takes rows of this daemon and sends urgent ones on.
 #[derive(Clone, Debug)]
 pub struct Spread(pub Vec<(Key, Value)>);
@@ -155,6 +162,7 @@
             let serve = server::Server {
                 peer: actor.clone(),
                 config: options.config.clone(),
+                relay: options.relay.clone(),
             };
             tokio::spawn(server::listen(listener, serve, stopped));
         }
--- a/cactusglade-daemon/src/peer/server.rs
+++ b/cactusglade-daemon/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! Answers peers: one task owns the listening socket, one each connection.
 
+use cactusglade_core::row::Handover;
 use cactusglade_core::row::Key;
 use cactusglade_core::row::Value;
 use cactusglade_core::units::Generation;
@@ -24,12 +25,15 @@
 use crate::peer::Answer;
 use crate::peer::Peer;
 use crate::peer::Receive;
+use crate::relay;
+use crate::relay::Relay;
 
 /// `Server` answers one peer's calls through the services.
 #[derive(Clone, Debug)]
 pub struct Server {
     pub peer: ActorRef<Peer>,
     pub config: ActorRef<Config>,
+    pub relay: ActorRef<Relay>,
 }
 
 impl wire::Peer for Server {
@@ -54,6 +58,14 @@
             .ok()
             .flatten()
     }
+
+    async fn adopt(self, _: Context, handover: Handover) -> bool {
+        self.relay.tell(relay::Keep(handover)).await.is_ok()
+    }
+
+    async fn handover(self, _: Context, id: String) -> Option<Handover> {
+        self.relay.ask(relay::Get(id)).await.ok().flatten()
+    }
 }
 
 /// Accepts peers until the channel closes; their connections end with it.
--- a/cactusglade-wire/src/caller/mod.rs
+++ b/cactusglade-wire/src/caller/mod.rs
@@ -224,6 +224,13 @@
         serde_json::to_string(&Envelope { error: self }).unwrap_or_default()
     }
 
+    /// The event that ends a stream which is resumed elsewhere.
+    #[must_use]
+    pub fn moved(resume: &str) -> String {
+        let data = serde_json::json!({ "resume": resume });
+        format!("event: moved\ndata: {data}\n\n")
+    }
+
     /// The failure as the last event of a stream.
     #[must_use]
     pub fn event(self) -> String {
--- a/cactusglade-wire/src/header/mod.rs
+++ b/cactusglade-wire/src/header/mod.rs
@@ -10,5 +10,7 @@
 pub const RAN: &str = "x-ran";
 /// Names one request from the caller to the upstream and back.
 pub const REQUEST: &str = "x-request-id";
+/// Path at which a stream can be resumed through any daemon.
+pub const RESUME: &str = "x-resume";
 /// Name of the version that answers.
 pub const VERSION: &str = "x-model-version";
--- a/cactusglade-wire/src/peer/mod.rs
+++ b/cactusglade-wire/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs)] // The service macro writes items that cannot carry doc comments.
 
+use cactusglade_core::row::Handover;
 use cactusglade_core::row::Key;
 use cactusglade_core::row::Value;
 use cactusglade_core::units::Generation;
@@ -37,4 +38,8 @@
     async fn push(rows: Vec<(Key, Value)>);
     /// Gives the snapshot of a generation as JSON, if it is the one in force.
     async fn snapshot(generation: Generation) -> Option<String>;
+    /// Keeps a chat that the caller may resume here; says whether it does.
+    async fn adopt(handover: Handover) -> bool;
+    /// Gives a chat that was handed over, if it is kept here.
+    async fn handover(id: String) -> Option<Handover>;
 }
--- a/cactusglade-wire/src/platform/mod.rs
+++ b/cactusglade-wire/src/platform/mod.rs
@@ -25,6 +25,10 @@
 pub const MOVE_PREFIX: &str = "move/";
 /// Key of the lease on driving rollouts.
 pub const ROLLOUT_LEASE_KEY: &str = "lease/rollouts";
+/// Prefix of the rows of work that is not finished.
+pub const WORK_PREFIX: &str = "work/open/";
+/// Prefix of the rows of work that is finished.
+pub const FINISHED_PREFIX: &str = "work/done/";
 /// Prefix of the rows of attempts.
 pub const ATTEMPT_PREFIX: &str = "attempt/";
 
