--- a/cactusglade-cli/benches/path.rs
+++ b/cactusglade-cli/benches/path.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use cactusglade_cli::demo::objects;
-use cactusglade_daemon::link::Connection;
+use cactusglade_link::link::Connection;
 use cactusglade_wire::caller;
 use cactusglade_wire::engine;
 use cactusglade_wire::header;
--- a/cactusglade-cli/src/caller/mod.rs
+++ b/cactusglade-cli/src/caller/mod.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use cactusglade_daemon::link::Connection;
+use cactusglade_link::link::Connection;
 use cactusglade_standin::engine;
 use cactusglade_wire::caller as wire;
 use cactusglade_wire::header;
--- a/cactusglade-cli/src/commands/publish.rs
+++ b/cactusglade-cli/src/commands/publish.rs
@@ -7,8 +7,8 @@
 use std::time::Instant;
 
 use cactusglade_core::units::Generation;
-use cactusglade_daemon::link::Client;
 use cactusglade_daemon::platform::Platform;
+use cactusglade_link::link::Client;
 use cactusglade_wire::platform::Host;
 use gumdrop::Options;
 use serde_json::Value;
--- a/cactusglade-cli/src/commands/status.rs
+++ b/cactusglade-cli/src/commands/status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactusglade_daemon::link::Client;
+use cactusglade_link::link::Client;
 use gumdrop::Options;
 use serde_json::Value;
 
--- a/cactusglade-cli/src/demo/fleet.rs
+++ b/cactusglade-cli/src/demo/fleet.rs
@@ -5,9 +5,9 @@
 
 use cactusglade_core::settings::Settings;
 use cactusglade_daemon::boot::Daemon;
-use cactusglade_daemon::link::Client;
 use cactusglade_daemon::log;
 use cactusglade_daemon::platform::Platform;
+use cactusglade_link::link::Client;
 use cactusglade_standin::engine;
 use cactusglade_standin::platform;
 use cactusglade_standin::server::Standin;
--- a/cactusglade-cli/src/demo/mod.rs
+++ b/cactusglade-cli/src/demo/mod.rs
@@ -12,7 +12,7 @@
 
 use cactusglade_core::units::Generation;
 use cactusglade_daemon::boot::Daemon;
-use cactusglade_daemon::clock;
+use cactusglade_link::clock;
 use cactusglade_wire::platform::Notice;
 use tokio::sync::watch;
 
--- a/cactusglade-cli/tests/drain.rs
+++ b/cactusglade-cli/tests/drain.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use cactusglade_cli::caller::Caller;
 use cactusglade_cli::demo::objects;
-use cactusglade_daemon::link::Connection;
+use cactusglade_link::link::Connection;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
--- a/cactusglade-cli/tests/support/daemon.rs
+++ b/cactusglade-cli/tests/support/daemon.rs
@@ -8,7 +8,7 @@
 
 use cactusglade_cli::caller::Caller;
 use cactusglade_cli::demo::objects;
-use cactusglade_daemon::link::Client;
+use cactusglade_link::link::Client;
 
 use super::CALL;
 use super::Process;
--- a/cactusglade-cli/tests/support/mod.rs
+++ b/cactusglade-cli/tests/support/mod.rs
@@ -19,8 +19,8 @@
 use cactusglade_cli::demo::objects;
 use cactusglade_cli::demo::objects::Rollout;
 use cactusglade_cli::demo::objects::Upstream;
-use cactusglade_daemon::link::Client;
 use cactusglade_daemon::platform::Platform;
+use cactusglade_link::link::Client;
 use cactusglade_standin::service::Run;
 
 pub use daemon::Daemon;
@@ -261,7 +261,7 @@
 }
 
 pub fn unix_ms() -> u64 {
-    cactusglade_daemon::clock::unix().0
+    cactusglade_link::clock::unix().0
 }
 
 /// Waits until something is so.
--- a/cactusglade-cli/tests/support/standin.rs
+++ b/cactusglade-cli/tests/support/standin.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::Command;
 
-use cactusglade_daemon::link::Client;
+use cactusglade_link::link::Client;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/cactusglade-core/src/arena/mod.rs
+++ b/cactusglade-core/src/arena/mod.rs
@@ -101,6 +101,35 @@
         key
     }
 
+    /// The value behind a key, to change.
+    pub fn get_mut(&mut self, key: K) -> Option<&mut V> {
+        self.slots.get_mut(key)
+    }
+
+    /// Keeps what a name stands for where `same` says so, else puts a new value there.
+    pub fn put_with(
+        &mut self,
+        name: &str,
+        same: impl Fn(&V) -> bool,
+        make: impl FnOnce() -> V,
+    ) -> K {
+        if let Some(key) = self.find(name) {
+            if self.slots.get(key).is_some_and(same) {
+                return key;
+            }
+            self.slots.remove(key);
+        }
+        let key = self.slots.insert(make());
+        self.names.insert(name.to_owned(), key);
+        key
+    }
+
+    /// Removes what a name stands for.
+    pub fn remove(&mut self, name: &str) -> Option<V> {
+        let key = self.names.remove(name)?;
+        self.slots.remove(key)
+    }
+
     /// Removes every value whose name `keep` refuses.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         let slots = &mut self.slots;
--- /dev/null
+++ b/cactusglade-core/src/edge/mod.rs
@@ -0,0 +1,101 @@
+//! Settings of a daemon that runs on its users' platform, read from one TOML file.
+//!
+//! The file is made from a template at each start, so its names are the product's own.
+//! `docs/INTERFACES.md` lists them with units.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::units::Millis;
+
+/// Error of reading settings.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The text is no TOML, or a setting is missing or of another type.
+    #[error(transparent)]
+    Toml(#[from] toml::de::Error),
+}
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Word by which a settings file asks for the platform's adapter.
+pub const ADAPTER: &str = "platform";
+
+/// `Settings` of one entry daemon on the platform.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Settings {
+    /// Which adapter to bind; [`ADAPTER`] here.
+    pub adapter: String,
+    /// Name of the daemon's host, unique among all.
+    pub name: String,
+    /// Availability zone of the daemon.
+    pub zone: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which the balancer asks for readiness.
+    pub ready: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Address for operators: metrics and status.
+    pub operators: SocketAddr,
+    /// Peer addresses of some daemons.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Address of the provider's API for duties.
+    pub provider: SocketAddr,
+    /// All availability zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// How long a leaving upstream may still get requests.
+    pub drain_ms: Millis,
+    /// Seconds from the stop signal until the process is killed.
+    pub grace_s: f64,
+    /// Time within which a new configuration must be in force.
+    pub apply_ms: Millis,
+    /// Time within which two holders of a duty must not alternate.
+    pub lease_ms: Millis,
+    /// Repeats allowed for each request of callers, over all daemons.
+    pub retry_ratio: f64,
+    /// Seconds over which repeats are counted.
+    pub retry_window_s: f64,
+    /// Repeats allowed beyond the ratio in such a window, over all daemons.
+    pub retry_slack: f64,
+    /// Seconds over which an organisation's use is counted.
+    pub quota_window_s: f64,
+    /// Share by which a quota may be passed in such a window.
+    pub quota_overshoot: f64,
+    /// Units by which a quota may be passed beyond that.
+    pub quota_slack: f64,
+    /// Seconds in a window of usage reports.
+    pub usage_window_s: f64,
+    /// Seconds after a window's end until its report is due.
+    pub usage_late_s: f64,
+    /// Share of a service's requests that an unproved version may get.
+    pub exposure_share: f64,
+    /// Requests that an unproved version may get beyond that share.
+    pub exposure_slack: f64,
+    /// Time from the proof that a version is bad until it gets no more requests.
+    pub rollback_ms: Millis,
+}
+
+impl Settings {
+    /// Reads settings; unknown names are left for later versions.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is no TOML or a setting is missing or of another type.
+    pub fn try_new(text: &str) -> Result<Self> {
+        Ok(toml::from_str(text)?)
+    }
+
+    /// Whether a settings file asks for the platform's adapter.
+    #[must_use]
+    pub fn is_asked_for(text: &str) -> bool {
+        let table = text.parse::<toml::Table>();
+        table.is_ok_and(|table| table.get("adapter").and_then(toml::Value::as_str) == Some(ADAPTER))
+    }
+}
--- /dev/null
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -0,0 +1,42 @@
+//! Upstreams as the registry tells of them.
+
+/// `Phase` says whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// It takes new work.
+    Ready,
+    /// It finishes what it has and ends.
+    Leaving,
+}
+
+/// `Instance` is one upstream as registered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Instance {
+    /// Name, unique at any time.
+    pub name: String,
+    /// Unix time of its start in milliseconds, which tells apart two lives under one name.
+    pub born: u64,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address that it serves at.
+    pub address: std::net::SocketAddr,
+    /// Availability zone that it stands in.
+    pub zone: String,
+    /// Version of its software.
+    pub version: String,
+    /// Requests that it works on at once.
+    pub slots: u64,
+    /// Whether it takes new work.
+    pub phase: Phase,
+    /// Whether its host may be reclaimed.
+    pub reclaimable: bool,
+}
+
+/// `Change` is one piece of news from the registry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The upstream is registered like this.
+    Put(Box<Instance>),
+    /// The entry of the upstream with this name was removed.
+    Removed(String),
+}
--- a/cactusglade-core/src/lib.rs
+++ b/cactusglade-core/src/lib.rs
@@ -4,8 +4,12 @@
 //! a codec can be reused behind another front end. See `docs/DESIGN.md`.
 
 pub mod arena;
+pub mod call;
+pub mod catalog;
+pub mod edge;
 pub mod errors;
 pub mod fields;
+pub mod fleet;
 pub mod io;
 pub mod meta;
 pub mod row;
--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -19,8 +19,6 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use crate::clock;
-use crate::clock::Clock;
 use crate::config;
 use crate::config::Config;
 use crate::dispatch;
@@ -31,7 +29,6 @@
 use crate::gate::Gate;
 use crate::gate::Leaving;
 use crate::ledger::Ledger;
-use crate::link::Client;
 use crate::metrics;
 use crate::metrics::Metrics;
 use crate::ops;
@@ -47,6 +44,9 @@
 use crate::store::Store;
 use crate::work;
 use crate::work::Work;
+use cactusglade_link::clock;
+use cactusglade_link::clock::Clock;
+use cactusglade_link::link::Client;
 
 /// Time before the host is gone at which chats are handed over.
 const HAND_OVER: Millis = Millis(2_000);
--- a/cactusglade-daemon/src/main.rs
+++ b/cactusglade-daemon/src/cactusgladed/main.rs
@@ -1,7 +1,10 @@
 //! `cactusgladed` runs one entry host daemon until it is told to stop.
 
+mod platform;
+
 use std::process::ExitCode;
 
+use cactusglade_core::edge;
 use cactusglade_core::settings::Settings;
 use cactusglade_daemon::boot::Daemon;
 use cactusglade_daemon::boot::End;
@@ -54,8 +57,8 @@
     let Some(file) = arguments.settings else {
         return usage("--settings is missing");
     };
-    let settings = match read(&file) {
-        Ok(settings) => settings,
+    let bound = match Bound::try_new(&file) {
+        Ok(bound) => bound,
         Err(problems) => {
             eprintln!("{problems}");
             return ExitCode::from(USAGE);
@@ -65,6 +68,38 @@
         println!("{file}: no problems");
         return ExitCode::SUCCESS;
     }
+    match bound {
+        Bound::Standalone(settings) => serve(*settings),
+        Bound::Platform(settings) => platform::serve(&file, &settings),
+    }
+}
+
+/// `Bound` is the set of adapters that a settings file asks for.
+enum Bound {
+    /// The product's own interfaces.
+    Standalone(Box<Settings>),
+    /// The users' platform.
+    Platform(Box<edge::Settings>),
+}
+
+impl Bound {
+    /// Reads a settings file, whose kind it says itself.
+    fn try_new(file: &str) -> Result<Self, String> {
+        let text = std::fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?;
+        if edge::Settings::is_asked_for(&text) {
+            let settings = edge::Settings::try_new(&text);
+            let settings = settings.map_err(|error| format!("{file}: {error}"))?;
+            return Ok(Self::Platform(Box::new(settings)));
+        }
+        let settings = Settings::try_new(file, &text).map_err(|problems| {
+            let lines = problems.iter().map(ToString::to_string);
+            lines.collect::<Vec<_>>().join("\n")
+        })?;
+        Ok(Self::Standalone(Box::new(settings)))
+    }
+}
+
+fn serve(settings: Settings) -> ExitCode {
     let log = log::logger(std::io::stderr(), &settings.name);
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.threads)
@@ -84,17 +119,6 @@
     ExitCode::from(USAGE)
 }
 
-fn read(file: &str) -> Result<Settings, String> {
-    let text = std::fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?;
-    Settings::try_new(file, &text).map_err(|problems| {
-        problems
-            .iter()
-            .map(ToString::to_string)
-            .collect::<Vec<_>>()
-            .join("\n")
-    })
-}
-
 async fn run(settings: &Settings, log: &Logger) -> ExitCode {
     let mut daemon = match Daemon::try_new(settings, log.clone()).await {
         Ok(daemon) => daemon,
--- a/cactusglade-daemon/src/dispatch/messages.rs
+++ b/cactusglade-daemon/src/dispatch/messages.rs
@@ -24,10 +24,10 @@
 use kameo::message::Message;
 use tokio::sync::mpsc;
 
-use crate::clock;
 use crate::dispatch::Dispatch;
-use crate::link::Connection;
 use crate::peer::Peer;
+use cactusglade_link::clock;
+use cactusglade_link::link::Connection;
 
 /// Parts of a name of evidence: rollout, route and arm.
 const EVIDENCE_SEPARATOR: char = '/';
--- a/cactusglade-daemon/src/dispatch/mod.rs
+++ b/cactusglade-daemon/src/dispatch/mod.rs
@@ -28,12 +28,12 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
-use crate::clock;
-use crate::clock::Clock;
-use crate::link::Connection;
 use crate::metrics::Metrics;
 use crate::peer;
 use crate::peer::Peer;
+use cactusglade_link::clock;
+use cactusglade_link::clock::Clock;
+use cactusglade_link::link::Connection;
 
 pub use messages::Adopt;
 pub use messages::Again;
--- a/cactusglade-daemon/src/driver/mod.rs
+++ b/cactusglade-daemon/src/driver/mod.rs
@@ -20,8 +20,6 @@
 use slog::Logger;
 use slog::info;
 
-use crate::clock;
-use crate::clock::Clock;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Watch;
 use crate::dispatch::Watched;
@@ -29,6 +27,8 @@
 use crate::peer::Peer;
 use crate::platform::Committed;
 use crate::platform::Platform;
+use cactusglade_link::clock;
+use cactusglade_link::clock::Clock;
 
 /// Name of the service.
 pub const NAME: &str = "driver";
--- /dev/null
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -0,0 +1,357 @@
+//! What the broker is told and asked.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cactusglade_core::arena;
+use cactusglade_core::call::Prompt;
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::errors::Kind;
+use cactusglade_core::fleet::Change;
+use cactusglade_core::units::Millis;
+use cactusglade_link::clock;
+use cactusglade_link::link::Connection;
+use cactusglade_policy::broker as policy;
+use cactusglade_policy::broker::Grant;
+use cactusglade_policy::broker::Report;
+use cactusglade_policy::usage::Counts;
+use cactusglade_wire::port::Load;
+use kameo::Reply;
+use kameo::message::Context;
+use kameo::message::Message;
+use slog::info;
+use tokio::sync::watch;
+
+use super::Broker;
+use super::idle::Idle;
+use super::idle::MAX_IDLE;
+
+/// `Place` asks for an upstream for one sending.
+#[derive(Debug)]
+pub struct Place {
+    /// Route of the request.
+    pub route: arena::Route,
+    /// Organisation that sent it, where one is known.
+    pub organisation: Option<arena::Organisation>,
+    /// Its prompt, for a model request.
+    pub prompt: Option<Arc<Prompt>>,
+    /// Upstreams that were tried already.
+    pub tried: Vec<arena::Upstream>,
+    /// Whether this is the request's first sending, which is charged to its organisation.
+    pub is_first: bool,
+    /// Whether this sending is one beyond the first that arrived.
+    pub is_repeat: bool,
+    /// Whether the request may run only once.
+    pub once: bool,
+}
+
+/// `Placed` is all that a sending needs.
+#[derive(Debug)]
+pub struct Placed {
+    /// The upstream and what it has to read.
+    pub grant: Grant,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// Name of the upstream.
+    pub name: String,
+    /// An idle connection to it, if there is one.
+    pub connection: Option<Connection>,
+    /// Turns true when the upstream is known to leave.
+    pub leaving: watch::Receiver<bool>,
+}
+
+/// `Refused` says why there is no upstream for a request.
+#[derive(Clone, Copy, Debug, Reply)]
+pub struct Refused {
+    /// Kind of the error.
+    pub kind: Kind,
+    /// Time after which coming back may help.
+    pub retry_after: Option<Millis>,
+}
+
+/// `Begun` says that an upstream has begun to answer.
+#[derive(Debug)]
+pub struct Begun {
+    /// The upstream and what it had to read.
+    pub grant: Grant,
+    /// Organisation to count the request for, where it began to run for the first time.
+    pub organisation: Option<arena::Organisation>,
+}
+
+/// `Ended` says that a sending has ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The upstream and what it had to read.
+    pub grant: Grant,
+    /// Whether it had begun to answer.
+    pub has_begun: bool,
+    /// What it showed of the upstream.
+    pub report: Report,
+    /// The connection, if it can be used again, and for how long the upstream keeps it.
+    pub connection: Option<(Connection, Option<Millis>)>,
+}
+
+/// `Heard` passes on what an upstream said of its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard {
+    /// The upstream.
+    pub upstream: arena::Upstream,
+    /// What it said.
+    pub load: Load,
+}
+
+/// `Refund` gives an organisation back what a request was charged that did not run.
+#[derive(Clone, Debug)]
+pub struct Refund {
+    /// Organisation that sent it, where one is known.
+    pub organisation: Option<arena::Organisation>,
+    /// Its prompt, for a model request.
+    pub prompt: Option<Arc<Prompt>>,
+}
+
+/// `Adopt` puts a catalog in force.
+#[derive(Debug)]
+pub struct Adopt(pub Arc<Catalog>);
+
+/// `Learn` passes entries of the registry on.
+#[derive(Debug)]
+pub struct Learn {
+    /// The entries.
+    pub changes: Vec<Change>,
+    /// Whether these are all entries that there are.
+    pub is_all: bool,
+}
+
+/// `Store` says whether the store can be reached.
+#[derive(Clone, Copy, Debug)]
+pub struct Store {
+    /// Whether it can't.
+    pub is_lost: bool,
+}
+
+/// `Share` says how many daemons there are and which share of each quota is this one's.
+#[derive(Clone, Debug)]
+pub struct Share {
+    /// Number of daemons.
+    pub daemons: u64,
+    /// Share by organisation.
+    pub shares: BTreeMap<String, f64>,
+}
+
+/// `Stand` asks how things stand.
+#[derive(Clone, Copy, Debug)]
+pub struct Stand;
+
+/// `Standing` is what the broker tells other services.
+#[derive(Clone, Debug, Default, Reply)]
+pub struct Standing {
+    /// Requests that began, by window and organisation.
+    pub windows: BTreeMap<u64, Counts>,
+    /// Units that each organisation asked for since the last time.
+    pub demand: BTreeMap<String, f64>,
+    /// Upstreams that stay, by service and zone.
+    pub staying: BTreeMap<(String, String), u64>,
+}
+
+/// `Sweep` forgets what is over.
+#[derive(Clone, Copy, Debug)]
+pub struct Sweep;
+
+impl Message<Place> for Broker {
+    type Reply = Result<Placed, Refused>;
+
+    async fn handle(&mut self, place: Place, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now();
+        self.charge(now, &place)?;
+        let ask = policy::Ask {
+            route: place.route,
+            prompt: place.prompt.as_deref(),
+            tried: &place.tried,
+            is_repeat: place.is_repeat,
+            draw: rand::random(),
+        };
+        let grant = self.policy.place(now, &ask).map_err(|kind| Refused {
+            kind,
+            retry_after: kind.answer().retry_after,
+        })?;
+        let upstream = self.policy.upstream(grant.upstream).ok_or(Refused {
+            kind: Kind::NoUpstream,
+            retry_after: None,
+        })?;
+        let (address, name) = (upstream.instance.address, upstream.instance.name.clone());
+        Ok(Placed {
+            grant,
+            address,
+            name,
+            connection: self.take(now, grant.upstream, place.once),
+            leaving: self.watch(grant.upstream),
+        })
+    }
+}
+
+impl Message<Heard> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, heard: Heard, _: &mut Context<Self, ()>) {
+        let Load {
+            running, waiting, ..
+        } = heard.load;
+        let now = self.clock.now();
+        self.policy.hear(now, heard.upstream, running, waiting);
+    }
+}
+
+impl Message<Refund> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, refund: Refund, _: &mut Context<Self, ()>) {
+        if let Some(organisation) = refund.organisation {
+            let units = self.policy.units(organisation, refund.prompt.as_deref());
+            self.policy.refund(organisation, units);
+        }
+    }
+}
+
+impl Message<Begun> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, begun: Begun, _: &mut Context<Self, ()>) {
+        self.policy.begun(&begun.grant);
+        let organisation = begun.organisation;
+        let catalog = self.policy.catalog();
+        if let Some(object) = organisation.and_then(|key| catalog.organisations.get(key)) {
+            self.windows.begin(clock::unix(), &object.name);
+        }
+    }
+}
+
+impl Message<Ended> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: Ended, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let key = ended.grant.upstream;
+        if !ended.has_begun {
+            self.policy.begun(&ended.grant);
+        }
+        self.policy.ended(now, key, &ended.report, rand::random());
+        let stays = self
+            .policy
+            .upstream(key)
+            .is_some_and(|one| one.is_staying(now));
+        if let Some((connection, bound)) = ended.connection.filter(|_| stays) {
+            let idle = self.idle.entry(key).or_default();
+            if idle.len() < MAX_IDLE {
+                idle.push(Idle::new(connection, now, bound));
+            }
+        }
+    }
+}
+
+impl Message<Adopt> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, adopt: Adopt, _: &mut Context<Self, ()>) {
+        let before = self.policy.catalog().version;
+        if self.policy.adopt(self.clock.now(), adopt.0.clone()) {
+            info!(self.log, "configuration_in_force"; "version" => adopt.0.version,
+                "before" => before, "routes" => adopt.0.routes.len());
+            self.catalogs.send_replace(adopt.0);
+        }
+    }
+}
+
+impl Message<Learn> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, learn: Learn, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let leaving = if learn.is_all {
+            self.policy.replace(now, learn.changes)
+        } else {
+            self.policy.learn(now, learn.changes)
+        };
+        self.announce(&leaving);
+    }
+}
+
+impl Message<Store> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, store: Store, _: &mut Context<Self, ()>) {
+        self.policy.store(self.clock.now(), store.is_lost);
+    }
+}
+
+impl Message<Share> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, share: Share, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.policy.share(now, share.daemons, share.shares);
+    }
+}
+
+impl Message<Stand> for Broker {
+    type Reply = Standing;
+
+    async fn handle(&mut self, _: Stand, _: &mut Context<Self, Standing>) -> Standing {
+        let now = self.clock.now();
+        let mut staying: BTreeMap<(String, String), u64> = BTreeMap::new();
+        for (_, upstream) in self
+            .policy
+            .upstreams()
+            .filter(|(_, one)| one.is_staying(now))
+        {
+            let instance = &upstream.instance;
+            let place = (instance.service.clone(), instance.zone.clone());
+            *staying.entry(place).or_default() += 1;
+        }
+        Standing {
+            windows: self.windows.counts().clone(),
+            demand: std::mem::take(&mut self.demand),
+            staying,
+        }
+    }
+}
+
+impl Message<Sweep> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Sweep, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.policy.sweep(now);
+        let policy = &self.policy;
+        self.leaving
+            .retain(|key, _| policy.upstream(*key).is_some());
+        self.idle.retain(|_, idle| {
+            idle.retain(|one| one.is_kept(now));
+            !idle.is_empty()
+        });
+    }
+}
+
+impl Broker {
+    /// Charges a request to its organisation when it is first sent.
+    fn charge(&mut self, now: Millis, place: &Place) -> Result<(), Refused> {
+        let Some(organisation) = place.organisation.filter(|_| place.is_first) else {
+            return Ok(());
+        };
+        let units = self.policy.units(organisation, place.prompt.as_deref());
+        if let Some(object) = self.policy.catalog().organisations.get(organisation) {
+            *self.demand.entry(object.name.clone()).or_default() += units;
+        }
+        let charged = self.policy.charge(now, organisation, units);
+        charged.map_err(|wait| Refused {
+            kind: Kind::LimitExceeded,
+            retry_after: Some(wait),
+        })
+    }
+
+    fn take(&mut self, now: Millis, key: arena::Upstream, once: bool) -> Option<Connection> {
+        let idle = self.idle.get_mut(&key)?;
+        let place = idle.iter().rposition(|one| one.is_good(now, once))?;
+        Some(idle.remove(place).into_connection())
+    }
+}
--- /dev/null
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -0,0 +1,131 @@
+//! The service that owns the broker's decisions and the idle connections to upstreams.
+
+mod idle;
+mod messages;
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactusglade_core::arena;
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::units::Millis;
+use cactusglade_link::clock;
+use cactusglade_link::clock::Clock;
+use cactusglade_policy::broker as policy;
+use cactusglade_policy::broker::Shortest;
+use cactusglade_policy::usage::Windows;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::actor::WeakActorRef;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+
+use idle::Idle;
+
+pub use messages::Adopt;
+pub use messages::Begun;
+pub use messages::Ended;
+pub use messages::Heard;
+pub use messages::Learn;
+pub use messages::Place;
+pub use messages::Placed;
+pub use messages::Refund;
+pub use messages::Refused;
+pub use messages::Share;
+pub use messages::Stand;
+pub use messages::Standing;
+pub use messages::Store;
+pub use messages::Sweep;
+
+/// Name of the service.
+pub const NAME: &str = "broker";
+/// Time between two sweeps of upstreams and idle connections; both may stay a while longer.
+const SWEEP: Duration = Duration::from_secs(2);
+
+/// `Options` of the service.
+#[derive(Debug)]
+pub struct Options {
+    /// Bounds of the decisions.
+    pub policy: policy::Options,
+    /// Length of the windows in which requests are counted.
+    pub window: Millis,
+    /// Where the catalog in force is shown.
+    pub catalogs: watch::Sender<Arc<Catalog>>,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// The daemon's log.
+    pub log: Logger,
+}
+
+/// `Broker` owns the decisions.
+#[derive(Debug)]
+pub struct Broker {
+    policy: policy::Broker<Shortest>,
+    windows: Windows,
+    /// Units that each organisation has asked for since the last look.
+    demand: BTreeMap<String, f64>,
+    idle: BTreeMap<arena::Upstream, Vec<Idle>>,
+    /// Tells the streams on an upstream that it leaves.
+    leaving: BTreeMap<arena::Upstream, watch::Sender<bool>>,
+    catalogs: watch::Sender<Arc<Catalog>>,
+    clock: Clock,
+    log: Logger,
+}
+
+impl Actor for Broker {
+    type Args = Options;
+    type Error = Infallible;
+
+    async fn on_start(options: Options, actor: ActorRef<Self>) -> Result<Self, Infallible> {
+        tokio::spawn(sweep(actor.downgrade()));
+        Ok(Self {
+            policy: policy::Broker::new(options.policy, Shortest),
+            windows: Windows::new(options.window),
+            demand: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            catalogs: options.catalogs,
+            clock: options.clock,
+            log: options.log,
+        })
+    }
+}
+
+async fn sweep(actor: WeakActorRef<Broker>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let Some(actor) = actor.upgrade() else { return };
+        if actor.tell(Sweep).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Broker {
+    /// Logs upstreams that are news to leave, and tells the streams on them.
+    fn announce(&mut self, keys: &[arena::Upstream]) {
+        for key in keys {
+            self.idle.remove(key);
+            if let Some(sender) = self.leaving.get(key) {
+                sender.send_replace(true);
+            }
+            if let Some(upstream) = self.policy.upstream(*key) {
+                info!(self.log, "upstream_leaving"; "upstream" => &upstream.instance.name,
+                    "service" => &upstream.instance.service, "own" => upstream.own,
+                    "unix_ms" => clock::unix().0);
+            }
+        }
+    }
+
+    /// A receiver that turns true when the upstream is known to leave.
+    fn watch(&mut self, key: arena::Upstream) -> watch::Receiver<bool> {
+        let sender = self
+            .leaving
+            .entry(key)
+            .or_insert_with(|| watch::channel(false).0);
+        sender.subscribe()
+    }
+}
--- /dev/null
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -0,0 +1,241 @@
+//! One request of a caller: what it asks for and whether it may.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusglade_core::arena;
+use cactusglade_core::call::Call;
+use cactusglade_core::call::Prompt;
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::catalog::Route;
+use cactusglade_core::errors::Kind;
+use cactusglade_core::units::Millis;
+use cactusglade_wire::port;
+use cactusglade_wire::port::Refusal;
+use futures::Stream;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::request;
+use slog::info;
+
+use super::Context;
+use super::Phase;
+use super::plain;
+use super::stream;
+
+/// Longest time for a body to come in; callers send theirs at once.
+const BODY: Duration = Duration::from_secs(10);
+/// Label of a request whose route or organisation is not known.
+const NOBODY: &str = "-";
+
+/// `Whole` is an answer that is there at once.
+pub type Whole = Response<Full<Bytes>>;
+
+/// `Entry` is a request that may go to an upstream.
+#[derive(Debug)]
+pub struct Entry<F> {
+    /// What requests are answered with.
+    pub context: Arc<Context<F>>,
+    /// Head of the request as it came.
+    pub head: request::Parts,
+    /// The same as decisions see it.
+    pub call: Call,
+    /// Its prompt, for a model request.
+    pub prompt: Option<Arc<Prompt>>,
+    /// Body.
+    pub body: Bytes,
+    /// Catalog by which it is answered.
+    pub catalog: Arc<Catalog>,
+    /// Its route.
+    pub route: arena::Route,
+    /// Organisation that sent it, where the route asks for a key.
+    pub organisation: Option<arena::Organisation>,
+    /// When it arrived, on the daemon's clock.
+    pub arrived: Millis,
+    /// When the caller or the route's bound ends it, on the daemon's clock.
+    pub deadline: Millis,
+}
+
+/// Error of entering a request.
+struct Reject {
+    kind: Kind,
+    id: Option<String>,
+}
+
+/// Answers one request.
+pub async fn handle<F: port::Front>(
+    context: Arc<Context<F>>,
+    request: Request<Incoming>,
+) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = stream::Item>>>> {
+    let arrived = context.clock.now();
+    let entry = match enter(&context, request, arrived).await {
+        Ok(entry) => Arc::new(entry),
+        Err(reject) => return refuse(&context, &reject, arrived).map(Either::Left),
+    };
+    if entry.object().is_some_and(|route| route.repeat.is_stream()) {
+        match stream::answer(entry).await {
+            Ok(response) => response.map(Either::Right),
+            Err(whole) => whole.map(Either::Left),
+        }
+    } else {
+        plain::answer(entry).await.map(Either::Left)
+    }
+}
+
+fn refuse<F: port::Front>(context: &Context<F>, reject: &Reject, arrived: Millis) -> Whole {
+    let kind = reject.kind;
+    let took = context.clock.now() - arrived;
+    let code = kind.answer().code;
+    let labels = [NOBODY, NOBODY, code];
+    context.metrics.requests.with_label_values(&labels).inc();
+    info!(context.log, "request"; "id" => reject.id.as_deref().unwrap_or(NOBODY),
+        "code" => code, "version" => context.catalogs.borrow().version, "took_ms" => took.0);
+    let refusal = Refusal {
+        kind,
+        id: reject.id.as_deref(),
+        retry_after: kind.answer().retry_after,
+        // What is left of a body that was not read can't be told from the next request.
+        closes: true,
+    };
+    context.front.refuse(&refusal).map(Full::new)
+}
+
+async fn enter<F: port::Front>(
+    context: &Arc<Context<F>>,
+    request: Request<Incoming>,
+    arrived: Millis,
+) -> Result<Entry<F>, Reject> {
+    let (head, body) = request.into_parts();
+    let call = context.front.call(&head).map_err(|_| Reject {
+        kind: Kind::BadRequest,
+        id: None,
+    })?;
+    let reject = |kind| Reject {
+        kind,
+        id: Some(call.id.clone()),
+    };
+    if *context.phase.borrow() == Phase::Closing {
+        return Err(reject(Kind::Draining));
+    }
+    let catalog = context.catalogs.borrow().clone();
+    let (route, organisation) = find(&catalog, &call).map_err(reject)?;
+    let body = read(body, catalog.limits.body_bytes)
+        .await
+        .map_err(reject)?;
+    let timeout = catalog.routes.get(route).map(|route| route.timeout);
+    let timeout = timeout.unwrap_or_default();
+    let patience = call.patience.unwrap_or(timeout);
+    Ok(Entry {
+        context: context.clone(),
+        head,
+        prompt: call.prompt.clone().map(Arc::new),
+        call,
+        body,
+        catalog,
+        route,
+        organisation,
+        arrived,
+        deadline: arrived + timeout.min(patience),
+    })
+}
+
+/// The route of a request, and the organisation whose key it bears.
+fn find(
+    catalog: &Catalog,
+    call: &Call,
+) -> Result<(arena::Route, Option<arena::Organisation>), Kind> {
+    if catalog.version == 0 {
+        return Err(Kind::NotReady);
+    }
+    let route = catalog.route(&call.host, &call.path);
+    let route = route.ok_or(Kind::UnknownRoute)?;
+    let organisation = call
+        .key
+        .as_deref()
+        .and_then(|key| catalog.authenticate(key));
+    let is_public = catalog
+        .routes
+        .get(route)
+        .is_some_and(|route| route.is_public);
+    if is_public || !catalog.needs_keys() {
+        return Ok((route, organisation));
+    }
+    Ok((route, Some(organisation.ok_or(Kind::Unauthenticated)?)))
+}
+
+async fn read(body: Incoming, most: usize) -> Result<Bytes, Kind> {
+    let limited = Limited::new(body, most);
+    match tokio::time::timeout(BODY, limited.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
+        Ok(Err(_)) => Err(Kind::BadRequest),
+        Err(_) => Err(Kind::SlowRequest),
+    }
+}
+
+impl<F: port::Front> Entry<F> {
+    /// The route's object; the key is from the catalog that the entry holds.
+    pub fn object(&self) -> Option<&Route> {
+        self.catalog.routes.get(self.route)
+    }
+
+    /// Name of the organisation.
+    pub fn organisation_name(&self) -> Option<&str> {
+        let object = self.catalog.organisations.get(self.organisation?);
+        object.map(|organisation| organisation.name.as_str())
+    }
+
+    /// Rank of the request; the organisation's goes before the route's.
+    pub fn rank(&self) -> Option<u64> {
+        let organisation = self
+            .organisation
+            .map(|key| self.catalog.organisations.get(key));
+        let rank = organisation
+            .flatten()
+            .and_then(|organisation| organisation.rank);
+        rank.or_else(|| self.object().map(|route| route.rank))
+    }
+
+    /// Writes the request's line into the log and counts it.
+    pub fn record(&self, code: &str, sent: u64) {
+        let context = &self.context;
+        let route = self.object().map_or(NOBODY, |route| route.name.as_str());
+        let organisation = self.organisation_name().unwrap_or(NOBODY);
+        let took = context.clock.now() - self.arrived;
+        let labels = [route, organisation, code];
+        context.metrics.requests.with_label_values(&labels).inc();
+        info!(context.log, "request"; "id" => &self.call.id, "route" => route,
+            "organisation" => organisation, "version" => self.catalog.version,
+            "code" => code, "sent" => sent, "took_ms" => took.0);
+    }
+
+    /// Counts the time to the first byte of the answer.
+    pub fn first_byte(&self) {
+        let took = self.context.clock.now() - self.arrived;
+        let route = self.object().map_or(NOBODY, |route| route.name.as_str());
+        let labels = [route, self.organisation_name().unwrap_or(NOBODY)];
+        let seconds = Duration::from_millis(took.0).as_secs_f64();
+        let histogram = &self.context.metrics.first_byte;
+        histogram.with_label_values(&labels).observe(seconds);
+    }
+
+    /// An error in answer to the request.
+    pub fn refuse(&self, kind: Kind, retry_after: Option<Millis>, sent: u64) -> Whole {
+        self.record(kind.answer().code, sent);
+        let refusal = Refusal {
+            kind,
+            id: Some(&self.call.id),
+            retry_after: retry_after.or(kind.answer().retry_after),
+            closes: *self.context.phase.borrow() != Phase::Serving,
+        };
+        self.context.front.refuse(&refusal).map(Full::new)
+    }
+}
--- /dev/null
+++ b/cactusglade-daemon/src/edge/mod.rs
@@ -0,0 +1,9 @@
+//! The daemon on its users' platform: services over the traits of [`cactusglade_wire::port`].
+//!
+//! [`boot::Daemon`] starts them in the order that `docs/PLATFORM.md` gives.
+
+pub mod boot;
+pub mod broker;
+pub mod front;
+pub mod ready;
+pub mod watch;
--- /dev/null
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -0,0 +1,223 @@
+//! The services that follow what operators ask for and which upstreams there are.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::fleet::Change;
+use cactusglade_core::units::Millis;
+use cactusglade_wire::port::Error;
+use cactusglade_wire::port::News;
+use cactusglade_wire::port::Order;
+use cactusglade_wire::port::Revision;
+use cactusglade_wire::port::Source;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::oneshot;
+
+use crate::edge::broker;
+use crate::edge::broker::Broker;
+
+/// Name of the service that follows the operators.
+pub const OPERATOR: &str = "operator";
+/// Name of the service that follows the registry.
+pub const DIRECTORY: &str = "directory";
+/// Time for which the store is asked to wait for the first change; a connection that has gone
+/// silent is found out sooner, by its probes.
+const WAIT: Millis = Millis(10_000);
+/// Shortest and longest pause after a call that failed; drawn at random, so that daemons which
+/// lost the store together do not return together.
+const PAUSE_MS: std::ops::Range<u64> = 100..400;
+
+/// `Sink` takes what a source tells.
+pub trait Sink<T>: Send + 'static {
+    /// Takes all that there is, or what has changed.
+    fn take(&mut self, items: Vec<T>, is_all: bool) -> impl Future<Output = ()> + Send;
+
+    /// Takes in that the source can't be reached, or can again.
+    fn reach(&mut self, is_lost: bool) -> impl Future<Output = ()> + Send;
+}
+
+/// `Options` of the service.
+#[derive(Debug)]
+pub struct Options<S, K> {
+    /// What it is called in the log.
+    pub name: &'static str,
+    /// What it follows.
+    pub source: S,
+    /// Where it passes what it hears.
+    pub sink: K,
+    /// The daemon's log.
+    pub log: Logger,
+}
+
+/// `Watch` owns the task that follows a source.
+#[derive(Debug)]
+pub struct Watch<S, K> {
+    _stop: oneshot::Sender<()>,
+    _kinds: std::marker::PhantomData<fn() -> (S, K)>,
+}
+
+impl<S: Source, K: Sink<S::Item>> Actor for Watch<S, K> {
+    type Args = Options<S, K>;
+    type Error = Infallible;
+
+    async fn on_start(options: Options<S, K>, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        let (stop, stopped) = oneshot::channel();
+        let mut follower = Follower::new(options);
+        tokio::spawn(async move {
+            tokio::select! {
+                // The sender is only ever dropped.
+                _ = stopped => {}
+                () = follower.run() => {}
+            }
+        });
+        Ok(Self {
+            _stop: stop,
+            _kinds: std::marker::PhantomData,
+        })
+    }
+}
+
+struct Follower<S, K> {
+    options: Options<S, K>,
+    revision: Revision,
+    is_lost: bool,
+}
+
+impl<S: Source, K: Sink<S::Item>> Follower<S, K> {
+    const fn new(options: Options<S, K>) -> Self {
+        Self {
+            options,
+            revision: Revision(0),
+            is_lost: false,
+        }
+    }
+
+    /// Reads all there is, then follows the changes until their history is lost.
+    async fn run(&mut self) {
+        loop {
+            match self.options.source.read().await {
+                Ok(news) => self.took(news, true).await,
+                Err(error) => {
+                    self.failed(&error).await;
+                    continue;
+                }
+            }
+            while self.follow().await {}
+        }
+    }
+
+    /// Follows one step; says whether the history is still there.
+    async fn follow(&mut self) -> bool {
+        match self.options.source.follow(self.revision, WAIT).await {
+            Ok(news) => self.took(news, false).await,
+            Err(Error::Compacted) => {
+                info!(self.options.log, "history_lost"; "source" => self.options.name,
+                    "revision" => self.revision.0);
+                return false;
+            }
+            Err(error) => self.failed(&error).await,
+        }
+        true
+    }
+
+    async fn took(&mut self, news: News<S::Item>, is_all: bool) {
+        if self.is_lost {
+            self.is_lost = false;
+            info!(self.options.log, "store_regained"; "source" => self.options.name,
+                "revision" => news.revision.0);
+            self.options.sink.reach(false).await;
+        }
+        for entry in &news.unreadable {
+            warn!(self.options.log, "entry_unreadable"; "source" => self.options.name,
+                "entry" => entry, "revision" => news.revision.0);
+        }
+        // An answer that is older than what is known would take back what was heard since.
+        if news.revision < self.revision {
+            warn!(self.options.log, "answer_outdated"; "source" => self.options.name,
+                "revision" => news.revision.0, "known" => self.revision.0);
+            pause().await;
+            return;
+        }
+        self.revision = news.revision;
+        if is_all || !news.items.is_empty() {
+            self.options.sink.take(news.items, is_all).await;
+        }
+    }
+
+    async fn failed(&mut self, error: &Error) {
+        if !self.is_lost {
+            self.is_lost = true;
+            warn!(self.options.log, "store_lost"; "source" => self.options.name,
+                "reason" => %error, "revision" => self.revision.0);
+            self.options.sink.reach(true).await;
+        }
+        pause().await;
+    }
+}
+
+async fn pause() {
+    tokio::time::sleep(Duration::from_millis(rand::random_range(PAUSE_MS))).await;
+}
+
+/// `Orders` passes the operators' orders on.
+#[derive(Debug)]
+pub struct Orders {
+    /// The broker, which uses the configuration.
+    pub broker: ActorRef<Broker>,
+    /// The newest catalog.
+    pub catalog: Arc<Catalog>,
+    /// The daemon's log.
+    pub log: Logger,
+}
+
+impl Sink<Order> for Orders {
+    async fn take(&mut self, items: Vec<Order>, _: bool) {
+        for order in items {
+            let Order::Configure(draft) = order else {
+                continue;
+            };
+            let version = draft.version;
+            if version <= self.catalog.version {
+                continue;
+            }
+            match Catalog::try_new(*draft, &self.catalog) {
+                Ok(catalog) => {
+                    self.catalog = Arc::new(catalog);
+                    // The broker ends before this task only when the daemon does.
+                    let _ = self.broker.tell(broker::Adopt(self.catalog.clone())).await;
+                }
+                Err(reason) => {
+                    warn!(self.log, "configuration_refused"; "version" => version,
+                        "in_force" => self.catalog.version, "reason" => %reason);
+                }
+            }
+        }
+    }
+
+    async fn reach(&mut self, _: bool) {}
+}
+
+/// `Entries` passes the registry's entries on.
+#[derive(Debug)]
+pub struct Entries {
+    /// The broker, which chooses among the upstreams.
+    pub broker: ActorRef<Broker>,
+}
+
+impl Sink<Change> for Entries {
+    async fn take(&mut self, changes: Vec<Change>, is_all: bool) {
+        // The broker ends before this task only when the daemon does.
+        let _ = self.broker.tell(broker::Learn { changes, is_all }).await;
+    }
+
+    async fn reach(&mut self, is_lost: bool) {
+        let _ = self.broker.tell(broker::Store { is_lost }).await;
+    }
+}
--- a/cactusglade-daemon/src/gate/attempt.rs
+++ b/cactusglade-daemon/src/gate/attempt.rs
@@ -15,8 +15,8 @@
 use crate::dispatch::Start;
 use crate::gate::Context;
 use crate::gate::request::Entry;
-use crate::link;
-use crate::link::Connection;
+use cactusglade_link::link;
+use cactusglade_link::link::Connection;
 
 /// Longest wait for a connection to an upstream.
 const CONNECT: Duration = Duration::from_secs(1);
--- a/cactusglade-daemon/src/gate/chat/leave.rs
+++ b/cactusglade-daemon/src/gate/chat/leave.rs
@@ -5,11 +5,11 @@
 use cactusglade_policy::dispatch::Verdict;
 use tokio::sync::watch;
 
-use crate::clock;
 use crate::gate::Leaving;
 use crate::gate::chat::Chat;
 use crate::gate::chat::Part;
 use crate::peer;
+use cactusglade_link::clock;
 
 impl Chat {
     /// Gives peers what they need to go on, and says whether the chat is to end here.
--- a/cactusglade-daemon/src/gate/chat/progress.rs
+++ b/cactusglade-daemon/src/gate/chat/progress.rs
@@ -32,7 +32,7 @@
 use crate::gate::chat::lines::Lines;
 use crate::gate::chat::pace::Pace;
 use crate::gate::request::Entry;
-use crate::link::Connection;
+use cactusglade_link::link::Connection;
 
 /// Bytes of text that are taken for one token in estimates.
 const BYTES_PER_TOKEN: usize = 4;
--- a/cactusglade-daemon/src/gate/mod.rs
+++ b/cactusglade-daemon/src/gate/mod.rs
@@ -25,13 +25,13 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use crate::clock::Clock;
 use crate::dispatch::Dispatch;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::platform::Platform;
 use crate::relay::Relay;
+use cactusglade_link::clock::Clock;
 
 /// Name of the service.
 pub const NAME: &str = "gate";
--- a/cactusglade-daemon/src/gate/plain.rs
+++ b/cactusglade-daemon/src/gate/plain.rs
@@ -36,7 +36,7 @@
 use crate::gate::request::Entry;
 use crate::ledger;
 use crate::ledger::Claim;
-use crate::link::Connection;
+use cactusglade_link::link::Connection;
 
 /// Cost of a call of a plain service, in tokens.
 const COST: u64 = 100;
--- a/cactusglade-daemon/src/gate/resume.rs
+++ b/cactusglade-daemon/src/gate/resume.rs
@@ -9,7 +9,6 @@
 use hyper::Request;
 use hyper::body::Incoming;
 
-use crate::clock;
 use crate::gate::Context;
 use crate::gate::chat;
 use crate::gate::chat::Seed;
@@ -18,6 +17,7 @@
 use crate::gate::request::Refusal;
 use crate::peer;
 use crate::relay;
+use cactusglade_link::clock;
 
 const FROM: &str = "from=";
 const UNKNOWN: Refusal = Refusal(
--- a/cactusglade-daemon/src/lib.rs
+++ b/cactusglade-daemon/src/lib.rs
@@ -3,13 +3,12 @@
 //! [`boot::Daemon`] starts the services of one daemon in the order that `docs/DESIGN.md` gives.
 
 pub mod boot;
-pub mod clock;
 pub mod config;
 pub mod dispatch;
 pub mod driver;
+pub mod edge;
 pub mod gate;
 pub mod ledger;
-pub mod link;
 pub mod log;
 pub mod metrics;
 pub mod ops;
--- a/cactusglade-daemon/src/log/mod.rs
+++ b/cactusglade-daemon/src/log/mod.rs
@@ -7,7 +7,7 @@
 use slog::Logger;
 use slog::o;
 
-use crate::clock;
+use cactusglade_link::clock;
 
 /// Events that wait for the writing thread before further ones are dropped and counted.
 const QUEUE: usize = 4_096;
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -36,8 +36,6 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::clock;
-use crate::clock::Clock;
 use crate::config;
 use crate::config::Config;
 use crate::dispatch;
@@ -45,6 +43,8 @@
 use crate::dispatch::Lesson;
 use crate::metrics::Metrics;
 use crate::relay::Relay;
+use cactusglade_link::clock;
+use cactusglade_link::clock::Clock;
 
 /// Name of the service.
 pub const NAME: &str = "peer";
--- a/cactusglade-daemon/src/platform/mod.rs
+++ b/cactusglade-daemon/src/platform/mod.rs
@@ -8,8 +8,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::link;
-use crate::link::Client;
+use cactusglade_link::link;
+use cactusglade_link::link::Client;
 
 /// Error of a call to the platform.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
--- a/cactusglade-daemon/src/poll/mod.rs
+++ b/cactusglade-daemon/src/poll/mod.rs
@@ -20,13 +20,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use crate::clock;
-use crate::clock::Clock;
 use crate::config;
 use crate::config::Config;
 use crate::peer;
 use crate::peer::Peer;
 use crate::platform::Platform;
+use cactusglade_link::clock;
+use cactusglade_link::clock::Clock;
 
 /// Name of the service.
 pub const NAME: &str = "poll";
--- a/cactusglade-daemon/src/relay/mod.rs
+++ b/cactusglade-daemon/src/relay/mod.rs
@@ -9,7 +9,7 @@
 use kameo::message::Context;
 use kameo::message::Message;
 
-use crate::clock;
+use cactusglade_link::clock;
 
 /// Name of the service.
 pub const NAME: &str = "relay";
--- a/cactusglade-daemon/src/link/client.rs
+++ b/cactusglade-link/src/link/client.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -66,15 +67,53 @@
     ///
     /// Returns what the failure proves about the call; see [`Error`].
     pub async fn call(&self, method: &str, path: &str, body: impl Into<Bytes>) -> Result<Answer> {
-        let request = Request::builder()
+        self.call_within(method, path, body, None).await
+    }
+
+    /// Calls as [`call`](Self::call) does, with another bound on the time where one is given.
+    ///
+    /// # Errors
+    ///
+    /// As for [`call`](Self::call).
+    pub async fn call_within(
+        &self,
+        method: &str,
+        path: &str,
+        body: impl Into<Bytes>,
+        within: Option<Duration>,
+    ) -> Result<Answer> {
+        let request = self.request(method, path, body.into())?;
+        let within = within.unwrap_or(self.within);
+        let call = tokio::time::timeout(within, self.send(request));
+        call.await.unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Calls as [`call`](Self::call) does, with further headers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`call`](Self::call).
+    pub async fn call_with(
+        &self,
+        method: &str,
+        path: &str,
+        headers: HeaderMap,
+        body: impl Into<Bytes>,
+    ) -> Result<Answer> {
+        let mut request = self.request(method, path, body.into())?;
+        request.headers_mut().extend(headers);
+        let call = tokio::time::timeout(self.within, self.send(request));
+        call.await.unwrap_or(Err(Error::Timeout))
+    }
+
+    fn request(&self, method: &str, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>> {
+        Request::builder()
             .method(method)
             .uri(path)
             .header(hyper::header::HOST, self.address.to_string())
             .header(hyper::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body.into()))
-            .map_err(|_| Error::NotSent)?;
-        let call = tokio::time::timeout(self.within, self.send(request));
-        call.await.unwrap_or(Err(Error::Timeout))
+            .body(Full::new(body))
+            .map_err(|_| Error::NotSent)
     }
 
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Answer> {
--- a/cactusglade-daemon/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
 pub use client::Answer;
@@ -34,6 +36,25 @@
 /// Result of a connection.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Time after which a peer that acknowledges nothing is taken as gone, and between two probes of
+/// an idle one; well under the three seconds that callers allow a silent stream.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// Sets the options by which a connection that has gone silent is found out.
+///
+/// # Errors
+///
+/// Returns the system's error when an option can't be set.
+pub fn prepare(socket: &TcpStream) -> std::io::Result<()> {
+    socket.set_nodelay(true)?;
+    let socket = SockRef::from(socket);
+    let probes = TcpKeepalive::new()
+        .with_time(UNACKNOWLEDGED)
+        .with_interval(UNACKNOWLEDGED);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
 /// `Connection` sends requests over one socket, one at a time.
 ///
 /// The socket belongs to a task that ends when the connection is dropped.
@@ -53,7 +74,7 @@
             let socket = TcpStream::connect(address)
                 .await
                 .map_err(|_| Error::NotSent)?;
-            socket.set_nodelay(true).map_err(|_| Error::NotSent)?;
+            prepare(&socket).map_err(|_| Error::NotSent)?;
             let io = TokioIo::new(socket);
             let (sender, task) = http1::handshake(io).await.map_err(|_| Error::NotSent)?;
             // The task's own error reaches whoever waits for an answer.
--- /dev/null
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -0,0 +1,476 @@
+//! Admission of callers' requests and the choice of an upstream for each sending.
+//!
+//! The broker keeps no queue: engines order what waits in them by rank, so a request is offered at
+//! once to the upstream that will probably answer first, or refused at once. See
+//! `docs/PLATFORM.md`.
+
+mod rule;
+mod upstream;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cactusglade_core::arena;
+use cactusglade_core::arena::Table;
+use cactusglade_core::call::Prompt;
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::errors::Kind;
+use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Instance;
+use cactusglade_core::fleet::Phase;
+use cactusglade_core::units::Millis;
+
+use crate::affinity;
+use crate::budget;
+use crate::budget::Budget;
+use crate::quota::Bucket;
+use crate::quota::Tolerance;
+
+pub use rule::Candidate;
+pub use rule::Rule;
+pub use rule::Shortest;
+pub use upstream::Upstream;
+
+/// Time after the store is back within which entries that lapsed meanwhile return.
+const RETURN: Millis = Millis(2_000);
+/// Part of a session's tokens that its own upstream is taken to have cached without any proof.
+const PROBABLY: f64 = 0.7;
+/// Daemons that are assumed to share budgets until the others are known.
+const UNKNOWN_DAEMONS: f64 = 9.0;
+
+/// `Options` of a broker.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Availability zone of the daemon.
+    pub zone: String,
+    /// Bounds on repeats over all daemons.
+    pub repeats: budget::Bounds,
+    /// How far quotas may be passed.
+    pub tolerance: Tolerance,
+}
+
+/// `Ask` is what the choice of an upstream rests on.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Route of the request.
+    pub route: arena::Route,
+    /// Its prompt, for a model request.
+    pub prompt: Option<&'a Prompt>,
+    /// Upstreams that were tried already.
+    pub tried: &'a [arena::Upstream],
+    /// Whether this sending is one beyond the first that arrived.
+    pub is_repeat: bool,
+    /// A random number from 0 to 1.
+    pub draw: f64,
+}
+
+/// `Grant` gives a request an upstream for one sending.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Grant {
+    /// The upstream.
+    pub upstream: arena::Upstream,
+    /// Tokens of the prompt that it probably has to read.
+    pub uncached: u64,
+}
+
+/// `Report` is what a sending showed of its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// Whether it was good, where that says something of the upstream.
+    pub is_good: Option<bool>,
+    /// Whether the upstream could not be reached or broke off.
+    pub is_lost: bool,
+    /// Time to the head of the answer.
+    pub took: Option<Millis>,
+}
+
+/// `Broker` knows the upstreams and what may be spent.
+#[derive(Debug)]
+pub struct Broker<R> {
+    options: Options,
+    rule: R,
+    catalog: Arc<Catalog>,
+    upstreams: Table<arena::Upstream, Upstream>,
+    services: BTreeMap<String, Vec<arena::Upstream>>,
+    budgets: BTreeMap<arena::Service, Budget>,
+    buckets: BTreeMap<arena::Organisation, Bucket>,
+    shares: BTreeMap<String, f64>,
+    daemons: f64,
+    /// When the store was last found to be out of reach, and since when it is back.
+    lost: bool,
+    regained: Millis,
+}
+
+impl<R: Rule> Broker<R> {
+    /// Starts without a catalog and without upstreams.
+    #[must_use]
+    pub fn new(options: Options, rule: R) -> Self {
+        Self {
+            options,
+            rule,
+            catalog: Arc::default(),
+            upstreams: Table::default(),
+            services: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            buckets: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            daemons: UNKNOWN_DAEMONS,
+            lost: false,
+            regained: Millis(0),
+        }
+    }
+
+    /// The catalog in force.
+    #[must_use]
+    pub const fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    /// Puts a catalog in force, unless it is no newer than the one there is.
+    pub fn adopt(&mut self, now: Millis, catalog: Arc<Catalog>) -> bool {
+        if catalog.version <= self.catalog.version {
+            return false;
+        }
+        self.catalog = catalog;
+        self.deal(now);
+        true
+    }
+
+    /// Takes in how many daemons there are, and this one's share of each organisation's quota.
+    pub fn share(&mut self, now: Millis, daemons: u64, shares: BTreeMap<String, f64>) {
+        #[allow(clippy::cast_precision_loss)]
+        let daemons = daemons as f64;
+        self.daemons = daemons.max(1.0);
+        self.shares = shares;
+        self.deal(now);
+    }
+
+    fn deal(&mut self, now: Millis) {
+        let catalog = self.catalog.clone();
+        let known = |key: &arena::Organisation| catalog.organisations.get(*key).is_some();
+        self.buckets.retain(|key, _| known(key));
+        for (key, organisation) in catalog.organisations.iter() {
+            let Some(quota) = &organisation.quota else {
+                self.buckets.remove(&key);
+                continue;
+            };
+            let even = 1.0 / self.daemons;
+            let share = self.shares.get(&organisation.name).copied();
+            let bucket = self.buckets.entry(key).or_default();
+            bucket.set(now, quota, &self.options.tolerance, share.unwrap_or(even));
+        }
+    }
+
+    /// Takes in that the store can't be reached, or can again.
+    pub fn store(&mut self, now: Millis, is_lost: bool) {
+        if self.lost && !is_lost {
+            self.regained = now;
+        }
+        self.lost = is_lost;
+    }
+
+    /// Takes in all entries of the registry; those that are missing have been removed.
+    pub fn replace(&mut self, now: Millis, changes: Vec<Change>) -> Vec<arena::Upstream> {
+        let listed = changes.iter().filter_map(|change| match change {
+            Change::Put(instance) => Some(instance.name.clone()),
+            Change::Removed(_) => None,
+        });
+        let listed = listed.collect::<std::collections::BTreeSet<_>>();
+        let missing = self
+            .upstreams
+            .names()
+            .filter(|name| !listed.contains(*name));
+        let missing = missing.map(|name| Change::Removed(name.to_owned()));
+        let missing = missing.collect::<Vec<_>>();
+        self.learn(now, changes.into_iter().chain(missing))
+    }
+
+    /// Takes in changes of the registry and gives back those upstreams that are news to leave.
+    pub fn learn(
+        &mut self,
+        now: Millis,
+        changes: impl IntoIterator<Item = Change>,
+    ) -> Vec<arena::Upstream> {
+        let mut leaving = Vec::new();
+        for change in changes {
+            match change {
+                Change::Put(instance) => leaving.extend(self.put(now, *instance)),
+                Change::Removed(name) => leaving.extend(self.remove(now, &name)),
+            }
+        }
+        self.index();
+        leaving
+    }
+
+    fn put(&mut self, now: Millis, instance: Instance) -> Option<arena::Upstream> {
+        let leaves = instance.phase == Phase::Leaving;
+        let name = instance.name.clone();
+        let key = self.upstreams.put_with(
+            &name,
+            |known: &Upstream| is_same(&known.instance, &instance),
+            || Upstream::new(instance.clone()),
+        );
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.instance = instance;
+        upstream.doubted = None;
+        if leaves && upstream.leaving.is_none() {
+            upstream.leaving = Some(now);
+            return Some(key);
+        }
+        None
+    }
+
+    /// An entry that lapses while or just after the store was away may return with its server.
+    fn remove(&mut self, now: Millis, name: &str) -> Option<arena::Upstream> {
+        let is_unsure = self.lost || now - self.regained < RETURN;
+        let since = if self.lost { now } else { self.regained };
+        let key = self.upstreams.find(name)?;
+        let upstream = self.upstreams.get_mut(key)?;
+        let until = if is_unsure { since + RETURN } else { now };
+        let is_news = upstream.doubted.is_none() && upstream.leaving.is_none();
+        upstream.doubted.get_or_insert(until);
+        (is_news && !is_unsure).then_some(key)
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (key, upstream) in self.upstreams.iter() {
+            let service = upstream.instance.service.clone();
+            self.services.entry(service).or_default().push(key);
+        }
+    }
+
+    /// Forgets upstreams whose entry is long gone and that work on nothing of this daemon's.
+    pub fn sweep(&mut self, now: Millis) {
+        let over = |upstream: &Upstream| {
+            let gone = upstream.doubted.is_some_and(|until| now > until + LEFT);
+            gone && upstream.own == 0
+        };
+        let gone = self.upstreams.iter().filter(|(_, upstream)| over(upstream));
+        let gone = gone.map(|(_, upstream)| upstream.instance.name.clone());
+        let gone = gone.collect::<Vec<_>>();
+        for name in &gone {
+            self.upstreams.remove(name);
+        }
+        if !gone.is_empty() {
+            self.index();
+        }
+    }
+
+    /// An upstream by its key.
+    #[must_use]
+    pub fn upstream(&self, key: arena::Upstream) -> Option<&Upstream> {
+        self.upstreams.get(key)
+    }
+
+    /// All upstreams in the order of their names.
+    pub fn upstreams(&self) -> impl Iterator<Item = (arena::Upstream, &Upstream)> {
+        self.upstreams.iter()
+    }
+
+    /// Units that a request takes of its organisation's quota.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn units(&self, key: arena::Organisation, prompt: Option<&Prompt>) -> f64 {
+        let organisation = self.catalog.organisations.get(key);
+        let quota = organisation.and_then(|organisation| organisation.quota);
+        match (quota, prompt) {
+            (Some(quota), Some(prompt)) if quota.is_tokens => (prompt.input + prompt.output) as f64,
+            (Some(quota), None) if quota.is_tokens => quota.plain as f64,
+            _ => 1.0,
+        }
+    }
+
+    /// Charges a request to its organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until there is room again where the quota is used up.
+    pub fn charge(
+        &mut self,
+        now: Millis,
+        key: arena::Organisation,
+        units: f64,
+    ) -> Result<(), Millis> {
+        let Some(bucket) = self.buckets.get_mut(&key) else {
+            return Ok(());
+        };
+        if bucket.take(now, units) {
+            Ok(())
+        } else {
+            Err(bucket.wait(units))
+        }
+    }
+
+    /// Gives back the units of a request that did not run.
+    pub fn refund(&mut self, key: arena::Organisation, units: f64) {
+        if let Some(bucket) = self.buckets.get_mut(&key) {
+            bucket.give_back(units);
+        }
+    }
+
+    /// Chooses an upstream for one sending.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of error where there is none, or no repeat is left.
+    pub fn place(&mut self, now: Millis, ask: &Ask<'_>) -> Result<Grant, Kind> {
+        let catalog = self.catalog.clone();
+        let route = catalog.routes.get(ask.route).ok_or(Kind::UnknownRoute)?;
+        let service = pick(&route.split, ask.draw).ok_or(Kind::NoUpstream)?;
+        let object = catalog.services.get(service).ok_or(Kind::NoUpstream)?;
+        let candidates = self.candidates(now, &object.name, ask);
+        let place = self.rule.choose(&candidates, ask.draw);
+        let candidate = place.map(|place| candidates[place]);
+        let candidate = candidate.ok_or(Kind::NoUpstream)?;
+        let (bounds, daemons) = (self.options.repeats, self.daemons);
+        let budget = self.budgets.entry(service).or_default();
+        if ask.is_repeat {
+            if !budget.repeat(now, &bounds, daemons) {
+                return Err(Kind::Overloaded);
+            }
+        } else {
+            budget.request(now, &bounds);
+        }
+        Ok(self.grant(now, &candidate, ask.prompt))
+    }
+
+    fn grant(&mut self, now: Millis, candidate: &Candidate, prompt: Option<&Prompt>) -> Grant {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let uncached = candidate.uncached as u64;
+        if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
+            upstream.own += 1;
+            upstream.backlog += uncached;
+            if let Some(prompt) = prompt {
+                upstream.cache.insert(now, &prompt.parts);
+            }
+        }
+        Grant {
+            upstream: candidate.upstream,
+            uncached,
+        }
+    }
+
+    /// The upstreams that may take the request; those that failed lately only if no other may.
+    fn candidates(&self, now: Millis, service: &str, ask: &Ask<'_>) -> Vec<Candidate> {
+        let keys = self.services.get(service).map(Vec::as_slice);
+        let staying = |key: &arena::Upstream| {
+            let upstream = self.upstreams.get(*key)?;
+            let takes = upstream.is_staying(now) && !ask.tried.contains(key);
+            takes.then_some((*key, upstream))
+        };
+        let staying = keys.unwrap_or_default().iter().filter_map(staying);
+        let staying = staying.collect::<Vec<_>>();
+        let session = ask.prompt.and_then(Prompt::session);
+        let own = session.and_then(|session| {
+            let all = staying.iter();
+            let own = all.max_by_key(|(_, upstream)| affinity::weight(session, upstream.hash));
+            own.map(|(key, _)| *key)
+        });
+        let sound = |(_, upstream): &&(_, &Upstream)| upstream.backoff.is_over(now);
+        let any_sound = staying.iter().any(|one| sound(&one));
+        let taken = staying.iter().filter(|one| !any_sound || sound(one));
+        taken
+            .map(|(key, upstream)| self.candidate(now, *key, upstream, ask, own == Some(*key)))
+            .collect()
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn candidate(
+        &self,
+        now: Millis,
+        key: arena::Upstream,
+        upstream: &Upstream,
+        ask: &Ask<'_>,
+        is_own: bool,
+    ) -> Candidate {
+        let uncached = ask.prompt.map_or(0.0, |prompt| {
+            let cached = upstream.cache.cached(now, &prompt.parts) as f64;
+            let shared = prompt.parts.iter().rev().skip(1).map(|part| part.tokens);
+            let shared = shared.sum::<u64>() as f64;
+            let assumed = if is_own { shared * PROBABLY } else { 0.0 };
+            (prompt.input as f64 - cached.max(assumed)).max(0.0)
+        });
+        Candidate {
+            upstream: key,
+            is_near: upstream.instance.zone == self.options.zone,
+            load: upstream.load(now),
+            slots: upstream.instance.slots as f64,
+            backlog: upstream.backlog as f64,
+            uncached,
+            failures: upstream.failures(now),
+            latency: if ask.prompt.is_some() {
+                0.0
+            } else {
+                upstream.latency()
+            },
+        }
+    }
+
+    /// Takes in what an upstream said of its load.
+    pub fn hear(&mut self, now: Millis, key: arena::Upstream, running: u64, waiting: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.hear(now, running, waiting);
+        }
+    }
+
+    /// Notes that an upstream has read a prompt.
+    pub fn begun(&mut self, grant: &Grant) {
+        if let Some(upstream) = self.upstreams.get_mut(grant.upstream) {
+            upstream.backlog = upstream.backlog.saturating_sub(grant.uncached);
+        }
+    }
+
+    /// Notes that a sending has ended; `draw` from 0 to 1 spreads the return to a failed upstream.
+    pub fn ended(&mut self, now: Millis, key: arena::Upstream, report: &Report, draw: f64) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.own = upstream.own.saturating_sub(1);
+        if let Some(is_good) = report.is_good {
+            upstream.judge(now, is_good, report.took);
+            if is_good {
+                upstream.backoff.succeed();
+            }
+        }
+        if report.is_lost {
+            upstream.backoff.fail(now, draw);
+        }
+    }
+
+    /// Marks an upstream as leaving by its own word.
+    pub fn leave(&mut self, now: Millis, key: arena::Upstream) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return false;
+        };
+        let is_news = upstream.leaving.is_none();
+        upstream.leaving.get_or_insert(now);
+        is_news
+    }
+}
+
+/// Time after which an upstream without an entry is forgotten; well over the longest stream.
+const LEFT: Millis = Millis(30_000);
+
+/// Whether two entries stand for the same running process.
+fn is_same(before: &Instance, after: &Instance) -> bool {
+    before.born == after.born && before.address == after.address && before.service == after.service
+}
+
+/// A service by its share of the traffic.
+#[allow(clippy::cast_precision_loss)]
+fn pick(split: &[(arena::Service, u64)], draw: f64) -> Option<arena::Service> {
+    let all = split.iter().map(|(_, weight)| *weight).sum::<u64>();
+    let mut left = draw * all as f64;
+    for (service, weight) in split.iter().filter(|(_, weight)| *weight > 0) {
+        left -= *weight as f64;
+        if left < 0.0 {
+            return Some(*service);
+        }
+    }
+    split
+        .iter()
+        .rev()
+        .find(|(_, weight)| *weight > 0)
+        .map(|(service, _)| *service)
+}
--- /dev/null
+++ b/cactusglade-policy/src/budget/mod.rs
@@ -0,0 +1,76 @@
+//! How many repeats a daemon may send to one service.
+//!
+//! All daemons share one budget: a ratio of the requests plus a slack. Each keeps to the ratio of
+//! its own requests and to its share of the slack, so that no messages are needed.
+
+use std::collections::VecDeque;
+
+use cactusglade_core::units::Millis;
+
+/// Spans into which a window is cut; a window slides by one of them.
+const SPANS: u64 = 10;
+/// Part of the allowance that is used; the rest covers requests that end in another window.
+const USED: f64 = 0.8;
+
+/// `Bounds` of the budget over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window: Millis,
+    /// Repeats beyond the ratio in a window.
+    pub slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Span {
+    number: u64,
+    requests: f64,
+    repeats: f64,
+}
+
+/// `Budget` counts the requests and repeats of one service over a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    spans: VecDeque<Span>,
+}
+
+impl Budget {
+    /// Notes a request.
+    pub fn request(&mut self, now: Millis, bounds: &Bounds) {
+        self.span(now, bounds).requests += 1.0;
+    }
+
+    /// Takes a repeat out where one is left, for one of `daemons` that share the budget.
+    pub fn repeat(&mut self, now: Millis, bounds: &Bounds, daemons: f64) -> bool {
+        self.span(now, bounds);
+        let requests = self.spans.iter().map(|span| span.requests).sum::<f64>();
+        let repeats = self.spans.iter().map(|span| span.repeats).sum::<f64>();
+        let most = (bounds.ratio * requests + bounds.slack / daemons.max(1.0)) * USED;
+        let allowed = repeats + 1.0 <= most;
+        if allowed {
+            self.span(now, bounds).repeats += 1.0;
+        }
+        allowed
+    }
+
+    fn span(&mut self, now: Millis, bounds: &Bounds) -> &mut Span {
+        let number = now.0 / (bounds.window.0 / SPANS).max(1);
+        while self
+            .spans
+            .front()
+            .is_some_and(|span| span.number + SPANS <= number)
+        {
+            self.spans.pop_front();
+        }
+        if self.spans.back().is_none_or(|span| span.number != number) {
+            self.spans.push_back(Span {
+                number,
+                ..Span::default()
+            });
+        }
+        let last = self.spans.len() - 1;
+        &mut self.spans[last]
+    }
+}
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -5,6 +5,10 @@
 //! daemon, in an experiment and under a test that tries any order of events. See
 //! `docs/DESIGN.md`.
 
+pub mod affinity;
+pub mod attempt;
+pub mod broker;
+pub mod budget;
 pub mod choice;
 pub mod dispatch;
 pub mod fair;
@@ -14,6 +18,8 @@
 pub mod member;
 pub mod pool;
 pub mod prefix;
+pub mod quota;
 pub mod retry;
 pub mod rollout;
 pub mod stream;
+pub mod usage;
--- a/cactusglade-wire/src/lib.rs
+++ b/cactusglade-wire/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod caller;
 pub mod engine;
+pub mod event;
 pub mod header;
 pub mod peer;
 pub mod platform;
+pub mod port;
