Plan capacity by measured work; let quota buckets grow with their group; gather changes

Change: work counts events passed on; firm upstreams for a quarter of the need, for 0.7 of it while reclaims come; a growing share adds half of what is new; plain requests pass first; 200 ms of changes are gathered; a session's own upstream is taken to have it cached.

--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -100,6 +100,8 @@
     pub is_engine: bool,
     /// Whether its engines can move a running request to another.
     pub moves: bool,
+    /// Tokens in one event of its engines' streams, zero for other services.
+    pub stride: u64,
     /// Bounds of orders, where it can be scaled.
     pub scale: Option<Scale>,
 }
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -244,6 +244,7 @@
             slack: settings.retry_slack,
         },
         tolerance: Tolerance {
+            window: seconds(settings.quota_window_s),
             overshoot: settings.quota_overshoot,
             slack: settings.quota_slack,
         },
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -88,6 +88,8 @@
     pub grant: Grant,
     /// Whether it had begun to answer.
     pub has_begun: bool,
+    /// Events of its answer that were passed on.
+    pub events: u64,
     /// What it showed of the upstream.
     pub report: Report,
     /// The connection, if it can be used again, and for how long the upstream keeps it.
@@ -183,7 +185,7 @@
             kind,
             retry_after: kind.answer().retry_after,
         })?;
-        self.count(&grant, place.prompt.as_deref());
+        self.count(&grant, self.policy.reading(&grant));
         let upstream = self.policy.upstream(grant.upstream).ok_or(Refused {
             kind: Kind::NoUpstream,
             retry_after: None,
@@ -244,6 +246,10 @@
         if !ended.has_begun {
             self.policy.begun(&ended.grant);
         }
+        self.count(
+            &ended.grant,
+            self.policy.writing(&ended.grant, ended.events),
+        );
         self.policy.ended(now, key, &ended.report, rand::random());
         let stays = self
             .policy
@@ -364,7 +370,9 @@
             return Ok(());
         };
         let units = self.policy.units(organisation, place.prompt.as_deref());
-        let charged = self.policy.charge(now, organisation, units);
+        let charged = self
+            .policy
+            .charge(now, organisation, units, place.prompt.is_none());
         charged.map_err(|wait| Refused {
             kind: Kind::LimitExceeded,
             retry_after: Some(wait),
@@ -377,9 +385,7 @@
     }
 
     /// Adds up the work that a service is sent.
-    fn count(&mut self, grant: &Grant, prompt: Option<&Prompt>) {
-        let Some(prompt) = prompt else { return };
-        let work = self.policy.work(grant, prompt);
+    fn count(&mut self, grant: &Grant, work: u64) {
         if let Some(object) = self.policy.catalog().services.get(grant.service) {
             add(&mut self.work, &object.name, work);
         }
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -64,6 +64,8 @@
     closes: bool,
     has_begun: bool,
     has_ended: bool,
+    /// Events of the answer that were passed on.
+    pub events: u64,
 }
 
 impl Held {
@@ -82,6 +84,7 @@
             closes: false,
             has_begun: false,
             has_ended: false,
+            events: 0,
         };
         (held, placed.address)
     }
@@ -129,6 +132,7 @@
         let ended = Ended {
             grant: self.grant,
             has_begun: self.has_begun,
+            events: self.events,
             report: Report {
                 is_good,
                 is_lost,
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -171,6 +171,9 @@
         while let Some(event) = self.splitter.pop() {
             if self.is_next(&event)? {
                 self.cursor = event.id.or(self.cursor);
+                if let Some(held) = self.held.as_mut() {
+                    held.events += 1;
+                }
                 bytes.extend_from_slice(&event.bytes);
             }
         }
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -34,6 +34,10 @@
 /// lost the store together do not return together.
 const PAUSE_MS: std::ops::Range<u64> = 100..400;
 
+/// Pause after changes, so that those which come together cost one call; a small part of the two
+/// seconds within which a change must be in force.
+const GATHER: Duration = Duration::from_millis(200);
+
 /// `Sink` takes what a source tells.
 pub trait Sink<T>: Send + 'static {
     /// Takes all that there is, or what has changed.
@@ -116,7 +120,13 @@
     /// Follows one step; says whether the history is still there.
     async fn follow(&mut self) -> bool {
         match self.options.source.follow(self.revision, WAIT).await {
-            Ok(news) => self.took(news, false).await,
+            Ok(news) => {
+                let is_change = !news.items.is_empty();
+                self.took(news, false).await;
+                if is_change {
+                    tokio::time::sleep(GATHER).await;
+                }
+            }
             Err(Error::Compacted) => {
                 info!(self.options.log, "history_lost"; "source" => self.options.name,
                     "revision" => self.revision.0);
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -34,7 +34,7 @@
 /// Time after the store is back within which entries that lapsed meanwhile return.
 const RETURN: Millis = Millis(2_000);
 /// Part of a session's tokens that its own upstream is taken to have cached without any proof.
-const PROBABLY: f64 = 0.7;
+const PROBABLY: f64 = 0.95;
 /// Prompt tokens that an engine reads in a millisecond; the deployments' sheets give 56.6.
 const PREFILL_PER_MS: f64 = 56.6;
 /// Time of an engine for one token of an answer while it works on some thirty requests at once: a
@@ -310,11 +310,12 @@
         now: Millis,
         key: arena::Organisation,
         units: f64,
+        is_small: bool,
     ) -> Result<(), Millis> {
         let Some(bucket) = self.buckets.get_mut(&key) else {
             return Ok(());
         };
-        if bucket.take(now, units) {
+        if bucket.take(now, units, is_small) {
             Ok(())
         } else {
             Err(bucket.wait())
@@ -377,16 +378,28 @@
         }
     }
 
-    /// Work of a model request in milliseconds of one upstream.
+    /// Work of reading a prompt, in milliseconds of one upstream.
     #[must_use]
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss
     )]
-    pub fn work(&self, grant: &Grant, prompt: &Prompt) -> u64 {
-        let read = grant.uncached as f64 / PREFILL_PER_MS;
-        (read + prompt.output as f64 * WRITE_MS) as u64
+    pub fn reading(&self, grant: &Grant) -> u64 {
+        (grant.uncached as f64 / PREFILL_PER_MS) as u64
+    }
+
+    /// Work of writing so many events of an answer, in milliseconds of one upstream.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    pub fn writing(&self, grant: &Grant, events: u64) -> u64 {
+        let service = self.catalog.services.get(grant.service);
+        let stride = service.map_or(0, |service| service.stride);
+        ((events * stride) as f64 * WRITE_MS) as u64
     }
 
     /// The upstreams that may take the request; those that failed lately only if no other may.
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -15,9 +15,15 @@
 /// Zones whose reclaimable upstreams may be gone at once; reclaims come in waves.
 const LOST_ZONES: usize = 2;
 /// Share of the need that firm upstreams carry at all times.
-const FIRM: f64 = 0.4;
+const FIRM: f64 = 0.25;
+/// Share of the need that firm upstreams carry while a wave of reclaims is on.
+const FIRM_IN_WAVE: f64 = 0.7;
+/// Time after a reclaim for which others are expected.
+const WAVE: Millis = Millis(15_000);
 /// Fewest firm upstreams of a service.
-const LEAST_FIRM: u64 = 2;
+const LEAST_FIRM: f64 = 1.0;
+/// Part to which the need must fall before fewer upstreams are ordered.
+const LOWER: f64 = 0.8;
 /// Fewest upstreams that the need is taken to be, whatever the load.
 const LEAST_NEED: f64 = 3.0;
 /// Time beyond that of a start after which an order that was not fulfilled is given again.
@@ -56,7 +62,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
     need: f64,
+    /// The need that orders rest on.
+    steady: f64,
     measured: Millis,
+    /// When reclaimable upstreams were last taken away, and how many there were before.
+    reclaimed: Option<Millis>,
+    reclaimable: u64,
     asked: BTreeMap<(String, bool), Asked>,
 }
 
@@ -69,6 +80,9 @@
         let fallen = self.need * (1.0 - FALL_PER_S * span.min(1.0));
         self.need = need.max(fallen);
         self.measured = now;
+        if self.need > self.steady || self.need < self.steady * LOWER {
+            self.steady = self.need;
+        }
     }
 
     /// Upstreams that are needed.
@@ -89,7 +103,8 @@
         scale: &Scale,
         zones: &BTreeMap<String, Zone>,
     ) -> Vec<Order> {
-        let wanted = self.wanted(scale, zones);
+        self.notice(now, zones);
+        let wanted = self.wanted(now, scale, zones);
         let again = scale.boot + AGAIN;
         let mut orders = Vec::new();
         for (zone, has) in zones {
@@ -115,23 +130,43 @@
         orders
     }
 
+    /// Notes when reclaimable upstreams are taken away that were not ordered away.
+    fn notice(&mut self, now: Millis, zones: &BTreeMap<String, Zone>) {
+        let has = zones.values().map(|zone| zone.reclaimable).sum();
+        let was_asked = |zone: &String| {
+            let asked = self.asked.get(&(zone.clone(), true));
+            asked.is_some_and(|asked| asked.count > zones[zone].reclaimable)
+        };
+        if has < self.reclaimable && zones.keys().any(was_asked) {
+            self.reclaimed = Some(now);
+        }
+        self.reclaimable = has;
+    }
+
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss
     )]
-    fn wanted(&self, scale: &Scale, zones: &BTreeMap<String, Zone>) -> BTreeMap<String, Zone> {
+    fn wanted(
+        &self,
+        now: Millis,
+        scale: &Scale,
+        zones: &BTreeMap<String, Zone>,
+    ) -> BTreeMap<String, Zone> {
         let left = zones.len().saturating_sub(LOST_ZONES).max(1) as f64;
         let can_reclaim = scale.spot_price.is_some();
         let each = if can_reclaim {
-            (self.need / left).ceil()
+            (self.steady / left).ceil()
         } else {
             0.0
         };
         let has = zones.values().map(|zone| zone.reclaimable).sum::<u64>() as f64;
         // Firm ones fill in for reclaimable ones that are missing.
-        let base = (self.need * FIRM).max(LEAST_FIRM as f64);
-        let firm = base.max(self.need - has).ceil() as u64;
+        let in_wave = self.reclaimed.is_some_and(|at| now - at < WAVE);
+        let share = if in_wave { FIRM_IN_WAVE } else { FIRM };
+        let base = (self.steady * share).max(LEAST_FIRM);
+        let firm = base.max(self.steady - has).ceil() as u64;
         let dealt = deal(firm, scale, zones).into_iter();
         let wanted = dealt.map(|(zone, firm)| {
             let room = scale.max.saturating_sub(firm);
--- a/cactusglade-policy/src/quota/mod.rs
+++ b/cactusglade-policy/src/quota/mod.rs
@@ -7,14 +7,23 @@
 use cactusglade_core::catalog::Quota;
 use cactusglade_core::units::Millis;
 
-/// Part of the tolerated overshoot that is used; the rest covers what others have let in and not
-/// told yet.
-const USED: f64 = 0.4;
+/// Part of what the platform tolerates in a window that is used; the rest covers what others have
+/// let in and not told yet, which is what an organisation sends in some hundred milliseconds.
+const USED: f64 = 0.85;
+/// Part of a window's units that can be used at once; the rest comes evenly over the window.
+const AT_ONCE: f64 = 0.25;
+/// Part of the bucket below zero to which requests that ask nothing of an engine still pass: they
+/// take few units, and their callers are answered in milliseconds.
+const RESERVE: f64 = 0.25;
+/// Part of the new share that is taken as unused when a group grows.
+const JOINED: f64 = 0.5;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// `Tolerance` is how far a quota may be passed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tolerance {
+    /// Time over which use is counted.
+    pub window: Millis,
     /// Share of the quota.
     pub overshoot: f64,
     /// Units beyond that.
@@ -31,27 +40,35 @@
 }
 
 impl Bucket {
-    /// Sets the quota and the group's share of it; what was left stays left in proportion.
+    /// Sets the quota and the group's share of it.
+    #[allow(clippy::cast_precision_loss)]
     pub fn set(&mut self, now: Millis, quota: &Quota, tolerance: &Tolerance, share: f64) {
         self.fill(now);
-        let most = (quota.burst + tolerance.slack * USED) * share;
-        let full = if self.most > 0.0 {
-            self.level / self.most
+        let seconds = tolerance.window.0.max(1) as f64 / MILLIS_PER_SECOND;
+        let nominal = quota.rate.mul_add(seconds, quota.burst);
+        let tolerated = nominal * tolerance.overshoot + tolerance.slack;
+        let units = tolerated.mul_add(USED, nominal) * share;
+        let before = std::mem::replace(&mut self.most, units * AT_ONCE);
+        self.rate = units * (1.0 - AT_ONCE) / seconds;
+        self.level = if before == 0.0 {
+            self.most
+        } else if self.most > before {
+            (self.most - before).mul_add(JOINED, self.level)
+        } else if self.level > 0.0 {
+            self.level * self.most / before
         } else {
-            1.0
+            self.level
         };
-        self.rate = quota.rate * (1.0 + tolerance.overshoot * USED) * share;
-        self.most = most;
-        self.level = most * full.min(1.0);
     }
 
     /// Takes units where anything is left.
     ///
     /// A request that is larger than what is left passes, so that large ones are not starved by
     /// small ones; what it takes beyond is paid back before the next passes.
-    pub fn take(&mut self, now: Millis, units: f64) -> bool {
+    pub fn take(&mut self, now: Millis, units: f64, is_small: bool) -> bool {
         self.fill(now);
-        let allowed = self.level > 0.0;
+        let least = if is_small { -self.most * RESERVE } else { 0.0 };
+        let allowed = self.level > least;
         if allowed {
             self.level -= units;
         }
