--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -19,8 +19,9 @@
 
 use super::Options;
 
-/// Time over which the work a second is averaged, in milliseconds.
-const AVERAGE_MS: f64 = 4_000.0;
+/// Times over which the work a second is averaged, in milliseconds; the greater mean counts, so
+/// that a rise shows at once and a short lull does not.
+const AVERAGES_MS: [f64; 2] = [1_500.0, 4_000.0];
 
 /// `Capacity` decides on orders while its daemon holds the duties.
 #[derive(Debug)]
@@ -36,8 +37,8 @@
     /// Total of work at the last look.
     total: Option<u64>,
     looked: Millis,
-    /// Upstreams that the work keeps busy.
-    busy: f64,
+    /// Upstreams that the work keeps busy, by the span of the mean.
+    means: [f64; 2],
 }
 
 impl Capacity {
@@ -70,12 +71,12 @@
             };
             let total = fleet.work.get(&service.name).copied().unwrap_or_default();
             let load = self.services.entry(service.name.clone()).or_default();
-            load.measure(now, total);
             let has = standing.staying.get(&service.name);
             let has = |zone: &String| has.and_then(|has| has.get(zone)).copied();
             let zones = self.zones.iter();
             let zones = zones.map(|zone| (zone.clone(), has(zone).unwrap_or_default()));
             let zones = zones.collect::<BTreeMap<String, Zone>>();
+            load.measure(now, total, &zones);
             let given = load.plan.orders(now, scale, &zones);
             orders.extend(given.into_iter().map(|order| port::Capacity {
                 service: service.name.clone(),
@@ -90,7 +91,7 @@
     /// Gives one order.
     pub async fn give(&mut self, provider: &impl Provider, holder: &Holder, order: port::Capacity) {
         let load = self.services.entry(order.service.clone()).or_default();
-        let (need, busy) = (load.plan.need(), load.busy);
+        let (need, busy) = (load.plan.need(), load.busy());
         match provider.capacity(holder, &order).await {
             Ok(()) => {
                 info!(self.log, "capacity_ordered"; "service" => &order.service,
@@ -111,18 +112,23 @@
 }
 
 impl Load {
+    fn busy(&self) -> f64 {
+        self.means.iter().copied().fold(0.0, f64::max)
+    }
+
     #[allow(clippy::cast_precision_loss)]
-    fn measure(&mut self, now: Millis, total: u64) {
+    fn measure(&mut self, now: Millis, total: u64, zones: &BTreeMap<String, Zone>) {
         let span = (now - self.looked).0 as f64;
         if let Some(before) = self.total
             && span > 0.0
         {
             let busy = total.saturating_sub(before) as f64 / span;
-            let weight = (span / AVERAGE_MS).min(1.0);
-            self.busy += (busy - self.busy) * weight;
+            for (mean, average) in self.means.iter_mut().zip(AVERAGES_MS) {
+                *mean += (busy - *mean) * (span / average).min(1.0);
+            }
         }
         self.total = Some(total);
         self.looked = now;
-        self.plan.measure(now, self.busy);
+        self.plan.measure(now, self.busy(), zones);
     }
 }
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -24,6 +24,8 @@
 const LEAST_FIRM: f64 = 1.0;
 /// Part to which the need must fall before fewer upstreams are ordered.
 const LOWER: f64 = 0.8;
+/// Upstreams that a plan of four zones orders in all for each that is needed.
+const USUAL: f64 = 2.25;
 /// Fewest upstreams that the need is taken to be, whatever the load.
 const LEAST_NEED: f64 = 3.0;
 /// Time beyond that of a start after which an order that was not fulfilled is given again.
@@ -64,7 +66,7 @@
     need: f64,
     /// The need that orders rest on.
     steady: f64,
-    measured: Millis,
+    measured: Option<Millis>,
     /// When reclaimable upstreams were last taken away, and how many there were before.
     reclaimed: Option<Millis>,
     reclaimable: u64,
@@ -73,13 +75,24 @@
 
 impl Plan {
     /// Takes in the work of a service, in upstreams that it keeps busy.
+    ///
+    /// A plan that begins knows no load yet; it takes what there is for what is needed and lets it
+    /// fall from there.
     #[allow(clippy::cast_precision_loss)]
-    pub fn measure(&mut self, now: Millis, busy: f64) {
+    pub fn measure(&mut self, now: Millis, busy: f64, zones: &BTreeMap<String, Zone>) {
         let need = (busy / BUSY).max(LEAST_NEED);
-        let span = (now - self.measured).0 as f64 / 1_000.0;
-        let fallen = self.need * (1.0 - FALL_PER_S * span.min(1.0));
+        let fallen = match self.measured {
+            Some(measured) => {
+                let span = (now - measured).0 as f64 / 1_000.0;
+                self.need * (1.0 - FALL_PER_S * span.min(1.0))
+            }
+            None => {
+                let all = zones.values().map(|zone| zone.firm + zone.reclaimable);
+                all.sum::<u64>() as f64 / USUAL
+            }
+        };
         self.need = need.max(fallen);
-        self.measured = now;
+        self.measured = Some(now);
         if self.need > self.steady || self.need < self.steady * LOWER {
             self.steady = self.need;
         }
