Take the duties over within four seconds; find dead idle connections out in three

Change: lease spans as a value, the holder's datagrams carry the lease so that watchers time it without asking the store, probes of idle connections with two retries, a plan begins with more.

--- a/cactusglade-daemon/src/edge/duty/hold.rs
+++ b/cactusglade-daemon/src/edge/duty/hold.rs
@@ -5,6 +5,7 @@
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::lease::Action;
 use cactusglade_policy::lease::Lease;
+use cactusglade_policy::lease::Terms;
 use cactusglade_wire::port::Revision;
 use cactusglade_wire::port::Store;
 use cactusglade_wire::port::Write;
@@ -15,6 +16,14 @@
 const TABLE: &str = "lease";
 const KEY: &str = "duties";
 
+/// Spans of the lease: the term is longer than the platform's bound on holders that alternate, and
+/// the margin than any call to the store or the provider.
+const TERMS: Terms = Terms {
+    term: Millis(4_000),
+    margin: Millis(1_700),
+    renewal: Millis(800),
+};
+
 /// `Hold` is one daemon's view of the lease.
 #[derive(Debug)]
 pub struct Hold<S> {
@@ -32,7 +41,7 @@
     pub fn new(store: S, holder: &str, log: Logger) -> Self {
         Self {
             store,
-            lease: Lease::new(holder),
+            lease: Lease::with_terms(holder, TERMS),
             holder: holder.to_owned(),
             row: None,
             is_held: false,
@@ -45,20 +54,31 @@
         self.lease.epoch(now)
     }
 
+    /// The lease while it is safely held, to tell others.
+    pub fn held(&self, now: Millis) -> Option<Row> {
+        self.fence(now)?;
+        self.row.as_ref().map(|(row, _)| row.clone())
+    }
+
     /// Takes or renews the lease where that is due.
     ///
-    /// While another daemon is heard to hold it, the store is not asked.
-    pub async fn keep(&mut self, clock: Clock, has_holder: bool) {
+    /// `heard` is the lease as another daemon tells of it. A watcher asks the store only once it
+    /// has heard no renewal for a term.
+    pub async fn keep(&mut self, clock: Clock, heard: Option<Row>) {
+        let now = clock.now();
         let is_own = self
             .row
             .as_ref()
             .is_some_and(|(row, _)| row.holder == self.holder);
-        if has_holder && !is_own {
-            self.note(clock.now());
+        if let Some(heard) = heard.filter(|_| !is_own) {
+            self.lease.observe(now, Some(heard));
+            self.note(now);
             return;
         }
+        let is_held = is_own && self.fence(now).is_some();
+        let is_due = is_held || is_own || self.lease.is_stale(now);
         // A holder knows the row that it wrote; a watcher has to look.
-        if (!is_own || self.fence(clock.now()).is_none()) && !self.read().await {
+        if !is_due || (!is_held && !self.read().await) {
             self.note(clock.now());
             return;
         }
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -34,7 +34,7 @@
 /// Name of the service.
 pub const NAME: &str = "duty";
 /// Time between two looks at what is due.
-const EVERY: Duration = Duration::from_millis(500);
+const EVERY: Duration = Duration::from_millis(400);
 
 /// `Options` of the service.
 #[derive(Debug)]
@@ -117,10 +117,14 @@
             .await
             .unwrap_or_default();
         self.usage.publish(&standing.windows).await;
-        self.hold.keep(clock, fleet.has_holder).await;
+        self.hold.keep(clock, fleet.lease.clone()).await;
         let fence = self.hold.fence(clock.now());
         // The mesh ends after this service.
-        let _ = self.options.mesh.tell(mesh::Hold(fence.is_some())).await;
+        let _ = self
+            .options
+            .mesh
+            .tell(mesh::Hold(self.hold.held(clock.now())))
+            .await;
         let Some(fence) = fence else {
             self.capacity.rest();
             return;
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
@@ -65,14 +66,14 @@
     /// Work of all daemons since this one started, its own included.
     work: Totals,
     own_work: Totals,
-    holds: bool,
+    lease: Option<Lease>,
     heard: u64,
     daemons: u64,
 }
 
-/// `Hold` says whether this daemon holds the duties.
-#[derive(Clone, Copy, Debug)]
-pub struct Hold(pub bool);
+/// `Hold` passes on the lease on the duties while this daemon holds it.
+#[derive(Clone, Debug)]
+pub struct Hold(pub Option<Lease>);
 
 /// `Look` asks how the fleet stands.
 #[derive(Clone, Copy, Debug)]
@@ -83,8 +84,8 @@
 pub struct Fleet {
     /// Work that all daemons sent to each service, in milliseconds of one upstream.
     pub work: Totals,
-    /// Whether another daemon is heard to hold the duties.
-    pub has_holder: bool,
+    /// The lease on the duties as another daemon holds it that is heard.
+    pub lease: Option<Lease>,
     /// How many daemons there are.
     pub daemons: u64,
     /// How many of them are heard.
@@ -120,7 +121,7 @@
             roster,
             work: Totals::new(),
             own_work: Totals::new(),
-            holds: false,
+            lease: None,
             heard: 0,
             daemons: 0,
         })
@@ -182,7 +183,7 @@
                 .choose_multiple(&mut rand::rng(), NAMED),
             spent: standing.spent,
             work: standing.work,
-            holds: self.holds,
+            lease: self.lease.clone(),
         };
         self.send(&beat).await;
         self.share(now).await;
@@ -211,7 +212,7 @@
             number: beat.number,
             spent: beat.spent,
             work: beat.work,
-            holds: beat.holds,
+            lease: beat.lease,
         };
         let (spent, work) = self.roster.hear(now, beat.from, word);
         for (service, span) in work {
@@ -227,7 +228,7 @@
     type Reply = ();
 
     async fn handle(&mut self, hold: Hold, _: &mut Context<Self, ()>) {
-        self.holds = hold.0;
+        self.lease = hold.0;
     }
 }
 
@@ -241,7 +242,7 @@
         }
         Fleet {
             work,
-            has_holder: self.roster.has_holder(self.options.clock.now()),
+            lease: self.roster.lease(self.options.clock.now()).cloned(),
             daemons: self.daemons,
             heard: self.heard,
         }
--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -36,9 +36,13 @@
 /// Result of a connection.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Time after which a peer that acknowledges nothing is taken as gone, and between two probes of
-/// an idle one; well under the three seconds that callers allow a silent stream.
+/// Time after which a peer that acknowledges nothing is taken as gone; well under the three seconds
+/// that callers allow a silent stream.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Time between two probes of an idle connection, which the system counts in whole seconds.
+const PROBE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which an idle connection is taken as gone.
+const PROBES: u32 = 2;
 
 /// Sets the options by which a connection that has gone silent is found out.
 ///
@@ -49,8 +53,9 @@
     socket.set_nodelay(true)?;
     let socket = SockRef::from(socket);
     let probes = TcpKeepalive::new()
-        .with_time(UNACKNOWLEDGED)
-        .with_interval(UNACKNOWLEDGED);
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -24,8 +24,9 @@
 const LEAST_FIRM: f64 = 1.0;
 /// Part to which the need must fall before fewer upstreams are ordered.
 const LOWER: f64 = 0.8;
-/// Upstreams that a plan of four zones orders in all for each that is needed.
-const USUAL: f64 = 2.25;
+/// Upstreams that are taken to be there for each that is needed, when a plan begins. Plans order
+/// more than two for each; the load of a day's first seconds is not known and may be a surge.
+const USUAL: f64 = 1.5;
 /// Fewest upstreams that the need is taken to be, whatever the load.
 const LEAST_NEED: f64 = 3.0;
 /// Time beyond that of a start after which an order that was not fulfilled is given again.
@@ -81,15 +82,18 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn measure(&mut self, now: Millis, busy: f64, zones: &BTreeMap<String, Zone>) {
         let need = (busy / BUSY).max(LEAST_NEED);
+        let all = zones.values().map(|zone| zone.firm + zone.reclaimable);
+        let all = all.sum::<u64>() as f64;
+        if self.measured.is_none() && all == 0.0 {
+            return;
+        }
         let fallen = match self.measured {
-            Some(measured) => {
+            Some(measured) if busy > 0.0 => {
                 let span = (now - measured).0 as f64 / 1_000.0;
                 self.need * (1.0 - FALL_PER_S * span.min(1.0))
             }
-            None => {
-                let all = zones.values().map(|zone| zone.firm + zone.reclaimable);
-                all.sum::<u64>() as f64 / USUAL
-            }
+            Some(_) => self.need,
+            None => all / USUAL,
         };
         self.need = need.max(fallen);
         self.measured = Some(now);
@@ -116,6 +120,9 @@
         scale: &Scale,
         zones: &BTreeMap<String, Zone>,
     ) -> Vec<Order> {
+        if self.measured.is_none() {
+            return Vec::new();
+        }
         self.notice(now, zones);
         let wanted = self.wanted(now, scale, zones);
         let again = scale.boot + AGAIN;
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -8,12 +8,30 @@
 use cactusglade_core::row::Lease as Row;
 use cactusglade_core::units::Millis;
 
-/// Time after which an unchanged row may be taken over.
+/// Time after which an unchanged row may be taken over, where nothing else is asked for.
 pub const TERM: Millis = Millis(6_000);
-/// Time before the end of the term at which the holder stops.
-const MARGIN: Millis = Millis(2_000);
-/// Time between two renewals.
-const RENEWAL: Millis = Millis(1_500);
+
+/// `Terms` are the spans of a lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Terms {
+    /// Time after which an unchanged row may be taken over.
+    pub term: Millis,
+    /// Time before the end of the term at which the holder stops; what it sent before then must
+    /// have arrived or failed by the end.
+    pub margin: Millis,
+    /// Time between two renewals.
+    pub renewal: Millis,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            term: TERM,
+            margin: Millis(2_000),
+            renewal: Millis(1_500),
+        }
+    }
+}
 
 /// `Action` is what the holder of this value should do next.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,6 +52,7 @@
 #[derive(Debug)]
 pub struct Lease {
     holder: String,
+    terms: Terms,
     seen: Option<Seen>,
     /// When the write that made or renewed the lease was sent.
     renewed: Option<Millis>,
@@ -43,8 +62,15 @@
     /// Starts without the lease; `holder` must be unique for each start of a daemon.
     #[must_use]
     pub fn new(holder: &str) -> Self {
+        Self::with_terms(holder, Terms::default())
+    }
+
+    /// Starts without the lease, with spans of its own.
+    #[must_use]
+    pub fn with_terms(holder: &str, terms: Terms) -> Self {
         Self {
             holder: holder.to_owned(),
+            terms,
             seen: None,
             renewed: None,
         }
@@ -66,7 +92,9 @@
         match row {
             None => Action::Write(self.claim(1)),
             Some(row) if row.holder == self.holder => {
-                let due = self.renewed.is_none_or(|sent| now - sent >= RENEWAL);
+                let due = self
+                    .renewed
+                    .is_none_or(|sent| now - sent >= self.terms.renewal);
                 let renewal = Row {
                     renewal: row.renewal + 1,
                     ..row
@@ -77,11 +105,18 @@
                     Action::Wait
                 }
             }
-            Some(row) if unchanged >= TERM => Action::Write(self.claim(row.epoch + 1)),
+            Some(row) if unchanged >= self.terms.term => Action::Write(self.claim(row.epoch + 1)),
             Some(_) => Action::Wait,
         }
     }
 
+    /// Whether the row was last seen longer ago than a term, so that it is worth a look.
+    #[must_use]
+    pub fn is_stale(&self, now: Millis) -> bool {
+        let seen = self.seen.as_ref();
+        seen.is_none_or(|seen| now - seen.since >= self.terms.term)
+    }
+
     /// Notes that a write which was sent at `sent` is known to have taken effect.
     pub fn written(&mut self, sent: Millis, row: Row) {
         self.seen = Some(Seen {
@@ -96,7 +131,7 @@
     pub fn epoch(&self, now: Millis) -> Option<u64> {
         let sent = self.renewed?;
         let row = self.seen.as_ref()?.row.as_ref()?;
-        let held = row.holder == self.holder && now - sent < TERM - MARGIN;
+        let held = row.holder == self.holder && now - sent < self.terms.term - self.terms.margin;
         held.then_some(row.epoch)
     }
 
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 
 /// Time without word after which a daemon counts as cut off.
@@ -26,8 +27,8 @@
     pub spent: Totals,
     /// Work that each service was sent, in milliseconds of one upstream.
     pub work: Totals,
-    /// Whether it holds the duties.
-    pub holds: bool,
+    /// The lease on the duties, where it holds it.
+    pub lease: Option<Lease>,
 }
 
 #[derive(Debug)]
@@ -107,12 +108,13 @@
         self.peers.values().filter(heard).count() as u64 + 1
     }
 
-    /// Whether another daemon that is heard says that it holds the duties.
+    /// The lease on the duties as another daemon that is heard holds it.
     #[must_use]
-    pub fn has_holder(&self, now: Millis) -> bool {
-        let holds =
-            |peer: &Peer| peer.word.holds && peer.heard.is_some_and(|heard| now - heard < SILENT);
-        self.peers.values().any(holds)
+    pub fn lease(&self, now: Millis) -> Option<&Lease> {
+        let heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now - heard < SILENT);
+        let leases = self.peers.values().filter(heard);
+        let leases = leases.filter_map(|peer| peer.word.lease.as_ref());
+        leases.max_by_key(|lease| lease.epoch)
     }
 
     /// Addresses of all daemons that are not forgotten.
--- a/cactusglade-wire/src/beat/mod.rs
+++ b/cactusglade-wire/src/beat/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use cactusglade_core::row::Lease;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,8 +29,8 @@
     pub spent: BTreeMap<String, u64>,
     /// Work that each service was sent, in milliseconds of one upstream.
     pub work: BTreeMap<String, u64>,
-    /// Whether the sender holds the duties.
-    pub holds: bool,
+    /// The lease on the duties, where the sender holds it.
+    pub lease: Option<Lease>,
 }
 
 impl Beat {
