--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -100,6 +100,7 @@
         let (mut kernel, faults) = Kernel::new(&settings.name, log.clone());
         let (catalog, catalogs) = watch::channel(Arc::default());
         let (draining, drains) = watch::channel(false);
+        let (fleet, size) = watch::channel(1);
         let (phase, phases) = watch::channel(Phase::Serving);
         let clock = Clock::default();
         let broker = broker::Options {
@@ -110,7 +111,7 @@
             log: log.clone(),
         };
         let broker = kernel.start::<Broker>(broker::NAME, broker).await?;
-        Self::follow(&mut kernel, &platform, &broker, &log).await?;
+        Self::follow(&mut kernel, &platform, &broker, &size, &log).await?;
         let state = State {
             catalogs: catalogs.clone(),
             draining: drains,
@@ -121,14 +122,23 @@
         };
         kernel.start::<Ready>(ready::NAME, ready).await?;
         let mesh = mesh::Options {
+            zone: settings.zone.clone(),
             socket: datagrams(settings.peers)?,
             address: settings.peers,
             seeds: settings.seeds.clone(),
             broker: broker.clone(),
+            fleet,
             clock,
             log: log.clone(),
         };
+        let mesh = Mesh::try_new(mesh).map_err(|reason| Error::Listen {
+            address: settings.peers,
+            reason,
+        })?;
         let mesh = kernel.start::<Mesh>(mesh::NAME, mesh).await?;
+        let own = (settings.peers, settings.zone.clone());
+        let (store, name) = (platform.store(), settings.name.clone());
+        tokio::spawn(mesh::find(store, mesh.clone(), name, own, log.clone()));
         let duty = duty::Options {
             name: settings.name.clone(),
             platform: platform.clone(),
@@ -174,6 +184,7 @@
         kernel: &mut Kernel,
         platform: &P,
         broker: &ActorRef<Broker>,
+        fleet: &watch::Receiver<u32>,
         log: &Logger,
     ) -> Result<()> {
         let orders = follow::Options {
@@ -184,6 +195,7 @@
                 catalog: Arc::<Catalog>::default(),
                 log: log.clone(),
             },
+            fleet: fleet.clone(),
             log: log.clone(),
         };
         kernel
@@ -195,6 +207,7 @@
             sink: Entries {
                 broker: broker.clone(),
             },
+            fleet: fleet.clone(),
             log: log.clone(),
         };
         kernel
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -12,6 +12,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::link::Connection;
+use cactusglade_policy::affinity;
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::broker::Report;
@@ -156,14 +157,23 @@
 pub struct Standing {
     /// Requests that began, by window and organisation.
     pub windows: BTreeMap<u64, Counts>,
-    /// Units that each organisation was let use since the start.
-    pub spent: Totals,
-    /// Work that each service was sent since the start, in milliseconds of one upstream.
-    pub work: Totals,
     /// Upstreams that stay, by service and zone.
     pub staying: BTreeMap<String, BTreeMap<String, Zone>>,
 }
 
+/// `Spent` asks for what was spent since the start.
+#[derive(Clone, Copy, Debug)]
+pub struct Spent;
+
+/// `Expense` is what was spent since the start.
+#[derive(Clone, Debug, Default, Reply)]
+pub struct Expense {
+    /// Units that each organisation was let use.
+    pub spent: Totals,
+    /// Work that each service was sent, in milliseconds of one upstream.
+    pub work: Totals,
+}
+
 /// `Sweep` forgets what is over.
 #[derive(Clone, Copy, Debug)]
 pub struct Sweep;
@@ -313,7 +323,7 @@
 
     async fn handle(&mut self, charge: Charge, _: &mut Context<Self, ()>) {
         for (organisation, units) in &charge.0 {
-            self.policy.charge_remote(organisation, *units);
+            self.policy.charge_remote(*organisation, *units);
         }
     }
 }
@@ -340,9 +350,18 @@
         }
         Standing {
             windows: self.windows.counts().clone(),
+            staying,
+        }
+    }
+}
+
+impl Message<Spent> for Broker {
+    type Reply = Expense;
+
+    async fn handle(&mut self, _: Spent, _: &mut Context<Self, Expense>) -> Expense {
+        Expense {
             spent: self.spent.clone(),
             work: self.work.clone(),
-            staying,
         }
     }
 }
@@ -399,9 +418,5 @@
 }
 
 fn add(totals: &mut Totals, name: &str, count: u64) {
-    if let Some(total) = totals.get_mut(name) {
-        *total += count;
-    } else {
-        totals.insert(name.to_owned(), count);
-    }
+    *totals.entry(affinity::number(name)).or_default() += count;
 }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -37,6 +37,7 @@
 pub use messages::Refund;
 pub use messages::Refused;
 pub use messages::Share;
+pub use messages::Spent;
 pub use messages::Stand;
 pub use messages::Standing;
 pub use messages::Store;
--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -4,6 +4,7 @@
 
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::units::Millis;
+use cactusglade_policy::affinity;
 use cactusglade_policy::capacity::Plan;
 use cactusglade_policy::capacity::Zone;
 use cactusglade_wire::port;
@@ -69,7 +70,7 @@
             let Some(scale) = &service.scale else {
                 continue;
             };
-            let total = fleet.work.get(&service.name).copied().unwrap_or_default();
+            let total = fleet.work.get(&affinity::number(&service.name)).copied().unwrap_or_default();
             let load = self.services.entry(service.name.clone()).or_default();
             let has = standing.staying.get(&service.name);
             let has = |zone: &String| has.and_then(|has| has.get(zone)).copied();
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -1,5 +1,8 @@
 //! The service that exchanges datagrams with the other daemons.
 
+mod members;
+
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,9 +12,13 @@
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::roster::Roster;
+use cactusglade_policy::roster::Since;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::roster::Word;
+use cactusglade_policy::roster::Zone;
 use cactusglade_wire::beat::Beat;
+use cactusglade_wire::beat::Datagram;
+use cactusglade_wire::beat::Digest;
 use cactusglade_wire::beat::MAX_BYTES;
 use kameo::Actor;
 use kameo::Reply;
@@ -24,23 +31,31 @@
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
 
+pub use members::find;
+
 /// Name of the service.
 pub const NAME: &str = "mesh";
-/// Time between two datagrams to one daemon, in a fleet of some ten; what an organisation can use
-/// beyond its quota is what it sends in this time.
-const EVERY: Duration = Duration::from_millis(200);
-/// Daemons from which on datagrams grow rarer, so that their number a second stays the same.
-const MANY: u32 = 12;
-/// Addresses that one datagram names.
-const NAMED: usize = 12;
+/// Time between two words in a small zone; what an organisation can use beyond its quota is what
+/// it sends while a word passes three daemons.
+const EVERY: Duration = Duration::from_millis(100);
+/// Daemons in a zone from which on words grow rarer, so that a daemon's datagrams a second stay
+/// the same.
+const MANY: u32 = 8;
+/// Known daemons that one word names.
+const NAMED: usize = 8;
+/// Words between two that also go to daemons which were not heard lately.
+const RARELY: u64 = 10;
 
 /// `Options` of the service.
 #[derive(Debug)]
 pub struct Options {
+    /// Availability zone of the daemon.
+    pub zone: String,
     /// The socket that datagrams go through.
     pub socket: std::net::UdpSocket,
     /// Address at which other daemons reach this one.
@@ -49,6 +64,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The broker, which knows what was spent here.
     pub broker: ActorRef<Broker>,
+    /// Where the number of daemons is shown.
+    pub fleet: watch::Sender<u32>,
     /// The daemon's clock.
     pub clock: Clock,
     /// The daemon's log.
@@ -58,14 +75,19 @@
 /// `Mesh` owns what is known of the other daemons.
 #[derive(Debug)]
 pub struct Mesh {
-    options: Options,
+    address: SocketAddr,
+    zone: String,
+    broker: ActorRef<Broker>,
+    fleet: watch::Sender<u32>,
+    clock: Clock,
+    log: Logger,
     socket: Arc<UdpSocket>,
     incarnation: u64,
     number: u64,
     roster: Roster,
-    /// Work of all daemons since this one started, its own included.
-    work: Totals,
-    own_work: Totals,
+    /// Work that the other zones have told of since this daemon started.
+    far_work: Totals,
+    own: Since,
     lease: Option<Lease>,
     heard: u64,
     daemons: u64,
@@ -86,56 +108,35 @@
     pub work: Totals,
     /// The lease on the duties as another daemon holds it that is heard.
     pub lease: Option<Lease>,
-    /// How many daemons there are.
-    pub daemons: u64,
-    /// How many of them are heard.
-    pub heard: u64,
 }
 
+/// `Members` tells of daemons that the store names.
+#[derive(Clone, Debug)]
+struct Members(Vec<(SocketAddr, String)>);
+
 struct Tick;
 
-struct Came(Beat);
+struct Came(Datagram);
 
 impl Actor for Mesh {
-    type Args = Options;
-    type Error = std::io::Error;
+    type Args = Self;
+    type Error = Infallible;
 
-    async fn on_start(options: Options, actor: ActorRef<Self>) -> Result<Self, std::io::Error> {
-        let socket = Arc::new(UdpSocket::from_std(options.socket.try_clone()?)?);
+    async fn on_start(mesh: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
         tokio::spawn(tick(actor.downgrade()));
-        tokio::spawn(receive(socket.clone(), actor.downgrade()));
-        let mut roster = Roster::default();
-        let now = options.clock.now();
-        for seed in options
-            .seeds
-            .iter()
-            .filter(|seed| **seed != options.address)
-        {
-            roster.know(now, *seed);
-        }
-        Ok(Self {
-            options,
-            socket,
-            incarnation: clock::unix().0,
-            number: 0,
-            roster,
-            work: Totals::new(),
-            own_work: Totals::new(),
-            lease: None,
-            heard: 0,
-            daemons: 0,
-        })
+        tokio::spawn(receive(mesh.socket.clone(), actor.downgrade()));
+        Ok(mesh)
     }
 }
 
-/// Sends ticks until the service has ended, rarer ones in a larger fleet.
+/// Sends ticks until the service has ended, rarer ones in a larger zone.
 async fn tick(actor: WeakActorRef<Mesh>) {
     let mut pause = EVERY;
     loop {
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.9..1.1))).await;
         let Some(actor) = actor.upgrade() else { return };
         match actor.ask(Tick).await {
-            Ok(daemons) => pause = EVERY * daemons.max(MANY) / MANY,
+            Ok(near) => pause = EVERY * near.max(MANY) / MANY,
             Err(_) => return,
         }
     }
@@ -150,8 +151,8 @@
             continue;
         };
         let Some(actor) = actor.upgrade() else { return };
-        if let Some(beat) = Beat::decode(&bytes[..length])
-            && actor.tell(Came(beat)).await.is_err()
+        if let Some(datagram) = Datagram::decode(&bytes[..length])
+            && actor.tell(Came(datagram)).await.is_err()
         {
             return;
         }
@@ -162,32 +163,24 @@
     type Reply = u32;
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, u32>) -> u32 {
-        let now = self.options.clock.now();
+        let now = self.clock.now();
         // The broker ends after this service.
-        let standing = self
-            .options
-            .broker
-            .ask(broker::Stand)
-            .await
-            .unwrap_or_default();
-        self.own_work = standing.work.clone();
+        let totals = self.broker.ask(broker::Spent).await.unwrap_or_default();
+        self.own = Since {
+            spent: totals.spent,
+            work: totals.work,
+        };
         self.number += 1;
         self.roster.expire(now);
-        let beat = Beat {
-            from: self.options.address,
-            incarnation: self.incarnation,
-            number: self.number,
-            known: self
-                .roster
-                .proven()
-                .choose_multiple(&mut rand::rng(), NAMED),
-            spent: standing.spent,
-            work: standing.work,
-            lease: self.lease.clone(),
-        };
-        self.send(&beat).await;
+        self.beat(now).await;
+        if self.roster.is_relay(now) {
+            self.relay(now).await;
+        }
         self.share(now).await;
-        u32::try_from(self.daemons).unwrap_or(u32::MAX)
+        let near = u32::try_from(self.roster.near(now)).unwrap_or(u32::MAX);
+        let pause = EVERY * near.max(MANY) / MANY;
+        self.roster.pace(Millis(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)));
+        near
     }
 }
 
@@ -195,31 +188,30 @@
     type Reply = ();
 
     async fn handle(&mut self, came: Came, _: &mut Context<Self, ()>) {
-        let now = self.options.clock.now();
-        let beat = came.0;
-        if beat.from == self.options.address {
-            return;
-        }
-        for address in beat
-            .known
-            .iter()
-            .filter(|one| **one != self.options.address)
-        {
-            self.roster.know(now, *address);
-        }
-        let word = Word {
-            incarnation: beat.incarnation,
-            number: beat.number,
-            spent: beat.spent,
-            work: beat.work,
-            lease: beat.lease,
+        let now = self.clock.now();
+        let since = match came.0 {
+            Datagram::Beat(beat) => self.hear(now, beat),
+            Datagram::Digest(digest) => {
+                let since = self.hear_zone(now, digest);
+                for (service, span) in &since.work {
+                    *self.far_work.entry(*service).or_default() += span;
+                }
+                since
+            }
         };
-        let (spent, work) = self.roster.hear(now, beat.from, word);
-        for (service, span) in work {
-            *self.work.entry(service).or_default() += span;
+        if !since.spent.is_empty() {
+            let _ = self.broker.tell(broker::Charge(since.spent)).await;
         }
-        if !spent.is_empty() {
-            let _ = self.options.broker.tell(broker::Charge(spent)).await;
+    }
+}
+
+impl Message<Members> for Mesh {
+    type Reply = ();
+
+    async fn handle(&mut self, members: Members, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        for (address, zone) in &members.0 {
+            self.roster.know(now, *address, Some(zone));
         }
     }
 }
@@ -236,26 +228,140 @@
     type Reply = Fleet;
 
     async fn handle(&mut self, _: Look, _: &mut Context<Self, Fleet>) -> Fleet {
-        let mut work = self.work.clone();
-        for (service, span) in &self.own_work {
-            *work.entry(service.clone()).or_default() += span;
+        let mut work = self.far_work.clone();
+        for (service, span) in self.roster.work().iter().chain(&self.own.work) {
+            *work.entry(*service).or_default() += span;
         }
         Fleet {
             work,
-            lease: self.roster.lease(self.options.clock.now()).cloned(),
-            daemons: self.daemons,
-            heard: self.heard,
+            lease: self.roster.lease(self.clock.now()).cloned(),
         }
     }
 }
 
 impl Mesh {
-    async fn send(&self, beat: &Beat) {
-        let Some(bytes) = beat.encode() else {
-            warn!(self.options.log, "beat_too_long"; "organisations" => beat.spent.len());
+    /// Makes the service's state.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket can't be used.
+    pub fn try_new(options: Options) -> std::io::Result<Self> {
+        let pause = Millis(u64::try_from(EVERY.as_millis()).unwrap_or(u64::MAX));
+        let mut roster = Roster::new(&options.zone, options.address, pause);
+        let now = options.clock.now();
+        for seed in &options.seeds {
+            roster.know(now, *seed, None);
+        }
+        let mesh = Self {
+            address: options.address,
+            zone: options.zone,
+            broker: options.broker,
+            fleet: options.fleet,
+            clock: options.clock,
+            log: options.log,
+            socket: Arc::new(UdpSocket::from_std(options.socket)?),
+            incarnation: clock::unix().0,
+            number: 0,
+            roster,
+            far_work: Totals::new(),
+            own: Since::default(),
+            lease: None,
+            heard: 0,
+            daemons: 0,
+        };
+        Ok(mesh)
+    }
+
+    fn hear(&mut self, now: Millis, beat: Beat) -> Since {
+        if beat.from == self.address {
+            return Since::default();
+        }
+        for (address, zone) in &beat.known {
+            self.roster.know(now, *address, Some(zone));
+        }
+        self.roster.know(now, beat.from, Some(&beat.zone));
+        let word = Word {
+            incarnation: beat.incarnation,
+            number: beat.number,
+            spent: beat.spent,
+            work: beat.work,
+            lease: beat.lease,
+        };
+        self.roster.hear(now, beat.from, word)
+    }
+
+    fn hear_zone(&mut self, now: Millis, digest: Digest) -> Since {
+        let word = Word {
+            incarnation: digest.incarnation,
+            number: digest.number,
+            spent: digest.spent,
+            work: digest.work,
+            lease: digest.lease,
+        };
+        let zone = Zone::new(digest.relay, digest.daemons, digest.heard, word);
+        self.roster.hear_zone(now, &digest.zone, zone)
+    }
+
+    /// Tells the daemons of the own zone of this one; those that are silent only now and then.
+    async fn beat(&self, now: Millis) {
+        let places = self.roster.places().choose_multiple(&mut rand::rng(), NAMED);
+        let known = places.into_iter().map(|(address, zone)| (*address, zone.clone()));
+        let beat = Datagram::Beat(Beat {
+            from: self.address,
+            zone: self.zone.clone(),
+            incarnation: self.incarnation,
+            number: self.number,
+            spent: self.own.spent.clone(),
+            work: self.own.work.clone(),
+            lease: self.lease.clone(),
+            known: known.collect(),
+        });
+        if self.number % RARELY == 1 {
+            self.send(&beat, self.roster.peers()).await;
+        } else {
+            self.send(&beat, self.roster.neighbourhood(now)).await;
+        }
+    }
+
+    /// Speaks for the zone to the others, and tells the zone what they have said.
+    async fn relay(&self, now: Millis) {
+        let lease = self.lease.clone();
+        let (daemons, heard, word) = self.roster.summary(now, &self.own, lease);
+        let digest = Datagram::Digest(Digest {
+            zone: self.zone.clone(),
+            relay: self.address,
+            incarnation: self.incarnation,
+            number: self.number,
+            daemons,
+            heard,
+            spent: word.spent,
+            work: word.work,
+            lease: word.lease,
+        });
+        self.send(&digest, self.roster.relays(now)).await;
+        let near = self.roster.neighbourhood(now).collect::<Vec<_>>();
+        for (name, zone) in self.roster.zones(now).filter(|_| !near.is_empty()) {
+            let digest = Datagram::Digest(Digest {
+                zone: name.clone(),
+                relay: zone.relay,
+                incarnation: zone.word.incarnation,
+                number: zone.word.number,
+                daemons: zone.daemons,
+                heard: zone.heard,
+                spent: zone.word.spent.clone(),
+                work: zone.word.work.clone(),
+                lease: zone.word.lease.clone(),
+            });
+            self.send(&digest, near.iter().copied()).await;
+        }
+    }
+
+    async fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
+        let Some(bytes) = datagram.encode() else {
+            warn!(self.log, "datagram_too_long"; "organisations" => self.own.spent.len());
             return;
         };
-        for address in self.roster.addresses() {
+        for address in to {
             // What is lost is made up for by the next datagram.
             let _ = self.socket.send_to(&bytes, address).await;
         }
@@ -268,13 +374,11 @@
         if (daemons, heard) == (self.daemons, self.heard) || daemons == 1 {
             return;
         }
-        info!(self.options.log, "fleet_changed"; "daemons" => daemons, "heard" => heard,
+        info!(self.log, "fleet_changed"; "daemons" => daemons, "heard" => heard,
             "daemons_before" => self.daemons, "heard_before" => self.heard);
         (self.daemons, self.heard) = (daemons, heard);
-        let _ = self
-            .options
-            .broker
-            .tell(broker::Share { daemons, heard })
-            .await;
+        self.fleet.send_replace(u32::try_from(daemons).unwrap_or(u32::MAX));
+        let _ = self.broker.tell(broker::Share { daemons, heard }).await;
     }
 }
+
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -19,6 +19,7 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
@@ -34,9 +35,12 @@
 /// lost the store together do not return together.
 const PAUSE_MS: std::ops::Range<u64> = 100..400;
 
-/// Pause after changes, so that those which come together cost one call; a small part of the two
-/// seconds within which a change must be in force.
-const GATHER: Duration = Duration::from_millis(200);
+/// Pause after changes for each daemon of the fleet, so that changes which come together cost one
+/// call and a larger fleet makes no more calls a second.
+const GATHER: Duration = Duration::from_millis(12);
+/// Shortest and longest such pause; both are a small part of the two seconds within which a
+/// change must be in force.
+const GATHER_BOUNDS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_000)];
 
 /// `Sink` takes what a source tells.
 pub trait Sink<T>: Send + 'static {
@@ -56,6 +60,8 @@
     pub source: S,
     /// Where it passes what it hears.
     pub sink: K,
+    /// Number of daemons in the fleet.
+    pub fleet: watch::Receiver<u32>,
     /// The daemon's log.
     pub log: Logger,
 }
@@ -124,7 +130,9 @@
                 let is_change = !news.items.is_empty();
                 self.took(news, false).await;
                 if is_change {
-                    tokio::time::sleep(GATHER).await;
+                    let daemons = *self.options.fleet.borrow();
+                    let [least, most] = GATHER_BOUNDS;
+                    tokio::time::sleep((GATHER * daemons).clamp(least, most)).await;
                 }
             }
             Err(Error::Compacted) => {
--- a/cactusglade-policy/src/affinity/mod.rs
+++ b/cactusglade-policy/src/affinity/mod.rs
@@ -62,6 +62,13 @@
     })
 }
 
+/// Short number that stands for a name in what daemons tell each other.
+#[must_use]
+#[allow(clippy::cast_possible_truncation)]
+pub fn number(text: &str) -> u32 {
+    mix(name(text)) as u32
+}
+
 /// Spreads a number over all bits, as the finaliser of SplitMix64 does.
 const fn mix(number: u64) -> u64 {
     const FIRST: u64 = 0xbf58_476d_1ce4_e5b9;
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -101,6 +101,8 @@
     services: BTreeMap<String, Vec<arena::Upstream>>,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
+    /// Organisations by the numbers that stand for them between daemons.
+    numbers: BTreeMap<u32, arena::Organisation>,
     daemons: f64,
     /// Share of the daemons that hear each other here.
     share: f64,
@@ -121,6 +123,7 @@
             services: BTreeMap::new(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
+            numbers: BTreeMap::new(),
             daemons: UNKNOWN_DAEMONS,
             share: 1.0 / UNKNOWN_DAEMONS,
             lost: false,
@@ -159,9 +162,9 @@
 
     /// Charges what other daemons let an organisation use.
     #[allow(clippy::cast_precision_loss)]
-    pub fn charge_remote(&mut self, organisation: &str, units: u64) {
-        let key = self.catalog.organisations.find(organisation);
-        if let Some(bucket) = key.and_then(|key| self.buckets.get_mut(&key)) {
+    pub fn charge_remote(&mut self, organisation: u32, units: u64) {
+        let key = self.numbers.get(&organisation);
+        if let Some(bucket) = key.and_then(|key| self.buckets.get_mut(key)) {
             bucket.charge(units as f64);
         }
     }
@@ -170,7 +173,9 @@
         let catalog = self.catalog.clone();
         let known = |key: &arena::Organisation| catalog.organisations.get(*key).is_some();
         self.buckets.retain(|key, _| known(key));
+        self.numbers.clear();
         for (key, organisation) in catalog.organisations.iter() {
+            self.numbers.insert(affinity::number(&organisation.name), key);
             let Some(quota) = &organisation.quota else {
                 self.buckets.remove(&key);
                 continue;
