Read the registry and store the counts once a zone

Change: the daemon that speaks for a zone follows the registry and passes changes on; counts travel in datagrams, so that they outlive their daemon, and one row a zone is stored; a plan looks for three seconds before it orders.

--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -1,7 +1,10 @@
 //! Upstreams as the registry tells of them.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// `Phase` says whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Phase {
     /// It takes new work.
     Ready,
@@ -10,7 +13,7 @@
 }
 
 /// `Instance` is one upstream as registered.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
     /// Name, unique at any time.
     pub name: String,
@@ -33,7 +36,7 @@
 }
 
 /// `Change` is one piece of news from the registry.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Change {
     /// The upstream is registered like this.
     Put(Box<Instance>),
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -33,6 +33,7 @@
 use crate::edge::front::Front;
 use crate::edge::front::Phase;
 use crate::edge::mesh;
+use crate::edge::mesh::Hearsay;
 use crate::edge::mesh::Mesh;
 use crate::edge::ready;
 use crate::edge::ready::Ready;
@@ -42,6 +43,7 @@
 use crate::edge::watch::Entries;
 use crate::edge::watch::OPERATOR;
 use crate::edge::watch::Orders;
+use crate::edge::watch::Relayed;
 use crate::edge::watch::Watch;
 use crate::metrics;
 use crate::metrics::Metrics;
@@ -51,6 +53,8 @@
 const ACCEPTING: Duration = Duration::from_millis(2_600);
 /// Time before the platform kills the process by which everything has ended.
 const SPARE: Duration = Duration::from_millis(400);
+/// Changes of the registry passed on by another daemon that may wait to be taken in.
+const PASSED: usize = 64;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// Error of starting a daemon.
@@ -100,7 +104,6 @@
         let (mut kernel, faults) = Kernel::new(&settings.name, log.clone());
         let (catalog, catalogs) = watch::channel(Arc::default());
         let (draining, drains) = watch::channel(false);
-        let (fleet, size) = watch::channel(1);
         let (phase, phases) = watch::channel(Phase::Serving);
         let clock = Clock::default();
         let broker = broker::Options {
@@ -111,7 +114,6 @@
             log: log.clone(),
         };
         let broker = kernel.start::<Broker>(broker::NAME, broker).await?;
-        Self::follow(&mut kernel, &platform, &broker, &size, &log).await?;
         let state = State {
             catalogs: catalogs.clone(),
             draining: drains,
@@ -121,13 +123,16 @@
             state,
         };
         kernel.start::<Ready>(ready::NAME, ready).await?;
+        let (hearsay, heard) = watch::channel(Hearsay::default());
+        let (entries, passed) = mpsc::channel(PASSED);
         let mesh = mesh::Options {
             zone: settings.zone.clone(),
             socket: datagrams(settings.peers)?,
             address: settings.peers,
             seeds: settings.seeds.clone(),
             broker: broker.clone(),
-            fleet,
+            hearsay,
+            entries,
             clock,
             log: log.clone(),
         };
@@ -139,6 +144,15 @@
         let own = (settings.peers, settings.zone.clone());
         let (store, name) = (platform.store(), settings.name.clone());
         tokio::spawn(mesh::find(store, mesh.clone(), name, own, log.clone()));
+        let registry = Relayed {
+            source: platform.directory(),
+            hearsay: heard,
+            entries: passed,
+            mesh: mesh.clone(),
+            has_asked: false,
+            parts: Vec::new(),
+        };
+        Self::follow(&mut kernel, &platform, registry, &broker, &log).await?;
         let duty = duty::Options {
             name: settings.name.clone(),
             platform: platform.clone(),
@@ -183,8 +197,8 @@
     async fn follow(
         kernel: &mut Kernel,
         platform: &P,
+        registry: Relayed<P::Directory>,
         broker: &ActorRef<Broker>,
-        fleet: &watch::Receiver<u32>,
         log: &Logger,
     ) -> Result<()> {
         let orders = follow::Options {
@@ -195,7 +209,6 @@
                 catalog: Arc::<Catalog>::default(),
                 log: log.clone(),
             },
-            fleet: fleet.clone(),
             log: log.clone(),
         };
         kernel
@@ -203,15 +216,14 @@
             .await?;
         let entries = follow::Options {
             name: DIRECTORY,
-            source: platform.directory(),
+            source: registry,
             sink: Entries {
                 broker: broker.clone(),
             },
-            fleet: fleet.clone(),
             log: log.clone(),
         };
         kernel
-            .start::<Watch<P::Directory, Entries>>(DIRECTORY, entries)
+            .start::<Watch<Relayed<P::Directory>, Entries>>(DIRECTORY, entries)
             .await?;
         Ok(())
     }
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -155,8 +155,6 @@
 /// `Standing` is what the broker tells other services.
 #[derive(Clone, Debug, Default, Reply)]
 pub struct Standing {
-    /// Requests that began, by window and organisation.
-    pub windows: BTreeMap<u64, Counts>,
     /// Upstreams that stay, by service and zone.
     pub staying: BTreeMap<String, BTreeMap<String, Zone>>,
 }
@@ -172,6 +170,8 @@
     pub spent: Totals,
     /// Work that each service was sent, in milliseconds of one upstream.
     pub work: Totals,
+    /// Requests that began, by window and organisation.
+    pub windows: BTreeMap<u64, Counts>,
 }
 
 /// `Sweep` forgets what is over.
@@ -348,10 +348,7 @@
                 zone.firm += 1;
             }
         }
-        Standing {
-            windows: self.windows.counts().clone(),
-            staying,
-        }
+        Standing { staying }
     }
 }
 
@@ -362,6 +359,7 @@
         Expense {
             spent: self.spent.clone(),
             work: self.work.clone(),
+            windows: self.windows.counts().clone(),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -70,7 +70,11 @@
             let Some(scale) = &service.scale else {
                 continue;
             };
-            let total = fleet.work.get(&affinity::number(&service.name)).copied().unwrap_or_default();
+            let total = fleet
+                .work
+                .get(&affinity::number(&service.name))
+                .copied()
+                .unwrap_or_default();
             let load = self.services.entry(service.name.clone()).or_default();
             let has = standing.staying.get(&service.name);
             let has = |zone: &String| has.and_then(|has| has.get(zone)).copied();
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -116,7 +116,9 @@
             .ask(broker::Stand)
             .await
             .unwrap_or_default();
-        self.usage.publish(&standing.windows).await;
+        if let Some(ledger) = &fleet.ledger {
+            self.usage.publish(ledger).await;
+        }
         self.hold.keep(clock, fleet.lease.clone()).await;
         let fence = self.hold.fence(clock.now());
         // The mesh ends after this service.
@@ -134,12 +136,9 @@
             fence,
         };
         let provider = self.options.platform.provider();
-        self.usage
-            .report(&provider, &holder, || {
-                self.hold.fence(clock.now()).is_some()
-            })
-            .await;
         let catalog = self.options.catalogs.borrow().clone();
+        let holds = || self.hold.fence(clock.now()).is_some();
+        self.usage.report(&provider, &holder, &catalog, holds).await;
         let orders = self
             .capacity
             .orders(clock.now(), &catalog, &fleet, &standing);
@@ -157,12 +156,10 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Flush, _: &mut Context<Self, ()>) {
-        let standing = self
-            .options
-            .broker
-            .ask(broker::Stand)
-            .await
-            .unwrap_or_default();
-        self.usage.flush(&standing.windows).await;
+        // The mesh ends after this service.
+        let fleet = self.options.mesh.ask(mesh::Look).await;
+        if let Some(ledger) = fleet.ok().and_then(|fleet| fleet.ledger) {
+            self.usage.flush(&ledger).await;
+        }
     }
 }
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -1,10 +1,13 @@
-//! Usage reports: each daemon stores its counts, the holder fixes their sums and reports them.
+//! Usage reports: a daemon of each zone stores its counts, the holder fixes the sums and reports.
 
 use std::collections::BTreeMap;
 
+use cactusglade_core::catalog::Catalog;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
+use cactusglade_policy::affinity;
 use cactusglade_policy::usage::Counts;
+use cactusglade_policy::usage::Ledger;
 use cactusglade_policy::usage::Windows;
 use cactusglade_wire::port::Holder;
 use cactusglade_wire::port::Platform;
@@ -20,40 +23,42 @@
 
 use super::Options;
 
-/// Table of the daemons' own counts, a row a daemon.
+/// Table of the ledgers, a row for each daemon that has spoken for a zone.
 const COUNTS: &str = "usage";
 /// Table of the sums as they were fixed, in one row.
 const SUMS: &str = "report";
 const SUMS_KEY: &str = "sums";
-/// Time after a window's end at which a daemon stores its counts, for clocks that differ a little.
-const CLOSE: Millis = Millis(300);
+/// Time after a window's end at which a ledger is stored: the counts of clocks that differ a
+/// little have come by then.
+const CLOSE: Millis = Millis(700);
 /// Time after a window's end from which its sums may be fixed.
-const SETTLE: Millis = Millis(1_500);
-/// Time after a window's end until which daemons that have not stored their counts are awaited.
+const SETTLE: Millis = Millis(2_000);
+/// Time after a window's end until which ledgers that were not stored yet are awaited.
 const AWAIT: Millis = Millis(5_000);
-/// Windows behind the newest at which a daemon's row is taken for one of a daemon that is gone.
+/// Windows behind the newest at which a row is taken for one of a daemon that speaks no longer.
 const STALE: u64 = 3;
 /// Sums that are kept.
 const KEPT: usize = 6;
 
-/// `Share` is a daemon's row: what began there.
+/// `Sums` are the counts of a window by the organisations' names.
+type Sums = BTreeMap<String, u64>;
+
+/// `Page` is a row of the ledgers' table.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-struct Share {
+struct Page {
     /// Last window that has ended and is counted whole.
     through: u64,
-    /// Counts by window.
-    windows: BTreeMap<u64, Counts>,
+    /// Counts by window and daemon.
+    windows: BTreeMap<u64, BTreeMap<String, Counts>>,
 }
 
-/// `Usage` stores this daemon's counts and, as holder, reports the sums.
+/// `Usage` stores the zone's ledger and, as holder, reports the sums.
 #[derive(Debug)]
 pub struct Usage<S> {
     store: S,
     name: String,
     windows: Windows,
     late: Millis,
-    /// Counts of the starts of this daemon before this one, once they are known.
-    before: Option<BTreeMap<u64, Counts>>,
     through: u64,
     reported: Option<u64>,
     /// First window that this daemon can vouch for as holder.
@@ -70,7 +75,6 @@
             store,
             name: options.name.clone(),
             late: options.late,
-            before: None,
             through: now.saturating_sub(1),
             reported: None,
             first: now.saturating_sub(2),
@@ -79,33 +83,27 @@
         }
     }
 
-    /// Stores this daemon's counts once another window has ended.
-    pub async fn publish(&mut self, counts: &BTreeMap<u64, Counts>) {
+    /// Stores the zone's ledger once another window has ended.
+    pub async fn publish(&mut self, ledger: &Ledger) {
         let unix = clock::unix();
         let ended = self.windows.window(unix - CLOSE).saturating_sub(1);
-        if ended > self.through && self.put(counts, ended).await {
+        if ended > self.through && self.put(ledger, ended).await {
             self.through = ended;
         }
     }
 
-    /// Stores this daemon's counts at once, also those of the window under way.
-    pub async fn flush(&mut self, counts: &BTreeMap<u64, Counts>) {
+    /// Stores the ledger at once, also with the window under way.
+    pub async fn flush(&mut self, ledger: &Ledger) {
         let window = self.windows.window(clock::unix());
-        self.put(counts, window).await;
+        self.put(ledger, window.saturating_sub(1)).await;
     }
 
-    async fn put(&mut self, counts: &BTreeMap<u64, Counts>, through: u64) -> bool {
-        let Some(before) = self.before().await else {
-            return false;
+    async fn put(&self, ledger: &Ledger, through: u64) -> bool {
+        let page = Page {
+            through,
+            windows: ledger.windows().clone(),
         };
-        let mut windows = before.clone();
-        for (window, counts) in counts {
-            add(windows.entry(*window).or_default(), counts);
-        }
-        let oldest = through.saturating_sub(STALE + 1);
-        windows.retain(|window, _| *window >= oldest);
-        let share = Share { through, windows };
-        let Ok(value) = serde_json::to_vec(&share) else {
+        let Ok(value) = serde_json::to_vec(&page) else {
             return false;
         };
         let write = Write {
@@ -123,37 +121,12 @@
         }
     }
 
-    /// What the starts of this daemon before this one had counted.
-    async fn before(&mut self) -> Option<&BTreeMap<u64, Counts>> {
-        if self.before.is_none() {
-            let shares = self.shares().await?;
-            let own = shares.into_iter().find(|(name, _)| *name == self.name);
-            self.before = Some(own.map(|(_, share)| share.windows).unwrap_or_default());
-        }
-        self.before.as_ref()
-    }
-
-    async fn shares(&self) -> Option<Vec<(String, Share)>> {
-        match self.store.rows(COUNTS).await {
-            Ok(rows) => {
-                let shares = rows.into_iter().filter_map(|row| {
-                    let share = serde_json::from_slice(&row.value).ok()?;
-                    Some((row.key, share))
-                });
-                Some(shares.collect())
-            }
-            Err(error) => {
-                warn!(self.log, "usage_unread"; "reason" => %error);
-                None
-            }
-        }
-    }
-
-    /// Reports the windows that have ended, the oldest first.
+    /// Reports the next window that has ended.
     pub async fn report(
         &mut self,
         provider: &impl Provider,
         holder: &Holder,
+        catalog: &Catalog,
         holds: impl Fn() -> bool,
     ) {
         let unix = clock::unix();
@@ -163,7 +136,7 @@
         let Some(window) = (next..=newest).find(|window| due(*window)) else {
             return;
         };
-        let Some(counts) = self.fixed(window, unix).await else {
+        let Some(counts) = self.fixed(window, unix, catalog).await else {
             return;
         };
         if !holds() {
@@ -183,7 +156,7 @@
 
     /// The sums of a window, which are fixed before they are first reported, so that every report
     /// of a window is the same whoever sends it.
-    async fn fixed(&self, window: u64, unix: Millis) -> Option<Counts> {
+    async fn fixed(&self, window: u64, unix: Millis, catalog: &Catalog) -> Option<Sums> {
         let rows = match self.store.rows(SUMS).await {
             Ok(rows) => rows,
             Err(error) => {
@@ -194,11 +167,11 @@
         let row = rows.into_iter().find(|row| row.key == SUMS_KEY);
         let revision = row.as_ref().map_or(Revision(0), |row| row.revision);
         let sums = row.and_then(|row| serde_json::from_slice(&row.value).ok());
-        let mut sums: BTreeMap<u64, Counts> = sums.unwrap_or_default();
+        let mut sums: BTreeMap<u64, Sums> = sums.unwrap_or_default();
         if let Some(counts) = sums.get(&window) {
             return Some(counts.clone());
         }
-        let counts = self.sum(window, unix).await?;
+        let counts = self.sum(window, unix, catalog).await?;
         sums.insert(window, counts.clone());
         while sums.len() > KEPT {
             sums.pop_first();
@@ -219,27 +192,35 @@
         }
     }
 
-    /// Adds up what all daemons counted, once all have stored it or that takes too long.
-    async fn sum(&self, window: u64, unix: Millis) -> Option<Counts> {
-        let shares = self.shares().await?;
-        let is_waiting = shares
+    /// Adds up what all daemons counted, once all zones have stored it or that takes too long.
+    async fn sum(&self, window: u64, unix: Millis, catalog: &Catalog) -> Option<Sums> {
+        let rows = match self.store.rows(COUNTS).await {
+            Ok(rows) => rows,
+            Err(error) => {
+                warn!(self.log, "usage_unread"; "reason" => %error);
+                return None;
+            }
+        };
+        let pages = rows
+            .iter()
+            .filter_map(|row| serde_json::from_slice(&row.value).ok());
+        let pages = pages.collect::<Vec<Page>>();
+        let is_waiting = pages
             .iter()
-            .any(|(_, share)| share.through < window && share.through + STALE > window);
+            .any(|page| page.through < window && page.through + STALE > window);
         if is_waiting && unix < self.windows.end(window) + AWAIT {
             return None;
         }
-        let mut sum = Counts::new();
-        for (_, share) in &shares {
-            if let Some(counts) = share.windows.get(&window) {
-                add(&mut sum, counts);
-            }
+        let mut ledger = Ledger::default();
+        for page in &pages {
+            ledger.merge(&page.windows);
         }
-        Some(sum)
-    }
-}
-
-fn add(sum: &mut Counts, counts: &Counts) {
-    for (organisation, count) in counts {
-        *sum.entry(organisation.clone()).or_default() += count;
+        let sum = ledger.sum(window);
+        let names = catalog.organisations.names();
+        let sums = names.filter_map(|name| {
+            let count = sum.get(&affinity::number(name))?;
+            Some((name.to_owned(), *count))
+        });
+        Some(sums.collect())
     }
 }
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -19,6 +19,9 @@
 /// heard of from those that they greet.
 const PAUSES: std::ops::Range<Duration> = Duration::from_millis(500)..Duration::from_secs(60);
 
+/// Growth of the pause.
+const FACTOR: u32 = 4;
+
 #[derive(Debug, Deserialize, Serialize)]
 struct Member {
     address: SocketAddr,
@@ -64,7 +67,7 @@
                     return;
                 }
                 if is_written {
-                    pause = (pause * 2).min(PAUSES.end);
+                    pause = (pause * FACTOR).min(PAUSES.end);
                 }
             }
             Err(error) => warn!(log, "members_unread"; "reason" => %error),
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -2,11 +2,13 @@
 
 mod members;
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusglade_core::fleet::Change;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
@@ -16,10 +18,13 @@
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::roster::Word;
 use cactusglade_policy::roster::Zone;
+use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::beat::Beat;
 use cactusglade_wire::beat::Datagram;
 use cactusglade_wire::beat::Digest;
+use cactusglade_wire::beat::Entries;
 use cactusglade_wire::beat::MAX_BYTES;
+use cactusglade_wire::beat::Registry;
 use kameo::Actor;
 use kameo::Reply;
 use kameo::actor::ActorRef;
@@ -31,6 +36,7 @@
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::edge::broker;
@@ -51,6 +57,10 @@
 /// Words between two that also go to daemons which were not heard lately.
 const RARELY: u64 = 10;
 
+/// Age from which a daemon's word on the registry is no longer relied on; the store is asked anew
+/// each second, and a leaving upstream may get requests for two.
+const STALE: Millis = Millis(1_400);
+
 /// `Options` of the service.
 #[derive(Debug)]
 pub struct Options {
@@ -64,8 +74,10 @@
     pub seeds: Vec<SocketAddr>,
     /// The broker, which knows what was spent here.
     pub broker: ActorRef<Broker>,
-    /// Where the number of daemons is shown.
-    pub fleet: watch::Sender<u32>,
+    /// Where it is shown how the daemon that speaks for the zone knows the registry.
+    pub hearsay: watch::Sender<Hearsay>,
+    /// Where changes of the registry go that it passes on.
+    pub entries: mpsc::Sender<Entries>,
     /// The daemon's clock.
     pub clock: Clock,
     /// The daemon's log.
@@ -78,7 +90,6 @@
     address: SocketAddr,
     zone: String,
     broker: ActorRef<Broker>,
-    fleet: watch::Sender<u32>,
     clock: Clock,
     log: Logger,
     socket: Arc<UdpSocket>,
@@ -89,10 +100,38 @@
     far_work: Totals,
     own: Since,
     lease: Option<Lease>,
+    counts: BTreeMap<u64, Totals>,
+    /// What the daemons that were heard have counted, this one included.
+    ledger: Ledger,
+    /// How this daemon knows the registry itself.
+    registry: Registry,
+    /// When the store last told this daemon of the registry.
+    told: Option<Millis>,
+    /// What the daemon that speaks for the zone says of the registry, and what it has passed on.
+    hearsay: watch::Sender<Hearsay>,
+    entries: mpsc::Sender<Entries>,
     heard: u64,
     daemons: u64,
 }
 
+/// `Hearsay` is how another daemon of the zone knows the registry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Hearsay {
+    /// Revision up to which it knows the entries; nothing where no daemon reads them for this one.
+    pub revision: Option<u64>,
+}
+
+/// `Told` says that the store has told this daemon of the registry.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// Revision that the changes follow.
+    pub after: u64,
+    /// Revision that they lead to.
+    pub revision: u64,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
 /// `Hold` passes on the lease on the duties while this daemon holds it.
 #[derive(Clone, Debug)]
 pub struct Hold(pub Option<Lease>);
@@ -108,6 +147,8 @@
     pub work: Totals,
     /// The lease on the duties as another daemon holds it that is heard.
     pub lease: Option<Lease>,
+    /// What the daemons of the zone have counted, where this one speaks for it.
+    pub ledger: Option<Ledger>,
 }
 
 /// `Members` tells of daemons that the store names.
@@ -170,8 +211,12 @@
             spent: totals.spent,
             work: totals.work,
         };
+        self.ledger
+            .hear(&self.name(self.address, self.incarnation), &totals.windows);
+        self.counts = totals.windows;
         self.number += 1;
         self.roster.expire(now);
+        self.listen(now);
         self.beat(now).await;
         if self.roster.is_relay(now) {
             self.relay(now).await;
@@ -179,7 +224,8 @@
         self.share(now).await;
         let near = u32::try_from(self.roster.near(now)).unwrap_or(u32::MAX);
         let pause = EVERY * near.max(MANY) / MANY;
-        self.roster.pace(Millis(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)));
+        self.roster
+            .pace(Millis(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)));
         near
     }
 }
@@ -198,6 +244,11 @@
                 }
                 since
             }
+            Datagram::Entries(entries) => {
+                // One that finds no room is made up for by a call.
+                let _ = self.entries.try_send(entries);
+                return;
+            }
         };
         if !since.spent.is_empty() {
             let _ = self.broker.tell(broker::Charge(since.spent)).await;
@@ -224,17 +275,37 @@
     }
 }
 
+impl Message<Told> for Mesh {
+    type Reply = ();
+
+    async fn handle(&mut self, told: Told, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.registry.revision = self.registry.revision.max(told.revision);
+        self.told = Some(now);
+        if !self.roster.is_relay(now) {
+            return;
+        }
+        let near = self.roster.neighbourhood(now).collect::<Vec<_>>();
+        for part in Entries::cut(told.after, told.revision, &told.changes) {
+            self.send(&Datagram::Entries(part), near.iter().copied())
+                .await;
+        }
+    }
+}
+
 impl Message<Look> for Mesh {
     type Reply = Fleet;
 
     async fn handle(&mut self, _: Look, _: &mut Context<Self, Fleet>) -> Fleet {
+        let now = self.clock.now();
         let mut work = self.far_work.clone();
         for (service, span) in self.roster.work().iter().chain(&self.own.work) {
             *work.entry(*service).or_default() += span;
         }
         Fleet {
             work,
-            lease: self.roster.lease(self.clock.now()).cloned(),
+            lease: self.roster.lease(now).cloned(),
+            ledger: self.roster.is_relay(now).then(|| self.ledger.clone()),
         }
     }
 }
@@ -256,7 +327,6 @@
             address: options.address,
             zone: options.zone,
             broker: options.broker,
-            fleet: options.fleet,
             clock: options.clock,
             log: options.log,
             socket: Arc::new(UdpSocket::from_std(options.socket)?),
@@ -266,6 +336,12 @@
             far_work: Totals::new(),
             own: Since::default(),
             lease: None,
+            counts: BTreeMap::new(),
+            ledger: Ledger::default(),
+            registry: Registry::default(),
+            told: None,
+            hearsay: options.hearsay,
+            entries: options.entries,
             heard: 0,
             daemons: 0,
         };
@@ -280,6 +356,13 @@
             self.roster.know(now, *address, Some(zone));
         }
         self.roster.know(now, beat.from, Some(&beat.zone));
+        if beat.zone == self.zone {
+            let name = self.name(beat.from, beat.incarnation);
+            self.ledger.hear(&name, &beat.counts);
+            if self.roster.speaker(now) == Some(beat.from) {
+                self.show(beat.registry);
+            }
+        }
         let word = Word {
             incarnation: beat.incarnation,
             number: beat.number,
@@ -290,6 +373,32 @@
         self.roster.hear(now, beat.from, word)
     }
 
+    /// Name of a start of a daemon in the ledger.
+    fn name(&self, address: SocketAddr, incarnation: u64) -> String {
+        format!("{address}/{incarnation}")
+    }
+
+    /// Shows how the daemon that speaks for the zone knows the registry, while it knows it well.
+    fn show(&self, registry: Registry) {
+        let is_fresh = registry.age_ms.is_some_and(|age| Millis(age) < STALE);
+        let hearsay = Hearsay {
+            revision: is_fresh.then_some(registry.revision),
+        };
+        self.hearsay.send_if_modified(|shown| {
+            let is_new = *shown != hearsay;
+            *shown = hearsay;
+            is_new
+        });
+    }
+
+    /// Stops relying on others where no other daemon speaks for the zone.
+    fn listen(&mut self, now: Millis) {
+        self.registry.age_ms = self.told.map(|told| (now - told).0);
+        if self.roster.is_relay(now) {
+            self.show(Registry::default());
+        }
+    }
+
     fn hear_zone(&mut self, now: Millis, digest: Digest) -> Since {
         let word = Word {
             incarnation: digest.incarnation,
@@ -304,8 +413,13 @@
 
     /// Tells the daemons of the own zone of this one; those that are silent only now and then.
     async fn beat(&self, now: Millis) {
-        let places = self.roster.places().choose_multiple(&mut rand::rng(), NAMED);
-        let known = places.into_iter().map(|(address, zone)| (*address, zone.clone()));
+        let places = self
+            .roster
+            .places()
+            .choose_multiple(&mut rand::rng(), NAMED);
+        let known = places
+            .into_iter()
+            .map(|(address, zone)| (*address, zone.clone()));
         let beat = Datagram::Beat(Beat {
             from: self.address,
             zone: self.zone.clone(),
@@ -314,6 +428,8 @@
             spent: self.own.spent.clone(),
             work: self.own.work.clone(),
             lease: self.lease.clone(),
+            counts: self.counts.clone(),
+            registry: self.registry,
             known: known.collect(),
         });
         if self.number % RARELY == 1 {
@@ -377,8 +493,6 @@
         info!(self.log, "fleet_changed"; "daemons" => daemons, "heard" => heard,
             "daemons_before" => self.daemons, "heard_before" => self.heard);
         (self.daemons, self.heard) = (daemons, heard);
-        self.fleet.send_replace(u32::try_from(daemons).unwrap_or(u32::MAX));
         let _ = self.broker.tell(broker::Share { daemons, heard }).await;
     }
 }
-
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -1,5 +1,7 @@
 //! The services that follow what operators ask for and which upstreams there are.
 
+mod relayed;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
@@ -19,28 +21,26 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::oneshot;
-use tokio::sync::watch;
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
 
+pub use relayed::Relayed;
+
 /// Name of the service that follows the operators.
 pub const OPERATOR: &str = "operator";
 /// Name of the service that follows the registry.
 pub const DIRECTORY: &str = "directory";
 /// Time for which the store is asked to wait for the first change; a connection that has gone
 /// silent is found out sooner, by its probes.
-const WAIT: Millis = Millis(10_000);
+const WAIT: Millis = Millis(25_000);
 /// Shortest and longest pause after a call that failed; drawn at random, so that daemons which
 /// lost the store together do not return together.
 const PAUSE_MS: std::ops::Range<u64> = 100..400;
 
-/// Pause after changes for each daemon of the fleet, so that changes which come together cost one
-/// call and a larger fleet makes no more calls a second.
-const GATHER: Duration = Duration::from_millis(12);
-/// Shortest and longest such pause; both are a small part of the two seconds within which a
-/// change must be in force.
-const GATHER_BOUNDS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_000)];
+/// Pause after changes, so that those which come together cost one call; a small part of the two
+/// seconds within which a change must be in force.
+const GATHER: Duration = Duration::from_millis(200);
 
 /// `Sink` takes what a source tells.
 pub trait Sink<T>: Send + 'static {
@@ -60,8 +60,6 @@
     pub source: S,
     /// Where it passes what it hears.
     pub sink: K,
-    /// Number of daemons in the fleet.
-    pub fleet: watch::Receiver<u32>,
     /// The daemon's log.
     pub log: Logger,
 }
@@ -130,9 +128,7 @@
                 let is_change = !news.items.is_empty();
                 self.took(news, false).await;
                 if is_change {
-                    let daemons = *self.options.fleet.borrow();
-                    let [least, most] = GATHER_BOUNDS;
-                    tokio::time::sleep((GATHER * daemons).clamp(least, most)).await;
+                    tokio::time::sleep(GATHER).await;
                 }
             }
             Err(Error::Compacted) => {
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -175,7 +175,8 @@
         self.buckets.retain(|key, _| known(key));
         self.numbers.clear();
         for (key, organisation) in catalog.organisations.iter() {
-            self.numbers.insert(affinity::number(&organisation.name), key);
+            self.numbers
+                .insert(affinity::number(&organisation.name), key);
             let Some(quota) = &organisation.quota else {
                 self.buckets.remove(&key);
                 continue;
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -24,6 +24,9 @@
 const LEAST_FIRM: f64 = 1.0;
 /// Part to which the need must fall before fewer upstreams are ordered.
 const LOWER: f64 = 0.8;
+/// Time for which a plan that begins looks at what there is before it gives orders; upstreams that
+/// start together register within one or two of their heartbeats.
+const LEARN: Millis = Millis(3_000);
 /// Upstreams that are taken to be there for each that is needed, when a plan begins. Plans order
 /// more than two for each; the load of a day's first seconds is not known and may be a surge.
 const USUAL: f64 = 1.5;
@@ -68,6 +71,8 @@
     /// The need that orders rest on.
     steady: f64,
     measured: Option<Millis>,
+    /// When upstreams were first seen.
+    begun: Option<Millis>,
     /// When reclaimable upstreams were last taken away, and how many there were before.
     reclaimed: Option<Millis>,
     reclaimable: u64,
@@ -84,16 +89,17 @@
         let need = (busy / BUSY).max(LEAST_NEED);
         let all = zones.values().map(|zone| zone.firm + zone.reclaimable);
         let all = all.sum::<u64>() as f64;
-        if self.measured.is_none() && all == 0.0 {
+        if all == 0.0 && self.begun.is_none() {
             return;
         }
+        let begun = *self.begun.get_or_insert(now);
         let fallen = match self.measured {
+            _ if now - begun < LEARN => self.need.max(all / USUAL),
             Some(measured) if busy > 0.0 => {
                 let span = (now - measured).0 as f64 / 1_000.0;
                 self.need * (1.0 - FALL_PER_S * span.min(1.0))
             }
-            Some(_) => self.need,
-            None => all / USUAL,
+            _ => self.need,
         };
         self.need = need.max(fallen);
         self.measured = Some(now);
@@ -120,7 +126,7 @@
         scale: &Scale,
         zones: &BTreeMap<String, Zone>,
     ) -> Vec<Order> {
-        if self.measured.is_none() {
+        if self.begun.is_none_or(|begun| now - begun < LEARN) {
             return Vec::new();
         }
         self.notice(now, zones);
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -196,7 +196,14 @@
     /// Whether this daemon speaks for its zone.
     #[must_use]
     pub fn is_relay(&self, now: Millis) -> bool {
-        self.neighbours(now).all(|(address, _)| *address > self.own)
+        self.speaker(now).is_none()
+    }
+
+    /// The daemon that speaks for this one's zone, where that is another.
+    #[must_use]
+    pub fn speaker(&self, now: Millis) -> Option<SocketAddr> {
+        let least = self.neighbours(now).map(|(address, _)| *address).min();
+        least.filter(|address| *address < self.own)
     }
 
     /// The lease on the duties as another daemon that is heard holds it.
@@ -219,7 +226,9 @@
         merge(&mut told.work, &own.work);
         let near = self.neighbours(now);
         let near = near.filter_map(|(_, peer)| peer.word.lease.clone());
-        let lease = near.chain(lease).max_by_key(|lease| (lease.epoch, lease.renewal));
+        let lease = near
+            .chain(lease)
+            .max_by_key(|lease| (lease.epoch, lease.renewal));
         let known = self.peers.values().filter(|peer| peer.heard.is_some());
         let word = Word {
             spent: told.spent,
@@ -239,7 +248,9 @@
     /// What the other zones have told, for the neighbours.
     pub fn zones(&self, now: Millis) -> impl Iterator<Item = (&String, &Zone)> {
         let silent = self.silent_zone();
-        self.zones.iter().filter(move |(_, zone)| now - zone.at < silent)
+        self.zones
+            .iter()
+            .filter(move |(_, zone)| now - zone.at < silent)
     }
 
     /// Addresses of the own zone, and those whose zone is not known.
--- a/cactusglade-wire/src/beat/mod.rs
+++ b/cactusglade-wire/src/beat/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use bincode::Options;
+use cactusglade_core::fleet::Change;
 use cactusglade_core::row::Lease;
 use serde::Deserialize;
 use serde::Serialize;
@@ -58,10 +59,58 @@
     pub work: Totals,
     /// The lease on the duties, where the sender holds it.
     pub lease: Option<Lease>,
+    /// Requests that began lately at the sender, by window and organisation.
+    pub counts: BTreeMap<u64, Totals>,
+    /// How the sender knows the registry.
+    pub registry: Registry,
     /// Some daemons that the sender knows, with their zones.
     pub known: Vec<(SocketAddr, String)>,
 }
 
+/// `Registry` says how a daemon knows the registry of upstreams.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Registry {
+    /// Revision up to which it knows the entries.
+    pub revision: u64,
+    /// Milliseconds since the store last told it so itself, where it ever did.
+    pub age_ms: Option<u64>,
+}
+
+/// `Entries` are changes of the registry as a daemon read them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entries {
+    /// Revision that they follow.
+    pub after: u64,
+    /// Revision that they lead to, once all parts are there.
+    pub revision: u64,
+    /// Place of this part.
+    pub part: usize,
+    /// How many parts there are.
+    pub parts: usize,
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+}
+
+/// Changes in one part; an entry takes about a hundred bytes.
+const PART: usize = 10;
+
+impl Entries {
+    /// Cuts changes into parts that each fit a datagram.
+    #[must_use]
+    pub fn cut(after: u64, revision: u64, changes: &[Change]) -> Vec<Self> {
+        let parts = changes.chunks(PART).enumerate();
+        let count = changes.len().div_ceil(PART);
+        let parts = parts.map(|(part, changes)| Self {
+            after,
+            revision,
+            part,
+            parts: count,
+            changes: changes.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Datagram` is one datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -69,6 +118,8 @@
     Beat(Beat),
     /// From the daemon that speaks for another zone, or passed on by the one of the own zone.
     Digest(Digest),
+    /// From the daemon that speaks for the own zone.
+    Entries(Entries),
 }
 
 impl Datagram {
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -55,16 +55,16 @@
 }
 
 /// `Source` tells of things that change.
-pub trait Source: Clone + Send + Sync + 'static {
+pub trait Source: Send + 'static {
     /// What it tells of.
     type Item: Send + 'static;
 
     /// All that there is.
-    fn read(&self) -> impl Future<Output = Result<News<Self::Item>>> + Send;
+    fn read(&mut self) -> impl Future<Output = Result<News<Self::Item>>> + Send;
 
     /// What has changed since a revision; waits up to `wait` for the first change.
     fn follow(
-        &self,
+        &mut self,
         after: Revision,
         wait: Millis,
     ) -> impl Future<Output = Result<News<Self::Item>>> + Send;
