--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -162,12 +162,23 @@
     pub limits: Limits,
     /// Services.
     pub services: Vec<Service>,
-    /// Routes, each with host, path prefix and services by name; the route's own split is empty.
-    pub routes: Vec<(Path, Route, Vec<(String, u64)>)>,
+    /// Routes, whose services are still names.
+    pub routes: Vec<Placed>,
     /// Organisations with their API keys.
     pub organisations: Vec<(Organisation, Vec<String>)>,
 }
 
+/// `Placed` is a route as read, with its place.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Where the route is found.
+    pub path: Path,
+    /// The route; its own split is empty.
+    pub route: Route,
+    /// Names of services with their shares of the traffic.
+    pub split: Vec<(String, u64)>,
+}
+
 /// `Path` is where a route is found.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Path {
@@ -219,7 +230,7 @@
             let key = next.organisations.put(&name, organisation, |_, _| true);
             next.keys.extend(keys.into_iter().map(|text| (text, key)));
         }
-        for (path, mut route, split) in draft.routes {
+        for Placed { path, mut route, split } in draft.routes {
             for (service, weight) in split {
                 let Some(key) = next.services.find(&service) else {
                     let route = route.name;
@@ -263,7 +274,7 @@
         self.services
             .retain(|name| draft.services.iter().any(|service| service.name == name));
         self.routes
-            .retain(|name| draft.routes.iter().any(|(_, route, _)| route.name == name));
+            .retain(|name| draft.routes.iter().any(|placed| placed.route.name == name));
         self.organisations.retain(|name| {
             let mut all = draft.organisations.iter();
             all.any(|(organisation, _)| organisation.name == name)
--- /dev/null
+++ b/cactusglade-core/tests/catalog.rs
@@ -0,0 +1,93 @@
+//! Routes and keys are found as operators wrote them, from one version to the next.
+
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::catalog::Draft;
+use cactusglade_core::catalog::Error;
+use cactusglade_core::catalog::Organisation;
+use cactusglade_core::catalog::Path;
+use cactusglade_core::catalog::Placed;
+use cactusglade_core::catalog::Repeat;
+use cactusglade_core::catalog::Route;
+use cactusglade_core::catalog::Service;
+use cactusglade_core::units::Millis;
+
+fn route(name: &str, host: &str, prefix: &str, service: &str) -> Placed {
+    Placed {
+        path: Path {
+            host: host.to_owned(),
+            prefix: prefix.to_owned(),
+        },
+        route: Route {
+            name: name.to_owned(),
+            repeat: Repeat::Once,
+            timeout: Millis(1_000),
+            goal: Millis(100),
+            gap: Millis(500),
+            rank: 0,
+            attempts: 1,
+            is_public: false,
+            split: Vec::new(),
+        },
+        split: vec![(service.to_owned(), 1)],
+    }
+}
+
+fn draft(version: u64, routes: Vec<Placed>, keys: &[&str]) -> Draft {
+    let organisation = Organisation {
+        name: "north".to_owned(),
+        rank: None,
+        quota: None,
+    };
+    Draft {
+        version,
+        services: vec![Service {
+            name: "app".to_owned(),
+            is_engine: false,
+            moves: false,
+            stride: 0,
+            scale: None,
+        }],
+        routes,
+        organisations: vec![(organisation, keys.iter().map(|key| (*key).to_owned()).collect())],
+        ..Draft::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_taken() {
+    let routes = vec![
+        route("short", "h", "/a/", "app"),
+        route("long", "h", "/a/b/", "app"),
+        route("other", "i", "/a/b/c/", "app"),
+    ];
+    let catalog = Catalog::try_new(draft(1, routes, &[]), &Catalog::default()).expect("sound");
+    let name = |host: &str, path: &str| {
+        let key = catalog.route(host, path)?;
+        catalog.routes.get(key).map(|route| route.name.clone())
+    };
+    assert_eq!(name("h", "/a/b/c/d").as_deref(), Some("long"));
+    assert_eq!(name("h", "/a/x").as_deref(), Some("short"));
+    assert_eq!(name("h", "/a"), None);
+    assert_eq!(name("h", "/ab/"), None);
+    assert_eq!(name("j", "/a/"), None);
+}
+
+#[test]
+fn what_stays_keeps_its_key_and_what_goes_is_gone() {
+    let first = draft(1, vec![route("r", "h", "/a/", "app")], &["old"]);
+    let first = Catalog::try_new(first, &Catalog::default()).expect("sound");
+    let second = draft(2, vec![route("s", "h", "/b/", "app")], &["new"]);
+    let second = Catalog::try_new(second, &first).expect("sound");
+    let key = first.organisations.find("north");
+    assert_eq!(second.organisations.find("north"), key);
+    assert_eq!(second.authenticate("new"), key);
+    assert_eq!(second.authenticate("old"), None);
+    assert_eq!(second.route("h", "/a/"), None);
+}
+
+#[test]
+fn a_route_to_an_unknown_service_is_an_error() {
+    let draft = draft(1, vec![route("r", "h", "/a/", "nothing")], &[]);
+    let error = Catalog::try_new(draft, &Catalog::default()).expect_err("no such service");
+    assert!(matches!(error, Error::Reference { .. }));
+}
--- /dev/null
+++ b/cactusglade-policy/tests/roster.rs
@@ -0,0 +1,105 @@
+//! Daemons keep count of each other over lost, repeated and late words.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cactusglade_core::units::Millis;
+use cactusglade_policy::roster::Roster;
+use cactusglade_policy::roster::Since;
+use cactusglade_policy::roster::Word;
+use cactusglade_policy::roster::Zone;
+
+const PAUSE: Millis = Millis(100);
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 7_600))
+}
+
+fn word(number: u64, spent: u64) -> Word {
+    Word {
+        incarnation: 1,
+        number,
+        spent: BTreeMap::from([(7, spent)]),
+        ..Word::default()
+    }
+}
+
+fn roster() -> Roster {
+    let mut roster = Roster::new("a", address(5), PAUSE);
+    roster.know(Millis(0), address(6), Some("a"));
+    roster
+}
+
+#[test]
+fn lost_repeated_and_late_words_change_no_total() {
+    bolero::check!()
+        .with_type::<Vec<u8>>()
+        .with_iterations(2_000)
+        .for_each(|numbers| {
+            let mut roster = roster();
+            let mut sum = 0;
+            let mut greatest = 0;
+            for number in numbers.iter().map(|number| u64::from(*number % 40) + 1) {
+                // Words come within the time in which a daemon counts as heard.
+                let since = roster.hear(Millis(1), address(6), word(number, number * 10));
+                sum += since.spent.get(&7).copied().unwrap_or_default();
+                greatest = greatest.max(number);
+            }
+            let first = numbers.first().map_or(0, |number| u64::from(*number % 40) + 1);
+            // A first word that is not from a start tells only where the count stands.
+            let missed = if first < 20 { 0 } else { first * 10 };
+            assert_eq!(sum, greatest * 10 - missed);
+        });
+}
+
+#[test]
+fn what_was_spent_behind_a_cut_is_not_charged() {
+    let mut roster = roster();
+    roster.hear(Millis(0), address(6), word(1, 10));
+    let since = roster.hear(Millis(9_000), address(6), word(90, 5_000));
+    assert_eq!(since, Since::default());
+}
+
+#[test]
+fn a_daemon_that_is_cut_off_forgets_nobody() {
+    let mut roster = roster();
+    roster.hear(Millis(0), address(6), word(1, 10));
+    roster.expire(Millis(60_000));
+    assert_eq!((roster.count(), roster.heard(Millis(60_000))), (2, 1));
+}
+
+#[test]
+fn a_daemon_that_went_is_forgotten_by_those_that_stay() {
+    let mut roster = roster();
+    roster.know(Millis(0), address(7), Some("a"));
+    roster.know(Millis(0), address(8), Some("a"));
+    for last in [6, 7, 8] {
+        roster.hear(Millis(0), address(last), word(1, 0));
+    }
+    for at in (1..300).map(|tenth| Millis(tenth * 100)) {
+        roster.hear(at, address(6), word(at.0, 0));
+        roster.hear(at, address(7), word(at.0, 0));
+        roster.expire(at);
+    }
+    assert_eq!(roster.count(), 3);
+}
+
+#[test]
+fn the_least_address_that_is_heard_speaks_for_the_zone() {
+    let mut roster = roster();
+    roster.know(Millis(0), address(4), Some("a"));
+    roster.hear(Millis(0), address(4), word(1, 0));
+    assert_eq!(roster.speaker(Millis(100)), Some(address(4)));
+    assert!(roster.is_relay(Millis(5_000)), "it speaks once the other is silent");
+}
+
+#[test]
+fn another_zone_counts_by_what_its_speaker_tells() {
+    let mut roster = roster();
+    let told = |number, spent| Zone::new(address(9), 3, 2, word(number, spent));
+    roster.hear_zone(Millis(0), "b", told(1, 100));
+    let since = roster.hear_zone(Millis(100), "b", told(2, 130));
+    assert_eq!(since.spent, BTreeMap::from([(7, 30)]));
+    assert_eq!((roster.count(), roster.heard(Millis(100))), (4, 3));
+    assert_eq!(roster.relays(Millis(100)), vec![address(9)]);
+}
--- /dev/null
+++ b/cactusglade-wire/tests/event.rs
@@ -0,0 +1,47 @@
+//! Events come out whole however the bytes arrive.
+
+use cactusglade_wire::event::Splitter;
+
+const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+
+#[test]
+fn any_cutting_of_the_bytes_gives_the_same_events() {
+    bolero::check!()
+        .with_type::<Vec<u8>>()
+        .with_iterations(2_000)
+        .for_each(|cuts| {
+            let mut splitter = Splitter::default();
+            let mut rest = STREAM.as_bytes();
+            let mut ids = Vec::new();
+            let mut bytes = Vec::new();
+            let mut cuts = cuts.iter().map(|cut| usize::from(*cut % 9) + 1);
+            while !rest.is_empty() {
+                let cut = cuts.next().unwrap_or(rest.len()).min(rest.len());
+                splitter.push(&rest[..cut]).expect("the events are short");
+                rest = &rest[cut..];
+                while let Some(event) = splitter.pop() {
+                    ids.push(event.id);
+                    bytes.extend_from_slice(&event.bytes);
+                }
+            }
+            assert_eq!(ids, [Some(1), Some(2), Some(3)]);
+            assert_eq!(bytes, STREAM.as_bytes());
+            assert!(!splitter.has_rest());
+        });
+}
+
+#[test]
+fn part_of_an_event_is_kept_back() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\ndata: a\n").expect("it is short");
+    assert_eq!(splitter.pop(), None);
+    assert!(splitter.has_rest());
+}
+
+#[test]
+fn an_event_without_end_is_an_error() {
+    let mut splitter = Splitter::default();
+    let bytes = vec![b'x'; 600 << 10];
+    splitter.push(&bytes).expect("it is long but may be an event");
+    assert!(splitter.push(&bytes).is_err());
+}
