--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -96,10 +96,6 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Whether its upstreams are model engines.
-    pub is_engine: bool,
-    /// Whether its engines can move a running request to another.
-    pub moves: bool,
     /// Tokens in one event of its engines' streams, zero for other services.
     pub stride: u64,
     /// Bounds of orders, where it can be scaled.
@@ -230,7 +226,12 @@
             let key = next.organisations.put(&name, organisation, |_, _| true);
             next.keys.extend(keys.into_iter().map(|text| (text, key)));
         }
-        for Placed { path, mut route, split } in draft.routes {
+        for Placed {
+            path,
+            mut route,
+            split,
+        } in draft.routes
+        {
             for (service, weight) in split {
                 let Some(key) = next.services.find(&service) else {
                     let route = route.name;
--- a/cactusglade-daemon/src/cactusgladed/main.rs
+++ b/cactusglade-daemon/src/cactusgladed/main.rs
@@ -69,7 +69,7 @@
         return ExitCode::SUCCESS;
     }
     match bound {
-        Bound::Standalone(settings) => serve(*settings),
+        Bound::Standalone(settings) => serve(&settings),
         Bound::Platform(settings) => platform::serve(&file, &settings),
     }
 }
@@ -99,14 +99,14 @@
     }
 }
 
-fn serve(settings: Settings) -> ExitCode {
+fn serve(settings: &Settings) -> ExitCode {
     let log = log::logger(std::io::stderr(), &settings.name);
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.threads)
         .enable_all()
         .build();
     match runtime {
-        Ok(runtime) => runtime.block_on(run(&settings, &log)),
+        Ok(runtime) => runtime.block_on(run(settings, &log)),
         Err(reason) => {
             error!(log, "start_failed"; "reason" => %reason);
             ExitCode::from(FAULT)
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -35,9 +35,9 @@
 use crate::edge::mesh;
 use crate::edge::mesh::Hearsay;
 use crate::edge::mesh::Mesh;
-use crate::edge::ready;
-use crate::edge::ready::Ready;
-use crate::edge::ready::State;
+use crate::edge::probe;
+use crate::edge::probe::Probe;
+use crate::edge::probe::State;
 use crate::edge::watch as follow;
 use crate::edge::watch::DIRECTORY;
 use crate::edge::watch::Entries;
@@ -99,33 +99,121 @@
     /// Fails when an address is taken or a service does not start.
     pub async fn try_new(settings: &Settings, platform: P, log: Logger) -> Result<Self> {
         let callers = listen(settings.callers)?;
-        let ready = listen(settings.ready)?;
-        let metrics = Metrics::try_new()?;
-        let (mut kernel, faults) = Kernel::new(&settings.name, log.clone());
+        let (kernel, faults) = Kernel::new(&settings.name, log.clone());
         let (catalog, catalogs) = watch::channel(Arc::default());
         let (draining, drains) = watch::channel(false);
         let (phase, phases) = watch::channel(Phase::Serving);
-        let clock = Clock::default();
-        let broker = broker::Options {
-            policy: policy(settings),
-            window: seconds(settings.usage_window_s),
-            catalogs: catalog,
-            clock,
+        let mut parts = Parts {
+            settings,
+            platform,
+            kernel,
+            catalogs,
+            phases,
+            clock: Clock::default(),
+            metrics: Metrics::try_new()?,
             log: log.clone(),
         };
-        let broker = kernel.start::<Broker>(broker::NAME, broker).await?;
-        let state = State {
-            catalogs: catalogs.clone(),
-            draining: drains,
+        let broker = parts.broker(catalog).await?;
+        parts.probes(drains).await?;
+        let mesh = parts.mesh(&broker).await?;
+        let duty = parts.duty(&broker, mesh).await?;
+        let front = parts.front(callers, broker).await?;
+        info!(log, "daemon_started"; "zone" => &settings.zone, "callers" => %settings.callers);
+        Ok(Self {
+            kernel: parts.kernel,
+            faults,
+            draining,
+            phase,
+            front,
+            duty,
+            grace: Duration::from_secs_f64(settings.grace_s),
+            log,
+        })
+    }
+
+    /// Waits until a service has ended unasked, and names it.
+    pub async fn end(&mut self) -> &'static str {
+        match self.faults.recv().await {
+            Some(fault) => fault.service,
+            // The kernel keeps the sender for as long as the daemon lives.
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Says that it is not ready, lets requests finish within the platform's time, and stops the
+    /// services in reverse order.
+    ///
+    /// Gives back whether every connection had ended in time.
+    pub async fn stop(self) -> bool {
+        self.draining.send_replace(true);
+        self.phase.send_replace(Phase::Draining);
+        info!(self.log, "draining"; "limit_ms" => self.grace.as_millis());
+        tokio::time::sleep(ACCEPTING).await;
+        self.phase.send_replace(Phase::Closing);
+        let left = self.grace.saturating_sub(ACCEPTING + SPARE);
+        let drained = self.front.ask(Finish(left)).await.unwrap_or(false);
+        if !drained {
+            warn!(self.log, "drain_incomplete"; "limit_ms" => self.grace.as_millis());
+        }
+        // The service ends unasked only with the daemon.
+        let _ = self.duty.ask(duty::Flush).await;
+        self.kernel.stop().await;
+        info!(self.log, "daemon_stopped"; "drained" => drained);
+        drained
+    }
+}
+
+/// What the services are started with, each after those that it sends messages to.
+struct Parts<'a, P> {
+    settings: &'a Settings,
+    platform: P,
+    kernel: Kernel,
+    catalogs: watch::Receiver<Arc<Catalog>>,
+    phases: watch::Receiver<Phase>,
+    clock: Clock,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl<P: Platform> Parts<'_, P> {
+    async fn broker(&mut self, catalogs: watch::Sender<Arc<Catalog>>) -> Result<ActorRef<Broker>> {
+        let options = broker::Options {
+            policy: policy(self.settings),
+            window: seconds(self.settings.usage_window_s),
+            catalogs,
+            clock: self.clock,
+            log: self.log.clone(),
+            metrics: self.metrics.clone(),
         };
-        let ready = ready::Options {
-            listener: ready,
-            state,
+        Ok(self.kernel.start::<Broker>(broker::NAME, options).await?)
+    }
+
+    /// Starts what the balancer and the operators ask.
+    async fn probes(&mut self, draining: watch::Receiver<bool>) -> Result<()> {
+        let state = State {
+            catalogs: self.catalogs.clone(),
+            draining,
+            metrics: self.metrics.clone(),
         };
-        kernel.start::<Ready>(ready::NAME, ready).await?;
+        for (name, address) in [
+            (probe::READY, self.settings.ready),
+            (probe::OPERATORS, self.settings.operators),
+        ] {
+            let options = probe::Options {
+                listener: listen(address)?,
+                state: state.clone(),
+            };
+            self.kernel.start::<Probe>(name, options).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts the mesh and the services that follow the operators and the registry.
+    async fn mesh(&mut self, broker: &ActorRef<Broker>) -> Result<ActorRef<Mesh>> {
+        let settings = self.settings;
         let (hearsay, heard) = watch::channel(Hearsay::default());
         let (entries, passed) = mpsc::channel(PASSED);
-        let mesh = mesh::Options {
+        let mesh = Mesh::try_new(mesh::Options {
             zone: settings.zone.clone(),
             socket: datagrams(settings.peers)?,
             address: settings.peers,
@@ -133,130 +221,100 @@
             broker: broker.clone(),
             hearsay,
             entries,
-            clock,
-            log: log.clone(),
-        };
-        let mesh = Mesh::try_new(mesh).map_err(|reason| Error::Listen {
+            clock: self.clock,
+            log: self.log.clone(),
+        });
+        let mesh = mesh.map_err(|reason| Error::Listen {
             address: settings.peers,
             reason,
         })?;
-        let mesh = kernel.start::<Mesh>(mesh::NAME, mesh).await?;
+        let mesh = self.kernel.start::<Mesh>(mesh::NAME, mesh).await?;
         let own = (settings.peers, settings.zone.clone());
-        let (store, name) = (platform.store(), settings.name.clone());
-        tokio::spawn(mesh::find(store, mesh.clone(), name, own, log.clone()));
+        let (store, name) = (self.platform.store(), settings.name.clone());
+        tokio::spawn(mesh::find(store, mesh.clone(), name, own, self.log.clone()));
         let registry = Relayed {
-            source: platform.directory(),
+            source: self.platform.directory(),
             hearsay: heard,
             entries: passed,
             mesh: mesh.clone(),
             has_asked: false,
             parts: Vec::new(),
         };
-        Self::follow(&mut kernel, &platform, registry, &broker, &log).await?;
-        let duty = duty::Options {
-            name: settings.name.clone(),
-            platform: platform.clone(),
-            broker: broker.clone(),
-            mesh,
-            catalogs: catalogs.clone(),
-            window: seconds(settings.usage_window_s),
-            late: seconds(settings.usage_late_s),
-            zones: settings.zones.clone(),
-            clock,
-            log: log.clone(),
-        };
-        let duty = kernel.start::<Duty<P>>(duty::NAME, duty).await?;
-        let context = front::Context {
-            front: platform.front(),
-            broker,
-            catalogs,
-            phase: phases,
-            clock,
-            log: log.clone(),
-            metrics,
-        };
-        let front = front::Options {
-            listener: callers,
-            context: Arc::new(context),
-        };
-        let front = kernel.start(front::NAME, front).await?;
-        info!(log, "daemon_started"; "zone" => &settings.zone, "callers" => %settings.callers);
-        Ok(Self {
-            kernel,
-            faults,
-            draining,
-            phase,
-            front,
-            duty,
-            grace: Duration::from_secs_f64(settings.grace_s),
-            log,
-        })
+        self.follow(registry, broker).await?;
+        Ok(mesh)
     }
 
-    /// Starts the services that follow the operators and the registry.
     async fn follow(
-        kernel: &mut Kernel,
-        platform: &P,
+        &mut self,
         registry: Relayed<P::Directory>,
         broker: &ActorRef<Broker>,
-        log: &Logger,
     ) -> Result<()> {
         let orders = follow::Options {
             name: OPERATOR,
-            source: platform.operator(),
+            source: self.platform.operator(),
             sink: Orders {
                 broker: broker.clone(),
                 catalog: Arc::<Catalog>::default(),
-                log: log.clone(),
+                log: self.log.clone(),
             },
-            log: log.clone(),
+            log: self.log.clone(),
         };
-        kernel
-            .start::<Watch<P::Operator, Orders>>(OPERATOR, orders)
-            .await?;
         let entries = follow::Options {
             name: DIRECTORY,
             source: registry,
             sink: Entries {
                 broker: broker.clone(),
             },
-            log: log.clone(),
+            log: self.log.clone(),
         };
-        kernel
+        self.kernel
+            .start::<Watch<P::Operator, Orders>>(OPERATOR, orders)
+            .await?;
+        self.kernel
             .start::<Watch<Relayed<P::Directory>, Entries>>(DIRECTORY, entries)
             .await?;
         Ok(())
     }
 
-    /// Waits until a service has ended unasked, and names it.
-    pub async fn end(&mut self) -> &'static str {
-        match self.faults.recv().await {
-            Some(fault) => fault.service,
-            // The kernel keeps the sender for as long as the daemon lives.
-            None => std::future::pending().await,
-        }
+    async fn duty(
+        &mut self,
+        broker: &ActorRef<Broker>,
+        mesh: ActorRef<Mesh>,
+    ) -> Result<ActorRef<Duty<P>>> {
+        let options = duty::Options {
+            name: self.settings.name.clone(),
+            platform: self.platform.clone(),
+            broker: broker.clone(),
+            mesh,
+            catalogs: self.catalogs.clone(),
+            window: seconds(self.settings.usage_window_s),
+            late: seconds(self.settings.usage_late_s),
+            zones: self.settings.zones.clone(),
+            clock: self.clock,
+            log: self.log.clone(),
+        };
+        Ok(self.kernel.start::<Duty<P>>(duty::NAME, options).await?)
     }
 
-    /// Says that it is not ready, lets requests finish within the platform's time, and stops the
-    /// services in reverse order.
-    ///
-    /// Gives back whether every connection had ended in time.
-    pub async fn stop(self) -> bool {
-        self.draining.send_replace(true);
-        self.phase.send_replace(Phase::Draining);
-        info!(self.log, "draining"; "limit_ms" => self.grace.as_millis());
-        tokio::time::sleep(ACCEPTING).await;
-        self.phase.send_replace(Phase::Closing);
-        let left = self.grace.saturating_sub(ACCEPTING + SPARE);
-        let drained = self.front.ask(Finish(left)).await.unwrap_or(false);
-        if !drained {
-            warn!(self.log, "drain_incomplete"; "limit_ms" => self.grace.as_millis());
-        }
-        // The service ends unasked only with the daemon.
-        let _ = self.duty.ask(duty::Flush).await;
-        self.kernel.stop().await;
-        info!(self.log, "daemon_stopped"; "drained" => drained);
-        drained
+    async fn front(
+        &mut self,
+        listener: TcpListener,
+        broker: ActorRef<Broker>,
+    ) -> Result<ActorRef<Front<P::Front>>> {
+        let context = front::Context {
+            front: self.platform.front(),
+            broker,
+            catalogs: self.catalogs.clone(),
+            phase: self.phases.clone(),
+            clock: self.clock,
+            log: self.log.clone(),
+            metrics: self.metrics.clone(),
+        };
+        let options = front::Options {
+            listener,
+            context: Arc::new(context),
+        };
+        Ok(self.kernel.start(front::NAME, options).await?)
     }
 }
 
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -24,7 +24,6 @@
 use kameo::message::Context;
 use kameo::message::Message;
 use slog::info;
-use tokio::sync::watch;
 
 use super::Broker;
 use super::idle::Idle;
@@ -60,8 +59,6 @@
     pub name: String,
     /// An idle connection to it, if there is one.
     pub connection: Option<Connection>,
-    /// Turns true when the upstream is known to leave.
-    pub leaving: watch::Receiver<bool>,
 }
 
 /// `Refused` says why there is no upstream for a request.
@@ -206,7 +203,6 @@
             address,
             name,
             connection: self.take(now, grant.upstream, place.once),
-            leaving: self.watch(grant.upstream),
         })
     }
 }
@@ -282,6 +278,8 @@
         if self.policy.adopt(self.clock.now(), adopt.0.clone()) {
             info!(self.log, "configuration_in_force"; "version" => adopt.0.version,
                 "before" => before, "routes" => adopt.0.routes.len());
+            let version = i64::try_from(adopt.0.version).unwrap_or(i64::MAX);
+            self.metrics.generation.set(version);
             self.catalogs.send_replace(adopt.0);
         }
     }
@@ -370,9 +368,6 @@
     async fn handle(&mut self, _: Sweep, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.policy.sweep(now);
-        let policy = &self.policy;
-        self.leaving
-            .retain(|key, _| policy.upstream(*key).is_some());
         self.idle.retain(|_, idle| {
             idle.retain(|one| one.is_kept(now));
             !idle.is_empty()
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -24,6 +24,8 @@
 use slog::info;
 use tokio::sync::watch;
 
+use crate::metrics::Metrics;
+
 use idle::Idle;
 
 pub use messages::Adopt;
@@ -61,6 +63,8 @@
     pub clock: Clock,
     /// The daemon's log.
     pub log: Logger,
+    /// The daemon's metrics.
+    pub metrics: Metrics,
 }
 
 /// `Broker` owns the decisions.
@@ -73,11 +77,10 @@
     /// Work that each service was sent since the start, in milliseconds of one upstream.
     work: Totals,
     idle: BTreeMap<arena::Upstream, Vec<Idle>>,
-    /// Tells the streams on an upstream that it leaves.
-    leaving: BTreeMap<arena::Upstream, watch::Sender<bool>>,
     catalogs: watch::Sender<Arc<Catalog>>,
     clock: Clock,
     log: Logger,
+    metrics: Metrics,
 }
 
 impl Actor for Broker {
@@ -92,10 +95,10 @@
             spent: Totals::new(),
             work: Totals::new(),
             idle: BTreeMap::new(),
-            leaving: BTreeMap::new(),
             catalogs: options.catalogs,
             clock: options.clock,
             log: options.log,
+            metrics: options.metrics,
         })
     }
 }
@@ -111,13 +114,10 @@
 }
 
 impl Broker {
-    /// Logs upstreams that are news to leave, and tells the streams on them.
+    /// Logs upstreams that are news to leave, and gives up the idle connections to them.
     fn announce(&mut self, keys: &[arena::Upstream]) {
         for key in keys {
             self.idle.remove(key);
-            if let Some(sender) = self.leaving.get(key) {
-                sender.send_replace(true);
-            }
             if let Some(upstream) = self.policy.upstream(*key) {
                 info!(self.log, "upstream_leaving"; "upstream" => &upstream.instance.name,
                     "service" => &upstream.instance.service, "own" => upstream.own,
@@ -125,13 +125,4 @@
             }
         }
     }
-
-    /// A receiver that turns true when the upstream is known to leave.
-    fn watch(&mut self, key: arena::Upstream) -> watch::Receiver<bool> {
-        let sender = self
-            .leaving
-            .entry(key)
-            .or_insert_with(|| watch::channel(false).0);
-        sender.subscribe()
-    }
 }
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -85,6 +85,11 @@
     /// Returns how the exchange ends where the request is not sent again.
     pub fn failed(&mut self, outcome: Outcome, held: Held) -> Result<(), Stop> {
         let next = self.attempt.ended(outcome);
+        let is_over = self.entry.context.clock.now() >= self.entry.deadline;
+        let next = match next {
+            Next::Give(_) if is_over => self.attempt.last(Kind::DeadlineExceeded),
+            next => next,
+        };
         self.note(outcome, next, &held.name);
         self.tried.push(held.upstream());
         held.fail(outcome);
@@ -98,7 +103,9 @@
     }
 
     /// Writes the line of a sending that was not answered well into the log.
-    pub fn note(&self, outcome: Outcome, next: Next, upstream: &str) {
+    fn note(&self, outcome: Outcome, next: Next, upstream: &str) {
+        let metrics = &self.entry.context.metrics;
+        metrics.sendings.with_label_values(&[label(outcome)]).inc();
         info!(self.entry.context.log, "sending_failed"; "id" => &self.entry.call.id,
             "upstream" => upstream, "outcome" => ?outcome, "next" => ?next,
             "sent" => self.attempt.sent());
@@ -184,3 +191,15 @@
         }
     }
 }
+
+/// Label of a sending in the metrics.
+const fn label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Unsent => "unsent",
+        Outcome::Misdirected => "misdirected",
+        Outcome::Unrun => "unrun",
+        Outcome::Lost => "lost",
+        Outcome::Failed { .. } => "failed",
+        Outcome::Broken => "broken",
+    }
+}
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -51,7 +51,6 @@
         head,
         body,
         mut held,
-        ..
     } = reached;
     let entry = exchange.entry.clone();
     let organisation = entry
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -13,14 +13,12 @@
 use cactusglade_policy::broker::Report;
 use cactusglade_wire::port;
 use cactusglade_wire::port::Onward;
-use cactusglade_wire::port::Reply;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response;
 use kameo::actor::ActorRef;
-use tokio::sync::watch;
 
 use crate::edge::broker;
 use crate::edge::broker::Begun;
@@ -39,8 +37,6 @@
 pub struct Reached {
     /// Head of the answer.
     pub head: response::Parts,
-    /// The same as decisions see it.
-    pub reply: Reply,
     /// Body of the answer.
     pub body: Incoming,
     /// The place at the upstream.
@@ -55,8 +51,6 @@
     grant: Grant,
     /// Name of the upstream.
     pub name: String,
-    /// Turns true when the upstream is known to leave.
-    pub leaving: watch::Receiver<bool>,
     connection: Option<Connection>,
     sent: Millis,
     took: Option<Millis>,
@@ -76,7 +70,6 @@
             clock: entry.context.clock,
             grant: placed.grant,
             name: placed.name,
-            leaving: placed.leaving,
             connection: placed.connection,
             sent: entry.context.clock.now(),
             took: None,
@@ -180,8 +173,8 @@
         return Err((Outcome::Unsent, held));
     };
     let until = entry.context.clock.instant(until);
-    let sent = tokio::time::timeout_at(until, connection.send(request));
-    let response = match sent.await {
+    let answered = tokio::time::timeout_at(until, connection.send(request));
+    let response = match answered.await {
         Ok(Ok(response)) => response,
         Ok(Err(link::Error::NotSent)) => return Err((Outcome::Unsent, held)),
         Ok(Err(_)) | Err(_) => return Err((Outcome::Lost, held)),
@@ -195,8 +188,8 @@
     mut held: Held,
     response: Response<Incoming>,
 ) -> Result<Reached, (Outcome, Held)> {
-    let (head, body) = response.into_parts();
-    let reply = entry.context.front.reply(&head);
+    let (parts, body) = response.into_parts();
+    let reply = entry.context.front.reply(&parts);
     held.idle = reply.idle;
     held.closes = reply.closes;
     let is_other = reply.id.as_ref().is_some_and(|id| *id != entry.call.id);
@@ -222,8 +215,7 @@
         return Err((Outcome::Unrun, held));
     }
     Ok(Reached {
-        head,
-        reply,
+        head: parts,
         body,
         held,
     })
@@ -240,8 +232,7 @@
         organisation: entry.organisation_name(),
         left: entry.deadline - context.clock.now(),
         last_event,
-        rank: None,
-        memory: None,
+        rank: entry.rank(),
     };
     let mut request = Request::new(Full::new(entry.body.clone()));
     *request.method_mut() = entry.head.method.clone();
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -212,7 +212,7 @@
             work: totals.work,
         };
         self.ledger
-            .hear(&self.name(self.address, self.incarnation), &totals.windows);
+            .hear(&name(self.address, self.incarnation), &totals.windows);
         self.counts = totals.windows;
         self.number += 1;
         self.roster.expire(now);
@@ -357,7 +357,7 @@
         }
         self.roster.know(now, beat.from, Some(&beat.zone));
         if beat.zone == self.zone {
-            let name = self.name(beat.from, beat.incarnation);
+            let name = name(beat.from, beat.incarnation);
             self.ledger.hear(&name, &beat.counts);
             if self.roster.speaker(now) == Some(beat.from) {
                 self.show(beat.registry);
@@ -373,11 +373,6 @@
         self.roster.hear(now, beat.from, word)
     }
 
-    /// Name of a start of a daemon in the ledger.
-    fn name(&self, address: SocketAddr, incarnation: u64) -> String {
-        format!("{address}/{incarnation}")
-    }
-
     /// Shows how the daemon that speaks for the zone knows the registry, while it knows it well.
     fn show(&self, registry: Registry) {
         let is_fresh = registry.age_ms.is_some_and(|age| Millis(age) < STALE);
@@ -496,3 +491,8 @@
         let _ = self.broker.tell(broker::Share { daemons, heard }).await;
     }
 }
+
+/// Name of a start of a daemon in the ledger.
+fn name(address: SocketAddr, incarnation: u64) -> String {
+    format!("{address}/{incarnation}")
+}
--- a/cactusglade-daemon/src/edge/mod.rs
+++ b/cactusglade-daemon/src/edge/mod.rs
@@ -7,5 +7,5 @@
 pub mod duty;
 pub mod front;
 pub mod mesh;
-pub mod ready;
+pub mod probe;
 pub mod watch;
--- a/cactusglade-daemon/src/edge/ready/mod.rs
+++ b/cactusglade-daemon/src/edge/probe/mod.rs
@@ -1,4 +1,5 @@
-//! Answers the balancer's question whether the daemon takes new connections.
+//! Answers the balancer, which asks whether the daemon takes new connections, and the operators,
+//! who ask for metrics.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -23,18 +24,26 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Name of the service.
-pub const NAME: &str = "ready";
+use crate::metrics::Metrics;
+
+/// Name of the service that the balancer asks.
+pub const READY: &str = "ready";
+/// Name of the service that the operators ask.
+pub const OPERATORS: &str = "operators";
+/// Path of the metrics; any other asks whether the daemon is ready.
+const METRICS: &str = "/metrics";
 /// Longest time to send the head of a question; the balancer asks once a second.
 const HEADER: Duration = Duration::from_secs(5);
 
-/// `State` is what readiness rests on.
+/// `State` is what the answers rest on.
 #[derive(Clone, Debug)]
 pub struct State {
     /// The catalog in force.
     pub catalogs: watch::Receiver<Arc<Catalog>>,
     /// Whether the daemon is shutting down.
     pub draining: watch::Receiver<bool>,
+    /// The daemon's metrics.
+    pub metrics: Metrics,
 }
 
 impl State {
@@ -43,24 +52,38 @@
     pub fn is_ready(&self) -> bool {
         !*self.draining.borrow() && self.catalogs.borrow().version > 0
     }
+
+    fn answer(&self, path: &str) -> Response<Full<Bytes>> {
+        if path == METRICS {
+            return match self.metrics.text() {
+                Ok(text) => Response::new(Full::new(text.into())),
+                Err(reason) => status(StatusCode::INTERNAL_SERVER_ERROR, &reason.to_string()),
+            };
+        }
+        if self.is_ready() {
+            status(StatusCode::OK, "ready\n")
+        } else {
+            status(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
 }
 
 /// `Options` of the service.
 #[derive(Debug)]
 pub struct Options {
-    /// The socket that the balancer connects to.
+    /// The socket to listen on.
     pub listener: std::net::TcpListener,
-    /// What readiness rests on.
+    /// What the answers rest on.
     pub state: State,
 }
 
-/// `Ready` owns the listening task through a channel.
+/// `Probe` owns the listening task through a channel.
 #[derive(Debug)]
-pub struct Ready {
+pub struct Probe {
     _stop: oneshot::Sender<()>,
 }
 
-impl Actor for Ready {
+impl Actor for Probe {
     type Args = Options;
     type Error = std::io::Error;
 
@@ -88,17 +111,20 @@
 }
 
 async fn serve(socket: TcpStream, state: State) {
-    let service = service_fn(move |_: Request<Incoming>| {
-        let mut response = Response::new(Full::<Bytes>::default());
-        if !state.is_ready() {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = state.answer(request.uri().path());
         async move { Ok::<_, Infallible>(response) }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEADER);
-    // A connection that breaks is the balancer's to notice.
+    // A connection that breaks is the asker's to notice.
     let _ = builder
         .serve_connection(TokioIo::new(socket), service)
         .await;
 }
+
+fn status(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -40,6 +40,8 @@
     pub recomputed: IntCounter,
     /// Attempts beyond the first.
     pub retries: IntCounter,
+    /// Sendings to upstreams that were not answered well, by how they ended.
+    pub sendings: IntCounterVec,
     /// Streams moved off a leaving upstream.
     pub moves: IntCounter,
     /// Answers that belonged to another attempt.
@@ -92,6 +94,7 @@
                 "cactusglade_recomputed_tokens_total",
                 "Tokens computed again",
             )?,
+            sendings: sendings(&registry)?,
             retries: counter("cactusglade_retries_total", "Attempts beyond the first")?,
             moves: counter(
                 "cactusglade_moves_total",
@@ -125,6 +128,16 @@
     }
 }
 
+fn sendings(registry: &Registry) -> Result<IntCounterVec> {
+    let options = Opts::new(
+        "cactusglade_failed_sendings_total",
+        "Sendings to upstreams that were not answered well, by how they ended",
+    );
+    let sendings = IntCounterVec::new(options, &["outcome"])?;
+    registry.register(Box::new(sendings.clone()))?;
+    Ok(sendings)
+}
+
 fn labelled(registry: &Registry) -> Result<(IntCounterVec, HistogramVec, Histogram)> {
     let requests = IntCounterVec::new(
         Opts::new("cactusglade_requests_total", "Requests by their end"),
--- a/cactusglade-policy/src/affinity/mod.rs
+++ b/cactusglade-policy/src/affinity/mod.rs
@@ -69,7 +69,7 @@
     mix(name(text)) as u32
 }
 
-/// Spreads a number over all bits, as the finaliser of SplitMix64 does.
+/// Spreads a number over all bits, as the finaliser of the `SplitMix64` generator does.
 const fn mix(number: u64) -> u64 {
     const FIRST: u64 = 0xbf58_476d_1ce4_e5b9;
     const SECOND: u64 = 0x94d0_49bb_1331_11eb;
--- a/cactusglade-policy/src/budget/mod.rs
+++ b/cactusglade-policy/src/budget/mod.rs
@@ -45,8 +45,14 @@
     /// Takes a repeat out where one is left, for one of `daemons` that share the budget.
     pub fn repeat(&mut self, now: Millis, bounds: &Bounds, daemons: f64) -> bool {
         self.span(now, bounds);
-        let requests = self.spans.iter().map(|span| span.requests).sum::<f64>();
+        let newest = self.spans.back().map_or(0, |span| span.number);
+        // A span more than the window has, since the oldest lies partly within it.
         let repeats = self.spans.iter().map(|span| span.repeats).sum::<f64>();
+        let inside = self
+            .spans
+            .iter()
+            .filter(|span| span.number + SPANS > newest);
+        let requests = inside.map(|span| span.requests).sum::<f64>();
         let most = (bounds.ratio * requests + bounds.slack / daemons.max(1.0)) * USED;
         let allowed = repeats + 1.0 <= most;
         if allowed {
@@ -60,7 +66,7 @@
         while self
             .spans
             .front()
-            .is_some_and(|span| span.number + SPANS <= number)
+            .is_some_and(|span| span.number + SPANS < number)
         {
             self.spans.pop_front();
         }
--- a/cactusglade-wire/src/port/front.rs
+++ b/cactusglade-wire/src/port/front.rs
@@ -1,7 +1,5 @@
 //! The encoding of callers' requests, and of what upstreams are sent and answer.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
 use cactusglade_core::call::Call;
 use cactusglade_core::errors::Kind;
@@ -29,8 +27,6 @@
     pub last_event: Option<u64>,
     /// Rank of the request among those of the upstream, where it is set; 0 goes first.
     pub rank: Option<u64>,
-    /// Upstream and handle of the run whose memory was moved here, where one was.
-    pub memory: Option<(SocketAddr, &'a str)>,
 }
 
 /// `Load` is what an upstream says of its own load.
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -25,6 +25,9 @@
     /// Nothing was done.
     #[error("refused: {0}")]
     Refused(String),
+    /// Nothing was done, since nobody was reached.
+    #[error("not reached")]
+    Unreached,
     /// It may have been done, or may still be.
     #[error("no answer")]
     Unknown,
