--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -1,5 +1,6 @@
 //! Starts the services of one daemon on the platform in their order, and drains and stops them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -17,6 +18,7 @@
 use cactusglade_policy::budget;
 use cactusglade_policy::quota::Tolerance;
 use cactusglade_wire::port::Platform;
+use cactusglade_wire::port::Rollout;
 use kameo::actor::ActorRef;
 use slog::Logger;
 use slog::info;
@@ -115,8 +117,9 @@
         };
         let broker = parts.broker(catalog).await?;
         parts.probes(drains).await?;
-        let mesh = parts.mesh(&broker).await?;
-        let duty = parts.duty(&broker, mesh).await?;
+        let (rollouts, asked) = watch::channel(BTreeMap::new());
+        let mesh = parts.mesh(&broker, rollouts).await?;
+        let duty = parts.duty(&broker, mesh, asked).await?;
         let front = parts.front(callers, broker).await?;
         info!(log, "daemon_started"; "zone" => &settings.zone, "callers" => %settings.callers);
         Ok(Self {
@@ -209,7 +212,11 @@
     }
 
     /// Starts the mesh and the services that follow the operators and the registry.
-    async fn mesh(&mut self, broker: &ActorRef<Broker>) -> Result<ActorRef<Mesh>> {
+    async fn mesh(
+        &mut self,
+        broker: &ActorRef<Broker>,
+        rollouts: watch::Sender<BTreeMap<String, Rollout>>,
+    ) -> Result<ActorRef<Mesh>> {
         let settings = self.settings;
         let (hearsay, heard) = watch::channel(Hearsay::default());
         let (entries, passed) = mpsc::channel(PASSED);
@@ -240,7 +247,7 @@
             has_asked: false,
             parts: Vec::new(),
         };
-        self.follow(registry, broker).await?;
+        self.follow(registry, broker, rollouts).await?;
         Ok(mesh)
     }
 
@@ -248,6 +255,7 @@
         &mut self,
         registry: Relayed<P::Directory>,
         broker: &ActorRef<Broker>,
+        rollouts: watch::Sender<BTreeMap<String, Rollout>>,
     ) -> Result<()> {
         let orders = follow::Options {
             name: OPERATOR,
@@ -255,6 +263,7 @@
             sink: Orders {
                 broker: broker.clone(),
                 catalog: Arc::<Catalog>::default(),
+                rollouts,
                 log: self.log.clone(),
             },
             log: self.log.clone(),
@@ -280,6 +289,7 @@
         &mut self,
         broker: &ActorRef<Broker>,
         mesh: ActorRef<Mesh>,
+        rollouts: watch::Receiver<BTreeMap<String, Rollout>>,
     ) -> Result<ActorRef<Duty<P>>> {
         let options = duty::Options {
             name: self.settings.name.clone(),
@@ -287,6 +297,7 @@
             broker: broker.clone(),
             mesh,
             catalogs: self.catalogs.clone(),
+            rollouts,
             window: seconds(self.settings.usage_window_s),
             late: seconds(self.settings.usage_late_s),
             zones: self.settings.zones.clone(),
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -125,6 +125,15 @@
     pub is_all: bool,
 }
 
+/// `Withhold` keeps requests from a version of a service, or lifts that again.
+#[derive(Clone, Debug)]
+pub struct Withhold {
+    /// Name of the service.
+    pub service: String,
+    /// The version, nothing to lift it.
+    pub version: Option<String>,
+}
+
 /// `Store` says whether the store can be reached.
 #[derive(Clone, Copy, Debug)]
 pub struct Store {
@@ -299,6 +308,16 @@
     }
 }
 
+impl Message<Withhold> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, withhold: Withhold, _: &mut Context<Self, ()>) {
+        info!(self.log, "version_withheld"; "service" => &withhold.service,
+            "version" => withhold.version.as_deref().unwrap_or("-"));
+        self.policy.withhold(&withhold.service, withhold.version);
+    }
+}
+
 impl Message<Store> for Broker {
     type Reply = ();
 
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -44,6 +44,7 @@
 pub use messages::Standing;
 pub use messages::Store;
 pub use messages::Sweep;
+pub use messages::Withhold;
 
 /// Name of the service.
 pub const NAME: &str = "broker";
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -4,6 +4,8 @@
 mod hold;
 mod usage;
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,12 +16,17 @@
 use cactusglade_link::clock::Clock;
 use cactusglade_wire::port::Holder;
 use cactusglade_wire::port::Platform;
+use cactusglade_wire::port::Report;
+use cactusglade_wire::port::Revision;
+use cactusglade_wire::port::Rollout;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
 use kameo::message::Context;
 use kameo::message::Message;
 use slog::Logger;
+use slog::info;
+use slog::warn;
 use tokio::sync::watch;
 
 use crate::edge::broker;
@@ -49,6 +56,8 @@
     pub mesh: ActorRef<Mesh>,
     /// The catalog in force.
     pub catalogs: watch::Receiver<Arc<Catalog>>,
+    /// The moves that operators asked for, by service.
+    pub rollouts: watch::Receiver<BTreeMap<String, Rollout>>,
     /// Length of a window of usage reports.
     pub window: Millis,
     /// Time after a window's end until its report is due.
@@ -67,6 +76,8 @@
     hold: Hold<P::Store>,
     usage: Usage<P::Store>,
     capacity: Capacity,
+    /// Moves that were taken back here, by the revision of their order.
+    taken_back: BTreeSet<Revision>,
 }
 
 struct Look;
@@ -87,6 +98,7 @@
             hold: Hold::new(store.clone(), &holder, options.log.clone()),
             usage: Usage::new(store, &options),
             capacity: Capacity::new(&options),
+            taken_back: BTreeSet::new(),
             options,
         })
     }
@@ -135,6 +147,7 @@
             name: self.options.name.clone(),
             fence,
         };
+        self.take_back().await;
         let provider = self.options.platform.provider();
         let catalog = self.options.catalogs.borrow().clone();
         let holds = || self.hold.fence(clock.now()).is_some();
@@ -152,6 +165,30 @@
     }
 }
 
+impl<P: Platform> Duty<P> {
+    /// Takes back the moves that were asked for, so that none hangs.
+    async fn take_back(&mut self) {
+        let rollouts = self.options.rollouts.borrow().clone();
+        for rollout in rollouts.values() {
+            if self.taken_back.contains(&rollout.revision) {
+                continue;
+            }
+            match self.options.platform.report().taken_back(rollout).await {
+                Ok(()) => {
+                    self.taken_back.insert(rollout.revision);
+                    info!(self.options.log, "rollout_taken_back"; "service" => &rollout.service,
+                        "to" => &rollout.to, "revision" => rollout.revision.0,
+                        "within_ms" => rollout.within.0);
+                }
+                Err(error) => {
+                    warn!(self.options.log, "rollout_unreported"; "service" => &rollout.service,
+                        "to" => &rollout.to, "reason" => %error);
+                }
+            }
+        }
+    }
+}
+
 impl<P: Platform> Message<Flush> for Duty<P> {
     type Reply = ();
 
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -2,18 +2,21 @@
 
 mod relayed;
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cactusglade_core::catalog::Catalog;
+use cactusglade_core::catalog::Draft;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::port::Error;
 use cactusglade_wire::port::News;
 use cactusglade_wire::port::Order;
 use cactusglade_wire::port::Revision;
+use cactusglade_wire::port::Rollout;
 use cactusglade_wire::port::Source;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -21,6 +24,7 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
@@ -187,6 +191,8 @@
     pub broker: ActorRef<Broker>,
     /// The newest catalog.
     pub catalog: Arc<Catalog>,
+    /// Where the moves that were asked for are shown, by service.
+    pub rollouts: watch::Sender<BTreeMap<String, Rollout>>,
     /// The daemon's log.
     pub log: Logger,
 }
@@ -194,23 +200,10 @@
 impl Sink<Order> for Orders {
     async fn take(&mut self, items: Vec<Order>, _: bool) {
         for order in items {
-            let Order::Configure(draft) = order else {
-                continue;
-            };
-            let version = draft.version;
-            if version <= self.catalog.version {
-                continue;
-            }
-            match Catalog::try_new(*draft, &self.catalog) {
-                Ok(catalog) => {
-                    self.catalog = Arc::new(catalog);
-                    // The broker ends before this task only when the daemon does.
-                    let _ = self.broker.tell(broker::Adopt(self.catalog.clone())).await;
-                }
-                Err(reason) => {
-                    warn!(self.log, "configuration_refused"; "version" => version,
-                        "in_force" => self.catalog.version, "reason" => %reason);
-                }
+            match order {
+                Order::Configure(draft) => self.configure(*draft).await,
+                Order::Rollout(rollout) => self.withhold(rollout).await,
+                Order::Withdrawn(service) => self.lift(service).await,
             }
         }
     }
@@ -218,6 +211,50 @@
     async fn reach(&mut self, _: bool) {}
 }
 
+impl Orders {
+    async fn configure(&mut self, draft: Draft) {
+        let version = draft.version;
+        if version <= self.catalog.version {
+            return;
+        }
+        match Catalog::try_new(draft, &self.catalog) {
+            Ok(catalog) => {
+                self.catalog = Arc::new(catalog);
+                // The broker ends before this task only when the daemon does.
+                let _ = self.broker.tell(broker::Adopt(self.catalog.clone())).await;
+            }
+            Err(reason) => {
+                warn!(self.log, "configuration_refused"; "version" => version,
+                    "in_force" => self.catalog.version, "reason" => %reason);
+            }
+        }
+    }
+
+    /// Keeps requests from the version that a move asks for; the holder of the duties takes the
+    /// move back.
+    async fn withhold(&mut self, rollout: Rollout) {
+        let withhold = broker::Withhold {
+            service: rollout.service.clone(),
+            version: Some(rollout.to.clone()),
+        };
+        let _ = self.broker.tell(withhold).await;
+        self.rollouts.send_modify(|rollouts| {
+            rollouts.insert(rollout.service.clone(), rollout);
+        });
+    }
+
+    async fn lift(&mut self, service: String) {
+        self.rollouts.send_modify(|rollouts| {
+            rollouts.remove(&service);
+        });
+        let withhold = broker::Withhold {
+            service,
+            version: None,
+        };
+        let _ = self.broker.tell(withhold).await;
+    }
+}
+
 /// `Entries` passes the registry's entries on.
 #[derive(Debug)]
 pub struct Entries {
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -97,6 +97,8 @@
     services: BTreeMap<String, Vec<arena::Upstream>>,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
+    /// Versions that get no requests, by service.
+    withheld: BTreeMap<String, String>,
     /// Organisations by the numbers that stand for them between daemons.
     numbers: BTreeMap<u32, arena::Organisation>,
     daemons: f64,
@@ -119,6 +121,7 @@
             services: BTreeMap::new(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
+            withheld: BTreeMap::new(),
             numbers: BTreeMap::new(),
             daemons: UNKNOWN_DAEMONS,
             share: 1.0 / UNKNOWN_DAEMONS,
@@ -165,6 +168,14 @@
         }
     }
 
+    /// Sends a version of a service no requests while any other serves, or lifts that again.
+    pub fn withhold(&mut self, service: &str, version: Option<String>) {
+        match version {
+            Some(version) => self.withheld.insert(service.to_owned(), version),
+            None => self.withheld.remove(service),
+        };
+    }
+
     fn deal(&mut self, now: Millis) {
         let catalog = self.catalog.clone();
         let known = |key: &arena::Organisation| catalog.organisations.get(*key).is_some();
@@ -317,7 +328,13 @@
             takes.then_some((*key, upstream))
         };
         let staying = keys.unwrap_or_default().iter().filter_map(staying);
-        let staying = staying.collect::<Vec<_>>();
+        let mut staying = staying.collect::<Vec<_>>();
+        if let Some(withheld) = self.withheld.get(service) {
+            let proven = |(_, upstream): &(_, &Upstream)| upstream.instance.version != *withheld;
+            if staying.iter().any(proven) {
+                staying.retain(proven);
+            }
+        }
         let session = ask.prompt.and_then(Prompt::session);
         let own = session.and_then(|session| {
             let all = staying.iter();
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -97,6 +97,12 @@
     pub revision: Revision,
 }
 
+/// `Report` tells operators how what they asked for ended.
+pub trait Report: Clone + Send + Sync + 'static {
+    /// Says that the move of a service was taken back.
+    fn taken_back(&self, rollout: &Rollout) -> impl Future<Output = Result<()>> + Send;
+}
+
 /// `Row` is a row of the product's own in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
@@ -178,6 +184,8 @@
     type Operator: Source<Item = Order>;
     /// Which upstreams there are.
     type Directory: Source<Item = Change>;
+    /// What operators are told.
+    type Report: Report;
     /// Rows of the product's own.
     type Store: Store;
     /// Duties.
@@ -189,6 +197,8 @@
     fn operator(&self) -> Self::Operator;
     /// The registry of upstreams.
     fn directory(&self) -> Self::Directory;
+    /// The reports to operators.
+    fn report(&self) -> Self::Report;
     /// The store.
     fn store(&self) -> Self::Store;
     /// The provider.
