Discard calls that are given up; end doubt of removed entries within the drain's bound

Change: the client's connections are ended and reset when a call is dropped; doubt lasts 1.7 s. Tests: link client (32 MB of a given-up call arrived before), broker doubt (failed before).

--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -15,6 +15,7 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 
 pub use client::Answer;
 pub use client::Client;
@@ -66,6 +67,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Ends the task, and with it the socket, as soon as the connection is dropped.
+    _task: Option<AbortOnDropHandle<()>>,
 }
 
 impl Connection {
@@ -75,22 +78,45 @@
     ///
     /// Returns [`Error::NotSent`] where nobody listens or the time is over.
     pub async fn try_new(address: SocketAddr, within: Duration) -> Result<Self> {
+        Self::connect(address, within, false).await
+    }
+
+    async fn connect(address: SocketAddr, within: Duration, is_abrupt: bool) -> Result<Self> {
         let connect = async {
             let socket = TcpStream::connect(address)
                 .await
                 .map_err(|_| Error::NotSent)?;
             prepare(&socket).map_err(|_| Error::NotSent)?;
+            if is_abrupt {
+                let linger = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+                linger.map_err(|_| Error::NotSent)?;
+            }
             let io = TokioIo::new(socket);
             let (sender, task) = http1::handshake(io).await.map_err(|_| Error::NotSent)?;
             // The task's own error reaches whoever waits for an answer.
-            tokio::spawn(async move { drop(task.await) });
-            Ok(Self { sender })
+            let task = tokio::spawn(async move { drop(task.await) });
+            // Without a handle the task ends when what was begun has been sent and answered.
+            let task = is_abrupt.then(|| AbortOnDropHandle::new(task));
+            Ok(Self {
+                sender,
+                _task: task,
+            })
         };
         tokio::time::timeout(within, connect)
             .await
             .unwrap_or(Err(Error::NotSent))
     }
 
+    /// Connects as [`try_new`](Self::try_new) does, for calls that must not arrive once they are
+    /// given up: closing the connection discards what has not been delivered.
+    ///
+    /// # Errors
+    ///
+    /// As for [`try_new`](Self::try_new).
+    pub async fn try_new_abrupt(address: SocketAddr, within: Duration) -> Result<Self> {
+        Self::connect(address, within, true).await
+    }
+
     /// Whether another request can be sent.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- /dev/null
+++ b/cactusglade-link/tests/client.rs
@@ -0,0 +1,34 @@
+//! A call that was given up must not arrive later.
+
+use std::time::Duration;
+
+use cactusglade_link::link::Client;
+use cactusglade_link::link::Error;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+const WITHIN: Duration = Duration::from_millis(300);
+/// Length of a body that no socket's buffers hold, so that part of it waits at the sender as it
+/// does behind a cut link.
+const LONG: usize = 32 << 20;
+
+#[tokio::test]
+async fn a_call_that_was_given_up_is_reset_so_that_nothing_of_it_comes_later() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let client = Client::new(address, WITHIN);
+    let call = tokio::spawn(async move { client.call("POST", "/order", vec![0; LONG]).await });
+    let (mut socket, _) = listener.accept().await.expect("the client connects");
+    let answer = call.await.expect("the call ends");
+    assert_eq!(answer.map(|answer| answer.status), Err(Error::Timeout));
+    tokio::time::sleep(WITHIN).await;
+    // What was delivered stays readable; a reset, and not an orderly end, comes after it.
+    let mut bytes = Vec::new();
+    let read = socket.read_to_end(&mut bytes).await;
+    assert!(
+        read.is_err(),
+        "a call that was given up ended in order after {read:?} bytes"
+    );
+}
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -14,6 +14,9 @@
 
 /// Time after the store is back within which entries that lapsed meanwhile return.
 const RETURN: Millis = Millis(2_000);
+/// Longest time for which a removed entry is doubted; an upstream that has left may get requests
+/// for two seconds.
+const DOUBT: Millis = Millis(1_700);
 /// Time after which an upstream without an entry is forgotten; well over the longest stream.
 const LEFT: Millis = Millis(30_000);
 
@@ -83,7 +86,7 @@
         let since = if self.lost { Some(now) } else { lately };
         let key = self.upstreams.find(name)?;
         let upstream = self.upstreams.get_mut(key)?;
-        let until = since.map_or(now, |since| since + RETURN);
+        let until = since.map_or(now, |since| (since + RETURN).min(now + DOUBT));
         let is_news = upstream.doubted.is_none() && upstream.leaving.is_none();
         upstream.doubted.get_or_insert(until);
         (is_news && since.is_none()).then_some(key)
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -232,3 +232,14 @@
     let mut world = world(&["x"]);
     assert!(!world.broker.adopt(Millis(1), catalog()));
 }
+
+#[test]
+fn a_doubted_entry_ends_within_the_time_that_a_leaving_upstream_has() {
+    let mut world = world(&["x"]);
+    world.broker.store(Millis(1_000), true);
+    world
+        .broker
+        .learn(Millis(2_000), [Change::Removed("x".to_owned())]);
+    assert_eq!(world.place(3_600, &[]), Ok("x".to_owned()));
+    assert_eq!(world.place(3_900, &[]), Err(Kind::NoUpstream));
+}
