End every connection with its owner, so that nothing given up arrives after a cut

The trace shows requests that were sent at 22.4 s over a cut link, given up at 23.3 s and answered elsewhere, and delivered at 28.7 s by the task of their connection. Ruled out: the registry passed on once a zone (all daemons knew the mark at 26.5 s). Change: one kind of connection, which ends its task and resets its socket when dropped.

--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -63,12 +63,12 @@
 
 /// `Connection` sends requests over one socket, one at a time.
 ///
-/// The socket belongs to a task that ends when the connection is dropped.
+/// The socket belongs to a task. Dropping the connection ends the task and resets the socket, so
+/// that nothing of a request that was given up is delivered later, as it would be after a cut.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    /// Ends the task, and with it the socket, as soon as the connection is dropped.
-    _task: Option<AbortOnDropHandle<()>>,
+    _task: AbortOnDropHandle<()>,
 }
 
 impl Connection {
@@ -78,28 +78,21 @@
     ///
     /// Returns [`Error::NotSent`] where nobody listens or the time is over.
     pub async fn try_new(address: SocketAddr, within: Duration) -> Result<Self> {
-        Self::connect(address, within, false).await
-    }
-
-    async fn connect(address: SocketAddr, within: Duration, is_abrupt: bool) -> Result<Self> {
         let connect = async {
             let socket = TcpStream::connect(address)
                 .await
                 .map_err(|_| Error::NotSent)?;
             prepare(&socket).map_err(|_| Error::NotSent)?;
-            if is_abrupt {
-                let linger = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
-                linger.map_err(|_| Error::NotSent)?;
-            }
+            // Closing discards what was not delivered.
+            let linger = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+            linger.map_err(|_| Error::NotSent)?;
             let io = TokioIo::new(socket);
             let (sender, task) = http1::handshake(io).await.map_err(|_| Error::NotSent)?;
             // The task's own error reaches whoever waits for an answer.
             let task = tokio::spawn(async move { drop(task.await) });
-            // Without a handle the task ends when what was begun has been sent and answered.
-            let task = is_abrupt.then(|| AbortOnDropHandle::new(task));
             Ok(Self {
                 sender,
-                _task: task,
+                _task: AbortOnDropHandle::new(task),
             })
         };
         tokio::time::timeout(within, connect)
@@ -107,16 +100,6 @@
             .unwrap_or(Err(Error::NotSent))
     }
 
-    /// Connects as [`try_new`](Self::try_new) does, for calls that must not arrive once they are
-    /// given up: closing the connection discards what has not been delivered.
-    ///
-    /// # Errors
-    ///
-    /// As for [`try_new`](Self::try_new).
-    pub async fn try_new_abrupt(address: SocketAddr, within: Duration) -> Result<Self> {
-        Self::connect(address, within, true).await
-    }
-
     /// Whether another request can be sent.
     #[must_use]
     pub fn is_open(&self) -> bool {
