--- a/cactusglade-core/src/edge/mod.rs
+++ b/cactusglade-core/src/edge/mod.rs
@@ -7,8 +7,6 @@
 
 use serde::Deserialize;
 
-use crate::units::Millis;
-
 /// Error of reading settings.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -50,14 +48,8 @@
     /// All availability zones.
     #[serde(default)]
     pub zones: Vec<String>,
-    /// How long a leaving upstream may still get requests.
-    pub drain_ms: Millis,
     /// Seconds from the stop signal until the process is killed.
     pub grace_s: f64,
-    /// Time within which a new configuration must be in force.
-    pub apply_ms: Millis,
-    /// Time within which two holders of a duty must not alternate.
-    pub lease_ms: Millis,
     /// Repeats allowed for each request of callers, over all daemons.
     pub retry_ratio: f64,
     /// Seconds over which repeats are counted.
@@ -74,16 +66,10 @@
     pub usage_window_s: f64,
     /// Seconds after a window's end until its report is due.
     pub usage_late_s: f64,
-    /// Share of a service's requests that an unproved version may get.
-    pub exposure_share: f64,
-    /// Requests that an unproved version may get beyond that share.
-    pub exposure_slack: f64,
-    /// Time from the proof that a version is bad until it gets no more requests.
-    pub rollback_ms: Millis,
 }
 
 impl Settings {
-    /// Reads settings; unknown names are left for later versions.
+    /// Reads settings and ignores unknown names, so that a template may be ahead of the daemon.
     ///
     /// # Errors
     ///
--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -389,7 +389,12 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener> {
+/// Listens on an address, for a runtime that starts later.
+///
+/// # Errors
+///
+/// Returns [`Error::Listen`] when the address is taken.
+pub fn listen(address: SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).and_then(|listener| {
         listener.set_nonblocking(true)?;
         Ok(listener)
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -10,7 +10,6 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::edge::Settings;
 use cactusglade_core::units::Millis;
-use cactusglade_kernel::kernel;
 use cactusglade_kernel::kernel::Fault;
 use cactusglade_kernel::kernel::Kernel;
 use cactusglade_link::clock::Clock;
@@ -26,6 +25,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::boot::Error;
+use crate::boot::Result;
+use crate::boot::listen;
 use crate::edge::broker;
 use crate::edge::broker::Broker;
 use crate::edge::duty;
@@ -47,7 +49,6 @@
 use crate::edge::watch::Orders;
 use crate::edge::watch::Relayed;
 use crate::edge::watch::Watch;
-use crate::metrics;
 use crate::metrics::Metrics;
 
 /// Time after the stop signal for which new connections are still taken: the balancer asks once a
@@ -59,28 +60,6 @@
 const PASSED: usize = 64;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
-/// Error of starting a daemon.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// A service did not start.
-    #[error(transparent)]
-    Kernel(#[from] kernel::Error),
-    /// The metrics could not be defined.
-    #[error(transparent)]
-    Metrics(#[from] metrics::Error),
-    /// An address could not be listened on.
-    #[error("cannot listen on {address}: {reason}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What the system said.
-        reason: std::io::Error,
-    },
-}
-
-/// Result of starting a daemon.
-pub type Result<T> = std::result::Result<T, Error>;
-
 /// `Daemon` is a running daemon on the platform `P`.
 pub struct Daemon<P: Platform> {
     kernel: Kernel,
@@ -350,13 +329,6 @@
     Millis((span * MILLIS_PER_SECOND).max(1.0) as u64)
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let failed = |reason| Error::Listen { address, reason };
-    let listener = TcpListener::bind(address).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
-    Ok(listener)
-}
-
 fn datagrams(address: SocketAddr) -> Result<UdpSocket> {
     let failed = |reason| Error::Listen { address, reason };
     let socket = UdpSocket::bind(address).map_err(failed)?;
--- a/cactusglade-daemon/src/edge/probe/mod.rs
+++ b/cactusglade-daemon/src/edge/probe/mod.rs
@@ -22,8 +22,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
+use crate::accept;
 use crate::metrics::Metrics;
 
 /// Name of the service that the balancer asks.
@@ -34,6 +34,8 @@
 const METRICS: &str = "/metrics";
 /// Longest time to send the head of a question; the balancer asks once a second.
 const HEADER: Duration = Duration::from_secs(5);
+/// Connections at once; the balancer and some operators need few.
+const MAX_CONNECTIONS: usize = 64;
 
 /// `State` is what the answers rest on.
 #[derive(Clone, Debug)]
@@ -90,26 +92,13 @@
     async fn on_start(options: Options, _: ActorRef<Self>) -> Result<Self, std::io::Error> {
         let listener = TcpListener::from_std(options.listener)?;
         let (stop, stopped) = oneshot::channel();
-        tokio::spawn(listen(listener, options.state, stopped));
+        let state = options.state;
+        let serve = move |socket| serve(socket, state.clone());
+        tokio::spawn(accept::run(listener, MAX_CONNECTIONS, stopped, serve));
         Ok(Self { _stop: stop })
     }
 }
 
-async fn listen(listener: TcpListener, state: State, mut stopped: oneshot::Receiver<()>) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            _ = &mut stopped => return,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => {
-                if let Ok((socket, _)) = accepted {
-                    connections.spawn(serve(socket, state.clone()));
-                }
-            }
-        }
-    }
-}
-
 async fn serve(socket: TcpStream, state: State) {
     let service = service_fn(move |request: Request<Incoming>| {
         let response = state.answer(request.uri().path());
--- a/cactusglade-daemon/src/lib.rs
+++ b/cactusglade-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`boot::Daemon`] starts the services of one daemon in the order that `docs/DESIGN.md` gives.
 
+pub mod accept;
 pub mod boot;
 pub mod config;
 pub mod dispatch;
--- a/cactusglade-daemon/src/ops/mod.rs
+++ b/cactusglade-daemon/src/ops/mod.rs
@@ -23,8 +23,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
+use crate::accept;
 use crate::dispatch;
 use crate::dispatch::Dispatch;
 use crate::metrics::Metrics;
@@ -83,28 +83,13 @@
     async fn on_start(options: Options, _: ActorRef<Self>) -> Result<Self, std::io::Error> {
         let listener = TcpListener::from_std(options.listener)?;
         let (stop, stopped) = oneshot::channel();
-        tokio::spawn(listen(listener, options.context, stopped));
+        let context = options.context;
+        let serve = move |socket| serve(socket, context.clone());
+        tokio::spawn(accept::run(listener, MAX_CONNECTIONS, stopped, serve));
         Ok(Self { _stop: stop })
     }
 }
 
-async fn listen(listener: TcpListener, context: Context, mut stopped: oneshot::Receiver<()>) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            _ = &mut stopped => return,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => {
-                if let Ok((socket, _)) = accepted
-                    && connections.len() < MAX_CONNECTIONS
-                {
-                    connections.spawn(serve(socket, context.clone()));
-                }
-            }
-        }
-    }
-}
-
 async fn serve(socket: TcpStream, context: Context) {
     let service = service_fn(move |request: Request<Incoming>| {
         let context = context.clone();
--- a/cactusglade-daemon/src/peer/server.rs
+++ b/cactusglade-daemon/src/peer/server.rs
@@ -18,8 +18,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::task::JoinSet;
 
+use crate::accept;
 use crate::config;
 use crate::config::Config;
 use crate::peer::Answer;
@@ -28,6 +28,9 @@
 use crate::relay;
 use crate::relay::Relay;
 
+/// Connections of peers at once; each of 400 daemons keeps one and may push over another.
+const MAX_CONNECTIONS: usize = 1_024;
+
 /// `Server` answers one peer's calls through the services.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -72,23 +75,13 @@
 pub async fn listen(
     listener: std::net::TcpListener,
     server: Server,
-    mut stopped: oneshot::Receiver<()>,
+    stopped: oneshot::Receiver<()>,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else {
         return;
     };
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            _ = &mut stopped => return,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => {
-                if let Ok((socket, _)) = accepted {
-                    connections.spawn(serve(socket, server.clone()));
-                }
-            }
-        }
-    }
+    let serve = move |socket| serve(socket, server.clone());
+    accept::run(listener, MAX_CONNECTIONS, stopped, serve).await;
 }
 
 /// Answers the calls of one connection until it ends.
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -182,7 +182,7 @@
         1 + peers.count() as u64 + zones.sum::<u64>()
     }
 
-    /// How many of them are in touch with this one, itself included.
+    /// How many of them this one hears, itself included.
     #[must_use]
     pub fn heard(&self, now: Millis) -> u64 {
         let silent = self.silent_zone();
@@ -190,7 +190,7 @@
         self.near(now) + zones.map(|zone| zone.heard).sum::<u64>()
     }
 
-    /// How many daemons of the own zone are in touch with this one, itself included.
+    /// How many daemons of the own zone this one hears, itself included.
     #[must_use]
     pub fn near(&self, now: Millis) -> u64 {
         1 + self.neighbours(now).count() as u64
