Undo the circles of imports between files

Cause: config, dispatch and peer each imported the others' services to send them messages, and the files of both request paths shared one file that held the request and the choice of how to answer it.

Change: what a service is told and asked stands in a file that imports no service; peer and its partners are bound by message, not by type. A request that was let in is below the attempt and the answers (`entry`), the handles that requests need below all (`context`), the choice of the answer above (`request`).

Ruled out: giving the services traits of each other, which would only have hidden the circle.

No change of behaviour.

--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -298,6 +298,8 @@
     }
 
     fn peer(&self, kernel: &Kernel, listener: TcpListener) -> Result<peer::Options> {
+        let dispatch = kernel.find::<Dispatch>(dispatch::NAME)?;
+        let config = kernel.find::<Config>(config::NAME)?;
         Ok(peer::Options {
             name: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
@@ -307,8 +309,11 @@
             seeds: self.settings.seeds.clone(),
             gossip: self.settings.gossip_ms,
             sets: self.sets.clone(),
-            dispatch: kernel.find(dispatch::NAME)?,
-            config: kernel.find(config::NAME)?,
+            lessons: dispatch.clone().recipient(),
+            summaries: dispatch.reply_recipient(),
+            heads: config.clone().recipient(),
+            joins: config.clone().recipient(),
+            snapshots: config.reply_recipient(),
             relay: kernel.find(relay::NAME)?,
             clock: self.clock,
             log: self.log.clone(),
@@ -321,8 +326,12 @@
         let dispatch = kernel.find::<Dispatch>(dispatch::NAME)?;
         let config = kernel.find::<Config>(config::NAME)?;
         // Both have just started; one that has already ended is reported as a fault.
-        let _ = dispatch.tell(dispatch::Introduce(peer.clone())).await;
-        let _ = config.tell(config::Introduce(peer.clone())).await;
+        let _ = dispatch
+            .tell(dispatch::Introduce(peer.clone().recipient()))
+            .await;
+        let _ = config
+            .tell(config::Introduce(peer.clone().recipient()))
+            .await;
         Ok(())
     }
 
--- a/cactusglade-daemon/src/config/fetch.rs
+++ b/cactusglade-daemon/src/config/fetch.rs
@@ -9,7 +9,7 @@
 use cactusglade_core::set::digest;
 use serde_json::Value;
 
-use crate::peer;
+use crate::peer::reach;
 use crate::platform;
 use crate::platform::Platform;
 
@@ -74,7 +74,7 @@
             let Ok(address) = address.parse() else {
                 continue;
             };
-            let snapshot = peer::snapshot(self.local, address, head.generation, PEER_WAIT).await;
+            let snapshot = reach::snapshot(self.local, address, head.generation, PEER_WAIT).await;
             if let Some(snapshot) = snapshot
                 && let Ok(fetched) = read(snapshot, head)
             {
--- a/cactusglade-daemon/src/config/mod.rs
+++ b/cactusglade-daemon/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The service that takes published generations into force, only ever greater ones.
 
 pub mod fetch;
+pub mod messages;
 
 use std::convert::Infallible;
 use std::net::IpAddr;
@@ -14,6 +15,7 @@
 use cactusglade_core::units::Generation;
 use kameo::Actor;
 use kameo::actor::ActorRef;
+use kameo::actor::Recipient;
 use kameo::message::Context;
 use kameo::message::Message;
 use slog::Logger;
@@ -22,11 +24,15 @@
 use slog::warn;
 use tokio::sync::watch;
 
-use crate::dispatch;
+pub use messages::Announce;
+pub use messages::Introduce;
+pub use messages::Joined;
+pub use messages::Snapshot;
+
 use crate::dispatch::Dispatch;
+use crate::dispatch::messages::Adopt;
 use crate::metrics::Metrics;
-use crate::peer;
-use crate::peer::Peer;
+use crate::peer::messages::Spread;
 use crate::platform::Platform;
 
 /// Name of the service.
@@ -53,7 +59,7 @@
 #[derive(Debug)]
 pub struct Config {
     options: Options,
-    peer: Option<ActorRef<Peer>>,
+    spread: Option<Recipient<Spread>>,
     head: Head,
     document: Arc<Document>,
     snapshot: String,
@@ -64,29 +70,6 @@
     held: Option<Head>,
 }
 
-/// `Announce` says that a head was seen, and where its snapshot may be had beside the platform.
-#[derive(Clone, Debug)]
-pub struct Announce {
-    /// The head.
-    pub head: Head,
-    /// Whether the platform's own table said so.
-    pub from_store: bool,
-    /// Peer addresses of daemons that may have the snapshot.
-    pub peers: Vec<String>,
-}
-
-/// `Introduce` makes the peer service known, which starts later.
-#[derive(Clone, Debug)]
-pub struct Introduce(pub ActorRef<Peer>);
-
-/// `Snapshot` asks for the snapshot of a generation.
-#[derive(Clone, Copy, Debug)]
-pub struct Snapshot(pub Generation);
-
-/// `Joined` says that the peers have said what they know, or that none answers.
-#[derive(Clone, Copy, Debug)]
-pub struct Joined;
-
 struct Fetched {
     head: Head,
     result: fetch::Result<fetch::Fetched>,
@@ -99,7 +82,7 @@
     async fn on_start(options: Options, _: ActorRef<Self>) -> Result<Self, Infallible> {
         Ok(Self {
             options,
-            peer: None,
+            spread: None,
             head: Head::default(),
             document: Arc::default(),
             snapshot: String::new(),
@@ -114,7 +97,7 @@
     type Reply = ();
 
     async fn handle(&mut self, introduce: Introduce, _: &mut Context<Self, ()>) {
-        self.peer = Some(introduce.0);
+        self.spread = Some(introduce.0);
     }
 }
 
@@ -228,11 +211,7 @@
             "a generation was to revert"
         );
         // The dispatch ends before this service only when the daemon does.
-        let _ = self
-            .options
-            .dispatch
-            .ask(dispatch::Adopt(set.clone()))
-            .await;
+        let _ = self.options.dispatch.ask(Adopt(set.clone())).await;
         self.options.sets.send_replace(set);
         let generation = head.generation.0;
         self.options
@@ -244,9 +223,9 @@
         self.head = head.clone();
         self.document = Arc::new(fetched.document);
         self.snapshot = fetched.snapshot;
-        if let Some(peer) = &self.peer {
+        if let Some(spread) = &self.spread {
             let rows = vec![(Key::Head, Value::Head(head))];
-            let _ = peer.tell(peer::Spread(rows)).try_send();
+            let _ = spread.tell(Spread(rows)).try_send();
         }
     }
 }
--- a/cactusglade-daemon/src/dispatch/mod.rs
+++ b/cactusglade-daemon/src/dispatch/mod.rs
@@ -3,7 +3,8 @@
 //! A request sends one message to be admitted and one when it is done; what it is to do comes
 //! back through its own channel of orders. See `docs/DESIGN.md`.
 
-mod messages;
+pub mod messages;
+mod replies;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -21,6 +22,7 @@
 use cactusglade_policy::dispatch::Report;
 use kameo::Actor;
 use kameo::actor::ActorRef;
+use kameo::actor::Recipient;
 use kameo::actor::WeakActorRef;
 use kameo::error::ActorStopReason;
 use slog::Logger;
@@ -29,8 +31,7 @@
 use tokio::sync::mpsc;
 
 use crate::metrics::Metrics;
-use crate::peer;
-use crate::peer::Peer;
+use crate::peer::messages::Spread;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
 use cactusglade_link::link::Connection;
@@ -80,7 +81,7 @@
     policy: policy::Dispatch<Cheapest>,
     orders: BTreeMap<arena::Ticket, mpsc::Sender<Order>>,
     idle: BTreeMap<arena::Upstream, Vec<Connection>>,
-    peer: Option<ActorRef<Peer>>,
+    spread: Option<Recipient<Spread>>,
     /// Wakes the task that sends ticks.
     busy: Arc<Notify>,
     clock: Clock,
@@ -100,7 +101,7 @@
             policy: policy::Dispatch::new(&options.zone, Cheapest, options.max_waiting),
             orders: BTreeMap::new(),
             idle: BTreeMap::new(),
-            peer: None,
+            spread: None,
             clock: options.clock,
             log: options.log,
             metrics: options.metrics,
@@ -243,10 +244,10 @@
             .to_owned();
         info!(self.log, "version_vetoed"; "rollout" => &rollout.name, "reason" => &reason);
         let key = Key::Veto(rollout.name.clone(), rollout.meta.deadline_unix_ms);
-        if let Some(peer) = &self.peer {
+        if let Some(spread) = &self.spread {
             // The peer service ends before this one only when the daemon does.
-            let _ = peer
-                .tell(peer::Spread(vec![(key, Value::Veto(reason))]))
+            let _ = spread
+                .tell(Spread(vec![(key, Value::Veto(reason))]))
                 .try_send();
         }
     }
--- a/cactusglade-daemon/src/edge/front/connection.rs
+++ b/cactusglade-daemon/src/edge/front/connection.rs
@@ -14,8 +14,8 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpStream;
 
-use super::Context;
-use super::Phase;
+use super::context::Context;
+use super::context::Phase;
 use super::request;
 
 /// Time beyond the callers' idle bound after which an idle connection is closed, so that a caller
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -17,8 +17,8 @@
 use crate::edge::broker::Refund;
 use crate::edge::broker::Refused;
 
-use super::request::Entry;
-use super::request::Whole;
+use super::entry::Entry;
+use super::entry::Whole;
 use super::sending;
 use super::sending::Held;
 use super::sending::Reached;
--- a/cactusglade-daemon/src/edge/front/mod.rs
+++ b/cactusglade-daemon/src/edge/front/mod.rs
@@ -1,9 +1,11 @@
 //! The callers' side: connections, requests, and the sendings to upstreams that answer them.
 //!
-//! Each module knows only those below it: `connection`, `request`, `plain` and `stream`,
-//! `exchange`, `sending`.
+//! Each module knows only those below it: `connection`, `request`, `stream`, `plain`,
+//! `exchange`, `sending`, `entry`, `context`.
 
 mod connection;
+mod context;
+mod entry;
 mod exchange;
 mod plain;
 mod request;
@@ -13,55 +15,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusglade_core::catalog::Catalog;
-use cactusglade_link::clock::Clock;
 use cactusglade_wire::port;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::Message;
-use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::edge::broker::Broker;
-use crate::metrics::Metrics;
+pub use context::Context;
+pub use context::Phase;
 
 /// Name of the service.
 pub const NAME: &str = "front";
 /// Connections of callers at once; each costs a descriptor, of which a host has some thousands.
 const MAX_CONNECTIONS: usize = 2_000;
 
-/// `Phase` is how far the daemon has shut down.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Phase {
-    /// It serves.
-    Serving,
-    /// It still accepts, until the balancer has noticed that it is not ready.
-    Draining,
-    /// It finishes what it has and takes nothing more.
-    Closing,
-}
-
-/// `Context` is what requests are answered with.
-#[derive(Clone, Debug)]
-pub struct Context<F> {
-    /// Encoding of requests and answers.
-    pub front: F,
-    /// The broker.
-    pub broker: ActorRef<Broker>,
-    /// The catalog in force.
-    pub catalogs: watch::Receiver<Arc<Catalog>>,
-    /// How far the daemon has shut down.
-    pub phase: watch::Receiver<Phase>,
-    /// The daemon's clock.
-    pub clock: Clock,
-    /// The daemon's log.
-    pub log: Logger,
-    /// The daemon's metrics.
-    pub metrics: Metrics,
-}
-
 /// `Options` of the service.
 #[derive(Debug)]
 pub struct Options<F> {
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -15,11 +15,11 @@
 use hyper::header::HeaderValue;
 use hyper::http::response;
 
-use super::Phase;
+use super::context::Phase;
+use super::entry::Entry;
+use super::entry::Whole;
 use super::exchange::Exchange;
 use super::exchange::Stop;
-use super::request::Entry;
-use super::request::Whole;
 use super::sending::Reached;
 
 /// Longest answer that is held whole, in bytes; those of plain services are some kilobytes.
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -6,9 +6,7 @@
 use bytes::Bytes;
 use cactusglade_core::arena;
 use cactusglade_core::call::Call;
-use cactusglade_core::call::Prompt;
 use cactusglade_core::catalog::Catalog;
-use cactusglade_core::catalog::Route;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::port;
@@ -23,46 +21,18 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::http::request;
 use slog::info;
 
-use super::Context;
-use super::Phase;
+use super::context::Context;
+use super::context::Phase;
+use super::entry::Entry;
+use super::entry::NOBODY;
+use super::entry::Whole;
 use super::plain;
 use super::stream;
 
 /// Longest time for a body to come in; callers send theirs at once.
 const BODY: Duration = Duration::from_secs(10);
-/// Label of a request whose route or organisation is not known.
-const NOBODY: &str = "-";
-
-/// `Whole` is an answer that is there at once.
-pub type Whole = Response<Full<Bytes>>;
-
-/// `Entry` is a request that may go to an upstream.
-#[derive(Debug)]
-pub struct Entry<F> {
-    /// What requests are answered with.
-    pub context: Arc<Context<F>>,
-    /// Head of the request as it came.
-    pub head: request::Parts,
-    /// The same as decisions see it.
-    pub call: Call,
-    /// Its prompt, for a model request.
-    pub prompt: Option<Arc<Prompt>>,
-    /// Body.
-    pub body: Bytes,
-    /// Catalog by which it is answered.
-    pub catalog: Arc<Catalog>,
-    /// Its route.
-    pub route: arena::Route,
-    /// Organisation that sent it, where the route asks for a key.
-    pub organisation: Option<arena::Organisation>,
-    /// When it arrived, on the daemon's clock.
-    pub arrived: Millis,
-    /// When the caller or the route's bound ends it, on the daemon's clock.
-    pub deadline: Millis,
-}
 
 /// Error of entering a request.
 struct Reject {
@@ -180,62 +150,3 @@
         Err(_) => Err(Kind::SlowRequest),
     }
 }
-
-impl<F: port::Front> Entry<F> {
-    /// The route's object; the key is from the catalog that the entry holds.
-    pub fn object(&self) -> Option<&Route> {
-        self.catalog.routes.get(self.route)
-    }
-
-    /// Name of the organisation.
-    pub fn organisation_name(&self) -> Option<&str> {
-        let object = self.catalog.organisations.get(self.organisation?);
-        object.map(|organisation| organisation.name.as_str())
-    }
-
-    /// Rank of the request; the organisation's goes before the route's.
-    pub fn rank(&self) -> Option<u64> {
-        let organisation = self
-            .organisation
-            .map(|key| self.catalog.organisations.get(key));
-        let rank = organisation
-            .flatten()
-            .and_then(|organisation| organisation.rank);
-        rank.or_else(|| self.object().map(|route| route.rank))
-    }
-
-    /// Writes the request's line into the log and counts it.
-    pub fn record(&self, code: &str, sent: u64) {
-        let context = &self.context;
-        let route = self.object().map_or(NOBODY, |route| route.name.as_str());
-        let organisation = self.organisation_name().unwrap_or(NOBODY);
-        let took = context.clock.now() - self.arrived;
-        let labels = [route, organisation, code];
-        context.metrics.requests.with_label_values(&labels).inc();
-        info!(context.log, "request"; "id" => &self.call.id, "route" => route,
-            "organisation" => organisation, "version" => self.catalog.version,
-            "code" => code, "sent" => sent, "took_ms" => took.0);
-    }
-
-    /// Counts the time to the first byte of the answer.
-    pub fn first_byte(&self) {
-        let took = self.context.clock.now() - self.arrived;
-        let route = self.object().map_or(NOBODY, |route| route.name.as_str());
-        let labels = [route, self.organisation_name().unwrap_or(NOBODY)];
-        let seconds = Duration::from_millis(took.0).as_secs_f64();
-        let histogram = &self.context.metrics.first_byte;
-        histogram.with_label_values(&labels).observe(seconds);
-    }
-
-    /// An error in answer to the request.
-    pub fn refuse(&self, kind: Kind, retry_after: Option<Millis>, sent: u64) -> Whole {
-        self.record(kind.answer().code, sent);
-        let refusal = Refusal {
-            kind,
-            id: Some(&self.call.id),
-            retry_after: retry_after.or(kind.answer().retry_after),
-            closes: *self.context.phase.borrow() != Phase::Serving,
-        };
-        self.context.front.refuse(&refusal).map(Full::new)
-    }
-}
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -26,7 +26,7 @@
 use crate::edge::broker::Ended;
 use crate::edge::broker::Placed;
 
-use super::request::Entry;
+use super::entry::Entry;
 
 /// Longest wait for a connection: zones lie about a millisecond apart, and a lost packet is sent
 /// again after two hundred.
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -18,11 +18,11 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
+use super::entry::Entry;
+use super::entry::Whole;
 use super::exchange::Exchange;
 use super::exchange::Stop;
 use super::plain;
-use super::request::Entry;
-use super::request::Whole;
 use super::sending::Held;
 use super::sending::Reached;
 
--- a/cactusglade-daemon/src/gate/attempt.rs
+++ b/cactusglade-daemon/src/gate/attempt.rs
@@ -13,8 +13,8 @@
 use hyper::body::Incoming;
 
 use crate::dispatch::Start;
-use crate::gate::Context;
-use crate::gate::request::Entry;
+use crate::gate::context::Context;
+use crate::gate::entry::Entry;
 use cactusglade_link::link;
 use cactusglade_link::link::Connection;
 
--- a/cactusglade-daemon/src/gate/chat/leave.rs
+++ b/cactusglade-daemon/src/gate/chat/leave.rs
@@ -3,11 +3,10 @@
 use cactusglade_core::row::Handover;
 use cactusglade_policy::dispatch::Report;
 use cactusglade_policy::dispatch::Verdict;
-use tokio::sync::watch;
 
-use crate::gate::Leaving;
-use crate::gate::chat::Chat;
-use crate::gate::chat::Part;
+use crate::gate::chat::progress::Chat;
+use crate::gate::chat::progress::Part;
+use crate::gate::context::Leaving;
 use crate::peer;
 use cactusglade_link::clock;
 
@@ -55,17 +54,3 @@
         Part::Moved
     }
 }
-
-/// Waits until the host is gone soon.
-pub(super) async fn soon(leaving: &mut watch::Receiver<Leaving>) {
-    let handed_over = !leaving.has_changed().unwrap_or(false) && *leaving.borrow() == Leaving::Soon;
-    if handed_over
-        || leaving
-            .wait_for(|leaving| *leaving == Leaving::Soon)
-            .await
-            .is_err()
-    {
-        // It was tried already, or nobody will ever say so.
-        std::future::pending::<()>().await;
-    }
-}
--- a/cactusglade-daemon/src/gate/chat/mod.rs
+++ b/cactusglade-daemon/src/gate/chat/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::gate::answer;
 use crate::gate::answer::Body;
-use crate::gate::request::Entry;
+use crate::gate::entry::Entry;
 
 pub use progress::Chat;
 pub use progress::Part;
--- a/cactusglade-daemon/src/gate/chat/progress.rs
+++ b/cactusglade-daemon/src/gate/chat/progress.rs
@@ -23,15 +23,15 @@
 use crate::dispatch::Finish;
 use crate::dispatch::Order;
 use crate::dispatch::Start;
-use crate::gate::Leaving;
 use crate::gate::attempt;
 use crate::gate::attempt::Call;
 use crate::gate::attempt::Error;
 use crate::gate::attempt::Reached;
-use crate::gate::chat::leave::soon;
 use crate::gate::chat::lines::Lines;
 use crate::gate::chat::pace::Pace;
-use crate::gate::request::Entry;
+use crate::gate::context::Leaving;
+use crate::gate::context::soon;
+use crate::gate::entry::Entry;
 use cactusglade_link::link::Connection;
 
 /// Bytes of text that are taken for one token in estimates.
--- a/cactusglade-daemon/src/gate/connection.rs
+++ b/cactusglade-daemon/src/gate/connection.rs
@@ -18,8 +18,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::gate::Context;
 use crate::gate::answer;
+use crate::gate::context::Context;
+use crate::gate::entry;
 use crate::gate::request;
 
 /// Connections beyond the limit that are still told why they are not served.
@@ -81,7 +82,7 @@
         let draining = draining.clone();
         async move {
             let response = if over {
-                let id = request::id(&context.daemon);
+                let id = entry::id(&context.daemon);
                 let message = "too many connections";
                 let response = answer::failure(Kind::Overloaded, message, &id);
                 answer::closing(response).map(Either::Left)
--- a/cactusglade-daemon/src/gate/mod.rs
+++ b/cactusglade-daemon/src/gate/mod.rs
@@ -4,8 +4,10 @@
 mod attempt;
 pub(crate) mod chat;
 mod connection;
+mod context;
+pub(crate) mod entry;
 mod plain;
-pub(crate) mod request;
+mod request;
 mod resume;
 pub(crate) mod work;
 
@@ -13,74 +15,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusglade_core::set::Set;
-use cactusglade_core::settings::Limits;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::Message;
 use kameo::reply::DelegatedReply;
-use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio_util::task::TaskTracker;
 
-use crate::dispatch::Dispatch;
-use crate::ledger::Ledger;
-use crate::metrics::Metrics;
-use crate::peer::Peer;
-use crate::platform::Platform;
-use crate::relay::Relay;
-use cactusglade_link::clock::Clock;
+pub use context::Context;
+pub use context::Leaving;
 
 /// Name of the service.
 pub const NAME: &str = "gate";
 
-/// `Leaving` says how far the reclaim of the daemon's own host is.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Leaving {
-    /// The host stays.
-    #[default]
-    No,
-    /// The cloud gave notice: peers get a copy of every chat.
-    Noticed,
-    /// The host is gone soon: chats end here and are resumed elsewhere.
-    Soon,
-}
-
-/// `Context` is what every request needs; its parts are handles and settings.
-#[derive(Debug)]
-pub struct Context {
-    /// Name of the daemon, the head of request ids.
-    pub daemon: String,
-    /// Bounds on what callers can make the daemon hold.
-    pub limits: Limits,
-    /// The set in force.
-    pub sets: watch::Receiver<Arc<Set>>,
-    /// Whether the daemon is shutting down.
-    pub draining: watch::Receiver<bool>,
-    /// Whether the daemon's host is taken back, and how far that is.
-    pub leaving: watch::Receiver<Leaving>,
-    /// The dispatch service.
-    pub dispatch: ActorRef<Dispatch>,
-    /// The peer service, which hands chats over.
-    pub peer: ActorRef<Peer>,
-    /// The service that keeps chats which were handed over to this daemon.
-    pub relay: ActorRef<Relay>,
-    /// The platform.
-    pub platform: Platform,
-    /// The rows of attempts.
-    pub ledger: Ledger,
-    /// The daemon's clock.
-    pub clock: Clock,
-    /// The daemon's log.
-    pub log: Logger,
-    /// The daemon's metrics.
-    pub metrics: Metrics,
-    /// Counts the tasks of requests, which outlive their connections.
-    pub requests: TaskTracker,
-}
-
 /// `Options` of the service.
 #[derive(Debug)]
 pub struct Options {
--- a/cactusglade-daemon/src/gate/plain.rs
+++ b/cactusglade-daemon/src/gate/plain.rs
@@ -33,7 +33,7 @@
 use crate::gate::attempt;
 use crate::gate::attempt::Call;
 use crate::gate::attempt::Error;
-use crate::gate::request::Entry;
+use crate::gate::entry::Entry;
 use crate::ledger;
 use crate::ledger::Claim;
 use cactusglade_link::link::Connection;
--- a/cactusglade-daemon/src/gate/request.rs
+++ b/cactusglade-daemon/src/gate/request.rs
@@ -5,11 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::meta::Class;
-use cactusglade_core::set;
-use cactusglade_core::set::Set;
 use cactusglade_core::set::Target;
 use cactusglade_core::units::Generation;
 use cactusglade_core::units::Millis;
@@ -19,68 +16,29 @@
 use http_body_util::Either;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
-use slog::info;
 
-use crate::gate::Context;
 use crate::gate::answer;
 use crate::gate::answer::Body;
 use crate::gate::answer::Whole;
 use crate::gate::chat;
 use crate::gate::chat::Seed;
+use crate::gate::context::Context;
+use crate::gate::entry;
+use crate::gate::entry::Entry;
+use crate::gate::entry::NOBODY;
+use crate::gate::entry::Refusal;
+use crate::gate::entry::Result;
+use crate::gate::entry::organisation;
+use crate::gate::entry::record;
+use crate::gate::entry::text;
 use crate::gate::plain;
 use crate::gate::resume;
 use crate::gate::work;
 
-/// What a refused request names in logs and metrics where nothing better is known.
-const NOBODY: &str = "-";
-
-/// `Entry` is a request that was let in, before it is told apart by what it wants.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// What every request needs.
-    pub context: Arc<Context>,
-    /// The set that was in force when it came.
-    pub set: Arc<Set>,
-    /// Names the request.
-    pub id: String,
-    /// Whose it is.
-    pub organisation: arena::Organisation,
-    /// Where it goes.
-    pub route: arena::Route,
-    /// HTTP method.
-    pub method: String,
-    /// Path and query.
-    pub path: String,
-    /// Key by which it may be repeated.
-    pub idempotency_key: Option<String>,
-    /// Content type, if it was named.
-    pub content_type: Option<String>,
-    /// Body.
-    pub body: Bytes,
-    /// When it came, on the daemon's clock.
-    pub arrived: Millis,
-    /// When no answer helps any more, on the daemon's clock.
-    pub deadline: Millis,
-}
-
-/// `Refusal` is an error kind with words for people.
-#[derive(Clone, Copy, Debug)]
-pub struct Refusal(pub Kind, pub &'static str);
-
-/// Result of taking a request in.
-pub type Result<T> = std::result::Result<T, Refusal>;
-
-/// Makes a name for a request that no other request of any daemon has.
-pub fn id(daemon: &str) -> String {
-    format!("{daemon}-{:016x}", rand::random::<u64>())
-}
-
 /// `Way` is how a request is answered.
 enum Way {
     /// With what is there already.
@@ -94,7 +52,7 @@
     context: Arc<Context>,
     request: Request<Incoming>,
 ) -> Response<Body<impl Stream<Item = std::result::Result<Frame<Bytes>, Infallible>>>> {
-    let id = id(&context.daemon);
+    let id = entry::id(&context.daemon);
     let arrived = context.clock.now();
     let way = match choose(&context, request, &id, arrived).await {
         Ok(way) => way,
@@ -198,14 +156,6 @@
     })
 }
 
-/// The organisation whose API key the headers carry.
-pub fn organisation(set: &Set, headers: &HeaderMap) -> Result<arena::Organisation> {
-    let refusal = Refusal(Kind::Unauthenticated, "a valid API key is needed");
-    let value = text(headers, AUTHORIZATION.as_str()).ok_or(refusal)?;
-    let key = value.strip_prefix("Bearer ").ok_or(refusal)?;
-    set.authenticate(key.trim()).ok_or(refusal)
-}
-
 async fn read(body: Incoming, context: &Context) -> Result<Bytes> {
     let limited = Limited::new(body, context.limits.body_bytes);
     let within = Duration::from_millis(context.limits.body_ms.0);
@@ -219,74 +169,3 @@
         Err(_) => Err(Refusal(Kind::SlowRequest, "the body took too long")),
     }
 }
-
-fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned)
-}
-
-/// Writes the one line of a request into the log and counts it.
-fn record(
-    context: &Context,
-    id: &str,
-    route: &str,
-    organisation: &str,
-    code: &str,
-    arrived: Millis,
-) {
-    let took = context.clock.now() - arrived;
-    context
-        .metrics
-        .requests
-        .with_label_values(&[route, organisation, code])
-        .inc();
-    info!(context.log, "request"; "request_id" => id, "route" => route,
-        "organisation" => organisation, "code" => code, "took_ms" => took.0);
-}
-
-impl Entry {
-    /// The route's object; the key is from the set that the entry holds.
-    pub fn object(&self) -> Option<&set::Route> {
-        self.set.routes.get(self.route)
-    }
-
-    /// Name of the organisation.
-    pub fn organisation_name(&self) -> &str {
-        self.set
-            .organisations
-            .get(self.organisation)
-            .map_or(NOBODY, |o| o.name.as_str())
-    }
-
-    /// Name of the route.
-    pub fn route_name(&self) -> &str {
-        self.object().map_or(NOBODY, |route| route.name.as_str())
-    }
-
-    /// Writes the request's line into the log and counts it.
-    pub fn record(&self, code: &str) {
-        let (route, organisation) = (self.route_name(), self.organisation_name());
-        record(
-            &self.context,
-            &self.id,
-            route,
-            organisation,
-            code,
-            self.arrived,
-        );
-    }
-
-    /// Counts the time to the first byte of the answer.
-    pub fn first_byte(&self) {
-        let took = self.context.clock.now() - self.arrived;
-        let labels = [self.route_name(), self.organisation_name()];
-        let seconds = Duration::from_millis(took.0).as_secs_f64();
-        self.context
-            .metrics
-            .first_byte
-            .with_label_values(&labels)
-            .observe(seconds);
-    }
-}
--- a/cactusglade-daemon/src/gate/resume.rs
+++ b/cactusglade-daemon/src/gate/resume.rs
@@ -9,12 +9,12 @@
 use hyper::Request;
 use hyper::body::Incoming;
 
-use crate::gate::Context;
 use crate::gate::chat;
 use crate::gate::chat::Seed;
-use crate::gate::request;
-use crate::gate::request::Entry;
-use crate::gate::request::Refusal;
+use crate::gate::context::Context;
+use crate::gate::entry;
+use crate::gate::entry::Entry;
+use crate::gate::entry::Refusal;
 use crate::peer;
 use crate::relay;
 use cactusglade_link::clock;
@@ -36,9 +36,9 @@
     chat: &str,
     id: &str,
     arrived: Millis,
-) -> request::Result<(Entry, Seed)> {
+) -> entry::Result<(Entry, Seed)> {
     let set = context.sets.borrow().clone();
-    let organisation = request::organisation(&set, request.headers())?;
+    let organisation = entry::organisation(&set, request.headers())?;
     let handover = find(context, chat).await.ok_or(UNKNOWN)?;
     if set.organisations.find(&handover.organisation) != Some(organisation) {
         return Err(UNKNOWN);
--- a/cactusglade-daemon/src/gate/work.rs
+++ b/cactusglade-daemon/src/gate/work.rs
@@ -11,12 +11,12 @@
 use hyper::Response;
 use serde_json::Value;
 
-use crate::gate::Context;
 use crate::gate::answer;
 use crate::gate::answer::Whole;
-use crate::gate::request;
-use crate::gate::request::Entry;
-use crate::gate::request::Refusal;
+use crate::gate::context::Context;
+use crate::gate::entry;
+use crate::gate::entry::Entry;
+use crate::gate::entry::Refusal;
 use crate::platform::Committed;
 use crate::platform::Error;
 
@@ -123,9 +123,9 @@
     headers: &HeaderMap,
     name: &str,
     id: &str,
-) -> request::Result<Response<Whole>> {
+) -> entry::Result<Response<Whole>> {
     let set = context.sets.borrow().clone();
-    let organisation = request::organisation(&set, headers)?;
+    let organisation = entry::organisation(&set, headers)?;
     let organisation = set.organisations.get(organisation).ok_or(UNKNOWN)?;
     let out = Refusal(Kind::StoreUnavailable, "the platform does not answer");
     let [open, finished] = keys(name);
--- a/cactusglade-daemon/src/peer/handover.rs
+++ b/cactusglade-daemon/src/peer/handover.rs
@@ -12,20 +12,14 @@
 use rand::seq::SliceRandom;
 
 use crate::peer::Peer;
+use crate::peer::messages::Find;
+use crate::peer::messages::HandOver;
 use crate::peer::reach::connect;
 use crate::peer::reach::deadline;
 
 /// Peers that a chat is given to.
 const COPIES: usize = 2;
 
-/// `HandOver` gives a chat to peers; the reply says how many keep it.
-#[derive(Clone, Debug)]
-pub struct HandOver(pub Handover);
-
-/// `Find` asks the peers for a chat that was handed over.
-#[derive(Clone, Debug)]
-pub struct Find(pub String);
-
 impl Message<HandOver> for Peer {
     type Reply = DelegatedReply<usize>;
 
--- a/cactusglade-daemon/src/peer/mod.rs
+++ b/cactusglade-daemon/src/peer/mod.rs
@@ -1,7 +1,8 @@
 //! The service that exchanges rows with other daemons.
 
 mod handover;
-mod reach;
+pub mod messages;
+pub mod reach;
 mod server;
 
 use std::collections::BTreeMap;
@@ -24,8 +25,9 @@
 use cactusglade_wire::peer::PeerClient;
 use cactusglade_wire::peer::Pull;
 use kameo::Actor;
-use kameo::Reply;
 use kameo::actor::ActorRef;
+use kameo::actor::Recipient;
+use kameo::actor::ReplyRecipient;
 use kameo::actor::WeakActorRef;
 use kameo::message::Context;
 use kameo::message::Message;
@@ -36,11 +38,13 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::config;
-use crate::config::Config;
-use crate::dispatch;
-use crate::dispatch::Dispatch;
-use crate::dispatch::Lesson;
+use crate::config::messages::Announce;
+use crate::config::messages::Joined;
+use crate::config::messages::Snapshot;
+use crate::dispatch::messages::Learn;
+use crate::dispatch::messages::Lesson;
+use crate::dispatch::messages::Summarise;
+use crate::dispatch::messages::Summary;
 use crate::metrics::Metrics;
 use crate::relay::Relay;
 use cactusglade_link::clock;
@@ -76,10 +80,16 @@
     pub gossip: Millis,
     /// The set in force.
     pub sets: watch::Receiver<Arc<Set>>,
-    /// The dispatch service.
-    pub dispatch: ActorRef<Dispatch>,
-    /// The configuration service.
-    pub config: ActorRef<Config>,
+    /// Takes what was learnt from others.
+    pub lessons: Recipient<Learn>,
+    /// Says what others are told of this daemon.
+    pub summaries: ReplyRecipient<Summarise, Summary>,
+    /// Takes heads that others know.
+    pub heads: Recipient<Announce>,
+    /// Told once that the peers have said what they know.
+    pub joins: Recipient<Joined>,
+    /// Gives the snapshot in force.
+    pub snapshots: ReplyRecipient<Snapshot, Option<String>>,
     /// The service that keeps chats which were handed over.
     pub relay: ActorRef<Relay>,
     /// The daemon's clock.
@@ -109,43 +119,19 @@
     _stop: oneshot::Sender<()>,
 }
 
-pub use handover::Find;
-pub use handover::HandOver;
-pub use reach::snapshot;
+pub use messages::Answer;
+pub use messages::Find;
+pub use messages::HandOver;
+pub use messages::Hosts;
+pub use messages::List;
+pub use messages::Listing;
+pub use messages::Receive;
+pub use messages::Spread;
 
 use reach::connect;
 use reach::deadline;
 use reach::push;
 
-/// `Spread` takes rows of this daemon and sends urgent ones on.
-#[derive(Clone, Debug)]
-pub struct Spread(pub Vec<(Key, Value)>);
-
-/// `Receive` takes rows that a peer pushed.
-#[derive(Clone, Debug)]
-pub struct Receive(pub Vec<(Key, Value)>);
-
-/// `Answer` gives a peer what it has not seen.
-#[derive(Clone, Copy, Debug)]
-pub struct Answer(pub Pull);
-
-/// `List` asks for all rows, for status.
-#[derive(Clone, Copy, Debug)]
-pub struct List;
-
-/// `Listing` is what a daemon knows of all.
-#[derive(Clone, Debug, Default, Reply)]
-pub struct Listing {
-    /// All rows.
-    pub rows: Vec<(Key, Value)>,
-    /// Names of the daemons heard of lately, this one included.
-    pub alive: Vec<String>,
-}
-
-/// `Hosts` gives peer addresses from the platform's list.
-#[derive(Clone, Debug)]
-pub struct Hosts(pub Vec<SocketAddr>);
-
 struct Tick;
 
 struct Pulled {
@@ -162,8 +148,9 @@
         let (stop, stopped) = oneshot::channel();
         if let Ok(listener) = options.listener.try_clone() {
             let serve = server::Server {
-                peer: actor.clone(),
-                config: options.config.clone(),
+                answers: actor.clone().reply_recipient(),
+                received: actor.clone().recipient(),
+                snapshots: options.snapshots.clone(),
                 relay: options.relay.clone(),
             };
             tokio::spawn(server::listen(listener, serve, stopped));
@@ -346,7 +333,7 @@
         if !self.joined {
             self.joined = true;
             // The configuration ends before this service only when the daemon does.
-            let _ = self.options.config.tell(config::Joined).await;
+            let _ = self.options.joins.tell(Joined).await;
         }
     }
 
@@ -355,8 +342,8 @@
         // The dispatch ends before this service only when the daemon does.
         let summary = self
             .options
-            .dispatch
-            .ask(dispatch::Summarise)
+            .summaries
+            .ask(Summarise)
             .await
             .unwrap_or_default();
         let generation = self.options.sets.borrow().generation;
@@ -387,16 +374,16 @@
             return;
         }
         let lessons = news.iter().filter_map(lesson).collect();
-        let _ = self.options.dispatch.tell(dispatch::Learn(lessons)).await;
+        let _ = self.options.lessons.tell(Learn(lessons)).await;
         for one in &news {
             if let Value::Head(head) = &one.value {
                 let peers = self.peers(now).iter().map(ToString::to_string).collect();
-                let announce = config::Announce {
+                let announce = Announce {
                     head: head.clone(),
                     from_store: false,
                     peers,
                 };
-                let _ = self.options.config.tell(announce).try_send();
+                let _ = self.options.heads.tell(announce).try_send();
             }
         }
         let urgent = news.into_iter().filter(|one| one.value.is_urgent());
--- a/cactusglade-daemon/src/peer/reach.rs
+++ b/cactusglade-daemon/src/peer/reach.rs
@@ -52,6 +52,7 @@
 }
 
 /// The deadline of a call that begins now.
+#[must_use]
 pub fn deadline() -> context::Context {
     let mut context = context::current();
     context.deadline = std::time::Instant::now() + WAIT;
--- a/cactusglade-daemon/src/peer/server.rs
+++ b/cactusglade-daemon/src/peer/server.rs
@@ -9,6 +9,8 @@
 use cactusglade_wire::peer::Pull;
 use futures::StreamExt;
 use kameo::actor::ActorRef;
+use kameo::actor::Recipient;
+use kameo::actor::ReplyRecipient;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
@@ -20,11 +22,9 @@
 use tokio::sync::oneshot;
 
 use crate::accept;
-use crate::config;
-use crate::config::Config;
-use crate::peer::Answer;
-use crate::peer::Peer;
-use crate::peer::Receive;
+use crate::config::messages::Snapshot;
+use crate::peer::messages::Answer;
+use crate::peer::messages::Receive;
 use crate::relay;
 use crate::relay::Relay;
 
@@ -34,14 +34,15 @@
 /// `Server` answers one peer's calls through the services.
 #[derive(Clone, Debug)]
 pub struct Server {
-    pub peer: ActorRef<Peer>,
-    pub config: ActorRef<Config>,
+    pub answers: ReplyRecipient<Answer, Option<Batch>>,
+    pub received: Recipient<Receive>,
+    pub snapshots: ReplyRecipient<Snapshot, Option<String>>,
     pub relay: ActorRef<Relay>,
 }
 
 impl wire::Peer for Server {
     async fn pull(self, _: Context, pull: Pull) -> Batch {
-        self.peer
+        self.answers
             .ask(Answer(pull))
             .await
             .ok()
@@ -51,12 +52,12 @@
 
     async fn push(self, _: Context, rows: Vec<(Key, Value)>) {
         // A service that has ended needs no rows.
-        let _ = self.peer.tell(Receive(rows)).await;
+        let _ = self.received.tell(Receive(rows)).await;
     }
 
     async fn snapshot(self, _: Context, generation: Generation) -> Option<String> {
-        self.config
-            .ask(config::Snapshot(generation))
+        self.snapshots
+            .ask(Snapshot(generation))
             .await
             .ok()
             .flatten()
--- a/cactusglade-daemon/src/work/mod.rs
+++ b/cactusglade-daemon/src/work/mod.rs
@@ -29,8 +29,8 @@
 use crate::gate::chat;
 use crate::gate::chat::Chat;
 use crate::gate::chat::Seed;
-use crate::gate::request;
-use crate::gate::request::Entry;
+use crate::gate::entry;
+use crate::gate::entry::Entry;
 use crate::platform::Committed;
 
 /// Name of the service.
@@ -230,7 +230,7 @@
     let arrived = context.clock.now();
     let deadline = arrived + set.routes.get(route)?.meta.deadline_ms;
     let entry = Entry {
-        id: request::id(&context.daemon),
+        id: entry::id(&context.daemon),
         organisation: set.organisations.find(&row.organisation)?,
         route,
         method: "POST".to_owned(),
