--- /dev/null
+++ b/cactusglade-cli/src/burn/mod.rs
@@ -0,0 +1,32 @@
+//! How fast routes use up what their objectives allow to go wrong, from the daemons' counts.
+
+mod page;
+mod report;
+mod sample;
+mod series;
+
+pub use page::draw;
+pub use report::Objective;
+pub use report::Report;
+pub use report::Row;
+pub use sample::Goals;
+pub use sample::Key;
+pub use sample::Sample;
+pub use series::Series;
+
+/// Error of a burn report.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A daemon's metrics can't be read.
+    #[error("the metrics can't be read: {0}")]
+    Metrics(#[from] std::io::Error),
+    /// There is nothing to report on.
+    #[error("at least two samples of one daemon are needed")]
+    TooFew,
+    /// The page can't be drawn.
+    #[error("the page can't be drawn: {0}")]
+    Page(String),
+}
+
+/// Result of a burn report.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/cactusglade-cli/src/burn/page.rs
@@ -0,0 +1,102 @@
+//! A page with the burn of each route over time.
+
+use std::collections::BTreeMap;
+
+use cactusglade_core::units::Millis;
+use plotters::prelude::*;
+
+use super::Error;
+use super::Result;
+use super::report::Report;
+use super::sample::Goals;
+use super::series::Series;
+
+const SIZE: (u32, u32) = (1_000, 600);
+const MARGIN: u32 = 12;
+const LABELS: u32 = 48;
+const FONT: (&str, u32) = ("sans-serif", 16);
+/// Points in which the time is divided.
+const POINTS: u64 = 60;
+const MILLIS: f64 = 1_000.0;
+
+/// Draws the burn of each route over time, all organisations together, as SVG.
+///
+/// # Errors
+///
+/// Fails where the drawing does.
+pub fn draw(series: &Series, report: &Report) -> Result<String> {
+    let mut svg = String::new();
+    let failed = |error: String| Error::Page(error);
+    plot(&mut svg, series, report).map_err(|error| failed(error.to_string()))?;
+    Ok(svg)
+}
+
+/// Burn of a route at times in seconds.
+type Curve = Vec<(f64, f64)>;
+
+#[allow(clippy::cast_precision_loss)]
+fn curves(series: &Series, report: &Report) -> BTreeMap<String, Curve> {
+    let (from, to) = report.span;
+    let step = Millis(((to - from).0 / POINTS).max(1));
+    let budget = 1.0 - report.objective.target;
+    let mut steps: BTreeMap<String, BTreeMap<u64, Goals>> = BTreeMap::new();
+    for (at, key, goals) in series.added() {
+        let place = (*at - from).0 / step.0;
+        let route = steps.entry(key.route.clone()).or_default();
+        route.entry(place).or_default().add(goals);
+    }
+    let curve = |steps: BTreeMap<u64, Goals>| {
+        let points = steps.into_iter().filter_map(|(place, goals)| {
+            let seconds = (place * step.0) as f64 / MILLIS;
+            Some((seconds, goals.bad()? / budget))
+        });
+        points.collect()
+    };
+    let steps = steps.into_iter();
+    steps.map(|(route, steps)| (route, curve(steps))).collect()
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn plot(
+    svg: &mut String,
+    series: &Series,
+    report: &Report,
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let curves = curves(series, report);
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let seconds = (report.span.1 - report.span.0).0 as f64 / MILLIS;
+    let burns = curves.values().flatten().map(|(_, burn)| *burn);
+    let most = burns.fold(1.0, f64::max) * 1.1;
+    let title = format!(
+        "Burn of the error budget by route; 1 is {}% of requests outside their goal",
+        ((1.0 - report.objective.target) * 10_000.0).round() / 100.0
+    );
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, FONT)
+        .margin(MARGIN)
+        .x_label_area_size(LABELS)
+        .y_label_area_size(LABELS)
+        .build_cartesian_2d(0.0..seconds.max(1.0), 0.0..most)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("burn")
+        .draw()?;
+    let limit = [(0.0, 1.0), (seconds, 1.0)];
+    chart.draw_series(LineSeries::new(limit, BLACK.stroke_width(2)))?;
+    for (place, (route, curve)) in curves.into_iter().enumerate() {
+        let colour = Palette99::pick(place).stroke_width(2);
+        chart
+            .draw_series(LineSeries::new(curve, colour))?
+            .label(route)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/cactusglade-cli/src/commands/explain.rs
@@ -0,0 +1,71 @@
+//! `cactusglade explain`.
+
+use std::io::Read;
+
+use gumdrop::Options;
+
+use crate::commands::Result;
+use crate::commands::failed;
+use crate::commands::usage;
+use crate::explain::Line;
+use crate::explain::Story;
+
+/// File name that stands for the standard input.
+const INPUT: &str = "-";
+
+/// Tells what happened to a request, from the logs of any number of daemons.
+///
+/// Example: cactusglade explain 1b2aabe3f7877db3 daemon-a.log daemon-b.log
+#[derive(Debug, Options)]
+pub struct Explain {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "id of the request")]
+    request: String,
+    #[options(free, help = "log files; none or - for the standard input")]
+    logs: Vec<String>,
+}
+
+impl Explain {
+    /// Reads the logs and tells the story.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a log can't be read or none names the request.
+    pub fn run(self) -> Result<String> {
+        let files = if self.logs.is_empty() {
+            vec![INPUT.to_owned()]
+        } else {
+            self.logs
+        };
+        let (mut lines, mut strange) = (Vec::new(), 0_u64);
+        for file in &files {
+            for text in read(file)?.lines() {
+                match Line::try_new(text) {
+                    Ok(line) => lines.push(line),
+                    Err(_) => strange += 1,
+                }
+            }
+        }
+        let Some(story) = Story::find(&self.request, &lines) else {
+            return Err(failed(format!(
+                "none of {} lines names the request {}; {strange} lines were no log lines",
+                lines.len(),
+                self.request
+            )));
+        };
+        let note = format!("(from {} lines; {strange} were no log lines)", lines.len());
+        Ok(format!("{}\n{note}", story.text()))
+    }
+}
+
+fn read(file: &str) -> Result<String> {
+    let mut bytes = Vec::new();
+    let read = if file == INPUT {
+        std::io::stdin().read_to_end(&mut bytes).map(drop)
+    } else {
+        std::fs::read(file).map(|read| bytes = read)
+    };
+    read.map_err(|error| usage(format!("{file}: {error}")))?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/cactusglade-cli/src/commands/mod.rs
+++ b/cactusglade-cli/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! The subcommands of `cactusglade`.
 
 mod address;
+mod explain;
 mod publish;
+mod report;
 mod rollout;
 mod standin;
 mod status;
@@ -14,7 +16,9 @@
 use crate::demo;
 use crate::objects;
 
+pub use explain::Explain;
 pub use publish::Publish;
+pub use report::Report;
 pub use rollout::Rollout;
 pub use standin::Standin;
 pub use status::Status;
@@ -72,6 +76,10 @@
     Status(Status),
     #[options(help = "list rollouts or show one")]
     Rollout(Rollout),
+    #[options(help = "report on service-level burn")]
+    Report(Report),
+    #[options(help = "tell what happened to a request, from logs")]
+    Explain(Explain),
     #[options(help = "run a stand-in: platform, engine or service")]
     Standin(Standin),
     #[options(help = "run everything in one process for a minute and say what happened")]
@@ -153,6 +161,8 @@
             Self::Publish(publish) => publish.run().await,
             Self::Status(status) => status.run().await,
             Self::Rollout(rollout) => rollout.run().await,
+            Self::Report(report) => report.run().await,
+            Self::Explain(explain) => explain.run(),
             Self::Standin(standin) => standin.run().await,
             Self::Demo(demo) => {
                 let report = demo::run(demo.seed, demo.logs).await;
--- /dev/null
+++ b/cactusglade-cli/src/commands/report.rs
@@ -0,0 +1,168 @@
+//! `cactusglade report`.
+
+use std::fs;
+use std::time::Duration;
+
+use cactusglade_core::units::Millis;
+use cactusglade_link::clock;
+use cactusglade_link::link::Client;
+use gumdrop::Options;
+
+use crate::burn;
+use crate::burn::Objective;
+use crate::burn::Sample;
+use crate::burn::Series;
+use crate::commands::Error;
+use crate::commands::Result;
+use crate::commands::address::Address;
+use crate::commands::failed;
+use crate::commands::usage;
+
+/// Longest wait for a daemon's metrics.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Reports on how the service stands.
+#[derive(Debug, Options)]
+pub struct Report {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Kind>,
+}
+
+#[derive(Debug, Options)]
+enum Kind {
+    #[options(help = "how fast routes use up what their objectives allow to go wrong")]
+    Burn(Burn),
+}
+
+/// Shows service-level burn by route and organisation, over all daemons.
+///
+/// Example: cactusglade report burn 127.0.0.1:7102 127.0.0.1:7202 --for 60 --page burn.svg
+#[derive(Debug, Options)]
+struct Burn {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "operators' addresses of all daemons")]
+    daemons: Vec<Address>,
+    #[options(no_short, help = "seconds between two looks", default = "1")]
+    every: u64,
+    #[options(no_short, help = "seconds to look for", default = "60")]
+    r#for: u64,
+    #[options(no_short, help = "read samples from this file instead", meta = "FILE")]
+    samples: Option<String>,
+    #[options(no_short, help = "write the samples into this file", meta = "FILE")]
+    save: Option<String>,
+    #[options(
+        no_short,
+        help = "part of the requests that must meet their goal",
+        default = "0.99"
+    )]
+    target: f64,
+    #[options(no_short, help = "seconds of the fast span", default = "300")]
+    fast: u64,
+    #[options(no_short, help = "seconds of the slow span", default = "3600")]
+    slow: u64,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+    #[options(no_short, help = "draw a page into this SVG file", meta = "FILE")]
+    page: Option<String>,
+}
+
+impl Report {
+    /// Makes the report that is asked for.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no daemon answers or a file can't be read or written.
+    pub async fn run(self) -> Result<String> {
+        match self.command {
+            Some(Kind::Burn(burn)) => burn.run().await,
+            None => Err(usage("which report? burn is the one there is")),
+        }
+    }
+}
+
+impl Burn {
+    async fn run(self) -> Result<String> {
+        if !(0.0..1.0).contains(&self.target) {
+            return Err(usage("--target is a part below 1, such as 0.99"));
+        }
+        let samples = match &self.samples {
+            Some(file) => load(file)?,
+            None => self.watch().await?,
+        };
+        if let Some(file) = &self.save {
+            save(file, &samples)?;
+        }
+        let mut series = Series::default();
+        for sample in &samples {
+            series.take(sample);
+        }
+        let objective = Objective {
+            target: self.target,
+            fast: Millis(self.fast * 1_000),
+            slow: Millis(self.slow * 1_000),
+        };
+        let report = burn::Report::try_new(&series, objective).map_err(told)?;
+        if let Some(file) = &self.page {
+            let page = burn::draw(&series, &report).map_err(told)?;
+            fs::write(file, page).map_err(|error| usage(format!("{file}: {error}")))?;
+        }
+        if self.json {
+            return serde_json::to_string_pretty(&report).map_err(told);
+        }
+        Ok(report.text())
+    }
+
+    /// Looks at the daemons again and again; one that does not answer is passed over.
+    async fn watch(&self) -> Result<Vec<Sample>> {
+        if self.daemons.is_empty() {
+            return Err(usage(
+                "name the operators' addresses of the daemons, or --samples",
+            ));
+        }
+        let every = Duration::from_secs(self.every.max(1));
+        let mut samples = Vec::new();
+        for look in 0..=self.r#for / self.every.max(1) {
+            if look > 0 {
+                tokio::time::sleep(every).await;
+            }
+            for daemon in &self.daemons {
+                let client = Client::new(daemon.0, WAIT);
+                match client.call("GET", "/metrics", Vec::new()).await {
+                    Ok(answer) => {
+                        let text = String::from_utf8_lossy(&answer.body);
+                        let name = daemon.0.to_string();
+                        let sample = Sample::try_new(clock::unix(), &name, &text);
+                        samples.push(sample.map_err(told)?);
+                    }
+                    Err(error) => eprintln!("{} does not answer: {error}", daemon.0),
+                }
+            }
+            eprint!("\r{} of {} s", look * self.every, self.r#for);
+        }
+        eprintln!();
+        Ok(samples)
+    }
+}
+
+fn told(error: impl ToString) -> Error {
+    failed(error.to_string())
+}
+
+fn load(file: &str) -> Result<Vec<Sample>> {
+    let text = fs::read_to_string(file).map_err(|error| usage(format!("{file}: {error}")))?;
+    let samples = text.lines().enumerate().map(|(place, line)| {
+        let sample = serde_json::from_str(line);
+        sample.map_err(|error| usage(format!("{file}, line {}: {error}", place + 1)))
+    });
+    samples.collect()
+}
+
+fn save(file: &str, samples: &[Sample]) -> Result<()> {
+    let lines = samples.iter().map(serde_json::to_string);
+    let lines = lines.collect::<std::result::Result<Vec<_>, _>>();
+    let lines = lines.map_err(told)?.join("\n");
+    fs::write(file, lines + "\n").map_err(|error| usage(format!("{file}: {error}")))
+}
--- a/cactusglade-cli/tests/support/daemon.rs
+++ b/cactusglade-cli/tests/support/daemon.rs
@@ -9,11 +9,11 @@
 use cactusglade_cli::caller::Caller;
 use cactusglade_cli::demo::objects;
 use cactusglade_link::link::Client;
+use cactusglade_standin::process::built;
 
 use super::CALL;
 use super::Process;
 use super::RESTARTED;
-use super::process::daemon_binary;
 
 /// A daemon in a process of its own.
 pub struct Daemon {
@@ -41,7 +41,7 @@
     }
 
     fn run(settings: PathBuf, name: &str, zone: &str) -> Self {
-        let mut command = Command::new(daemon_binary());
+        let mut command = Command::new(built("cactusgladed"));
         command.arg("--settings").arg(&settings);
         let mut process = Process::start(command);
         let line = process.wait_line("event=daemon_started");
--- a/cactusglade-cli/tests/support/mod.rs
+++ b/cactusglade-cli/tests/support/mod.rs
@@ -4,7 +4,6 @@
 #![allow(dead_code)]
 
 pub mod daemon;
-mod link;
 mod process;
 mod standin;
 
@@ -21,20 +20,19 @@
 use cactusglade_cli::demo::objects::Upstream;
 use cactusglade_daemon::platform::Platform;
 use cactusglade_link::link::Client;
+use cactusglade_standin::process::LOOK;
 use cactusglade_standin::service::Run;
 
+pub use cactusglade_standin::link::Link;
+pub use cactusglade_standin::process::PATIENCE;
+pub use cactusglade_standin::process::Process;
 pub use daemon::Daemon;
-pub use link::Link;
-pub use process::Process;
 pub use process::printed;
 pub use process::tool;
 pub use standin::Standin;
 
-/// Longest wait for anything that must come about; only a fault takes this long.
-pub const PATIENCE: Duration = Duration::from_secs(60);
 /// Stands in a daemon's log before the lines of each of its processes.
 pub const RESTARTED: &str = "(started)";
-const LOOK: Duration = Duration::from_millis(20);
 const CALL: Duration = Duration::from_secs(5);
 
 /// The operators' tool.
@@ -144,7 +142,8 @@
             .iter()
             .map(|door| format!("\"{}\"", door.address));
         let seeds = seeds.collect::<Vec<_>>().join(", ");
-        let (way, door) = (Link::start(), Link::start());
+        let link = || Link::try_new().expect("a port is free");
+        let (way, door) = (link(), link());
         way.lead_to(self.platform.address);
         // Most tests do not wait for the pace of a real fleet.
         let pace = if settings.contains("poll_ms") {
--- a/cactusglade-core/src/errors/mod.rs
+++ b/cactusglade-core/src/errors/mod.rs
@@ -135,6 +135,23 @@
         Self::Internal,
     ];
 
+    /// Whether the caller's own doing led to it, so that it is no failure of the service's.
+    #[must_use]
+    pub const fn is_callers(self) -> bool {
+        matches!(
+            self,
+            Self::BadRequest
+                | Self::Unauthenticated
+                | Self::UnknownWork
+                | Self::UnknownRoute
+                | Self::MethodNotAllowed
+                | Self::SlowRequest
+                | Self::BodyTooLarge
+                | Self::KeyReused
+                | Self::LimitExceeded
+        )
+    }
+
     /// The table from kind to answer.
     #[must_use]
     pub const fn answer(self) -> Answer {
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -36,6 +36,7 @@
 use crate::edge::front::Finish;
 use crate::edge::front::Front;
 use crate::edge::front::Phase;
+use crate::edge::measure::Measured;
 use crate::edge::mesh;
 use crate::edge::mesh::Hearsay;
 use crate::edge::mesh::Mesh;
@@ -67,7 +68,7 @@
     draining: watch::Sender<bool>,
     phase: watch::Sender<Phase>,
     front: ActorRef<Front<P::Front>>,
-    duty: ActorRef<Duty<P>>,
+    duty: ActorRef<Duty<Measured<P>>>,
     grace: Duration,
     log: Logger,
 }
@@ -84,14 +85,15 @@
         let (catalog, catalogs) = watch::channel(Arc::default());
         let (draining, drains) = watch::channel(false);
         let (phase, phases) = watch::channel(Phase::Serving);
+        let metrics = Metrics::try_new()?;
         let mut parts = Parts {
             settings,
-            platform,
+            platform: Measured::new(platform, metrics.clone()),
             kernel,
             catalogs,
             phases,
             clock: Clock::default(),
-            metrics: Metrics::try_new()?,
+            metrics,
             log: log.clone(),
         };
         let broker = parts.broker(catalog).await?;
--- a/cactusglade-daemon/src/edge/front/entry.rs
+++ b/cactusglade-daemon/src/edge/front/entry.rs
@@ -88,11 +88,29 @@
             "code" => code, "sent" => sent, "took_ms" => took.0);
     }
 
+    /// Counts the request by whether the goal of its route was met.
+    fn judge(&self, result: &str) {
+        let route = self.object().map_or(NOBODY, |route| route.name.as_str());
+        let organisation = self.organisation_name().unwrap_or(NOBODY);
+        let goals = &self.context.metrics.goals;
+        goals
+            .with_label_values(&[route, organisation, result])
+            .inc();
+    }
+
+    /// Counts a failure that is not the caller's doing, also after a first byte.
+    pub fn failed(&self, code: &str, sent: u64) {
+        self.record(code, sent);
+        self.judge("failed");
+    }
+
     /// Counts the time to the first byte of the answer.
     pub fn first_byte(&self) {
         let took = self.context.clock.now() - self.arrived;
         let route = self.object().map_or(NOBODY, |route| route.name.as_str());
         let labels = [route, self.organisation_name().unwrap_or(NOBODY)];
+        let is_late = self.object().is_some_and(|route| took > route.goal);
+        self.judge(if is_late { "late" } else { "good" });
         let seconds = Duration::from_millis(took.0).as_secs_f64();
         let histogram = &self.context.metrics.first_byte;
         histogram.with_label_values(&labels).observe(seconds);
@@ -100,7 +118,12 @@
 
     /// An error in answer to the request.
     pub fn refuse(&self, kind: Kind, retry_after: Option<Millis>, sent: u64) -> Whole {
-        self.record(kind.answer().code, sent);
+        let code = kind.answer().code;
+        if kind.is_callers() {
+            self.record(code, sent);
+        } else {
+            self.failed(code, sent);
+        }
         let refusal = Refusal {
             kind,
             id: Some(&self.call.id),
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -158,7 +158,10 @@
         };
         self.is_charged = true;
         match entry.context.broker.ask(place).await {
-            Ok(placed) => Ok(placed),
+            Ok(placed) => {
+                self.placed(&placed);
+                Ok(placed)
+            }
             Err(SendError::HandlerError(Refused { kind, retry_after })) => {
                 Err(self.last(kind, retry_after))
             }
@@ -167,6 +170,17 @@
         }
     }
 
+    /// Writes the line of a choice into the log.
+    fn placed(&self, placed: &Placed) {
+        let basis = placed.grant.basis;
+        let age = basis.load_age.map(|age| age.0);
+        info!(self.entry.context.log, "placed"; "id" => &self.entry.call.id,
+            "upstream" => &placed.name, "candidates" => basis.candidates,
+            "load" => basis.load, "load_age_ms" => age, "uncached" => placed.grant.uncached,
+            "kept_connection" => placed.connection.is_some(), "sent" => self.attempt.sent(),
+            "version" => self.entry.catalog.version);
+    }
+
     fn last(&self, kind: Kind, retry_after: Option<Millis>) -> Stop {
         let stop = Stop {
             next: self.attempt.last(kind),
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -73,7 +73,7 @@
     match exchange.failed(outcome, held) {
         Ok(()) => Err(None),
         Err(stop) if stop.next == Next::Pass => {
-            entry.record("upstream_failed", exchange.attempt.sent());
+            entry.failed("upstream_failed", exchange.attempt.sent());
             Ok(response(&entry, &head, body))
         }
         Err(stop) => Err(Some(stop)),
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -122,7 +122,7 @@
                 Err(_) => {
                     flow.has_ended = true;
                     let sent = flow.exchange.attempt.sent();
-                    flow.exchange.entry.record("stream_broken", sent);
+                    flow.exchange.entry.failed("stream_broken", sent);
                     Some((Err(Broken), (flow, None)))
                 }
             }
--- /dev/null
+++ b/cactusglade-daemon/src/edge/measure/mod.rs
@@ -0,0 +1,151 @@
+//! A platform whose calls are counted and timed; it is bound once at start, around the adapter.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::time::Instant;
+
+use cactusglade_core::units::Millis;
+use cactusglade_wire::port::Capacity;
+use cactusglade_wire::port::Error;
+use cactusglade_wire::port::Holder;
+use cactusglade_wire::port::News;
+use cactusglade_wire::port::Platform;
+use cactusglade_wire::port::Provider;
+use cactusglade_wire::port::Report;
+use cactusglade_wire::port::Result;
+use cactusglade_wire::port::Revision;
+use cactusglade_wire::port::Rollout;
+use cactusglade_wire::port::Row;
+use cactusglade_wire::port::Source;
+use cactusglade_wire::port::Store;
+use cactusglade_wire::port::Write;
+
+use crate::metrics::Metrics;
+
+/// `Measured` is a part of a platform whose calls are counted and timed.
+#[derive(Clone, Debug)]
+pub struct Measured<T> {
+    part: T,
+    /// Names of a source's calls: all that there is, and what has changed.
+    names: [&'static str; 2],
+    metrics: Metrics,
+}
+
+impl<T> Measured<T> {
+    /// Wraps a part.
+    pub const fn new(part: T, metrics: Metrics) -> Self {
+        Self {
+            part,
+            names: ["read", "follow"],
+            metrics,
+        }
+    }
+
+    fn over<U>(&self, part: U) -> Measured<U> {
+        Measured::new(part, self.metrics.clone())
+    }
+}
+
+/// Waits for a call and notes how long it took and how it ended.
+async fn time<R>(
+    metrics: &Metrics,
+    call: &str,
+    work: impl Future<Output = Result<R>>,
+) -> Result<R> {
+    let started = Instant::now();
+    let result = work.await;
+    let ended = match &result {
+        Ok(_) => "ok",
+        Err(Error::Refused(_)) => "refused",
+        Err(Error::Unreached) => "unreached",
+        Err(Error::Unknown) => "unknown",
+        Err(Error::Compacted) => "compacted",
+        Err(Error::Malformed(_)) => "malformed",
+    };
+    let calls = metrics.calls.with_label_values(&[call, ended]);
+    calls.observe(started.elapsed().as_secs_f64());
+    result
+}
+
+impl<P: Platform> Platform for Measured<P> {
+    type Front = P::Front;
+    type Operator = Measured<P::Operator>;
+    type Directory = Measured<P::Directory>;
+    type Report = Measured<P::Report>;
+    type Store = Measured<P::Store>;
+    type Provider = Measured<P::Provider>;
+
+    fn front(&self) -> P::Front {
+        self.part.front()
+    }
+
+    fn operator(&self) -> Measured<P::Operator> {
+        let mut operator = self.over(self.part.operator());
+        operator.names = ["operator_read", "operator_follow"];
+        operator
+    }
+
+    fn directory(&self) -> Measured<P::Directory> {
+        let mut directory = self.over(self.part.directory());
+        directory.names = ["directory_read", "directory_follow"];
+        directory
+    }
+
+    fn report(&self) -> Measured<P::Report> {
+        self.over(self.part.report())
+    }
+
+    fn store(&self) -> Measured<P::Store> {
+        self.over(self.part.store())
+    }
+
+    fn provider(&self) -> Measured<P::Provider> {
+        self.over(self.part.provider())
+    }
+}
+
+impl<S: Source> Source for Measured<S> {
+    type Item = S::Item;
+
+    async fn read(&mut self) -> Result<News<S::Item>> {
+        time(&self.metrics, self.names[0], self.part.read()).await
+    }
+
+    async fn follow(&mut self, after: Revision, wait: Millis) -> Result<News<S::Item>> {
+        let follow = self.part.follow(after, wait);
+        time(&self.metrics, self.names[1], follow).await
+    }
+}
+
+impl<R: Report> Report for Measured<R> {
+    async fn taken_back(&self, rollout: &Rollout) -> Result<()> {
+        time(&self.metrics, "report", self.part.taken_back(rollout)).await
+    }
+}
+
+impl<S: Store> Store for Measured<S> {
+    async fn rows(&self, table: &'static str) -> Result<Vec<Row>> {
+        time(&self.metrics, "rows", self.part.rows(table)).await
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<Option<Revision>> {
+        time(&self.metrics, "commit", self.part.commit(writes)).await
+    }
+}
+
+impl<P: Provider> Provider for Measured<P> {
+    async fn usage(
+        &self,
+        holder: &Holder,
+        window: u64,
+        counts: &BTreeMap<String, u64>,
+    ) -> Result<()> {
+        let usage = self.part.usage(holder, window, counts);
+        time(&self.metrics, "usage", usage).await
+    }
+
+    async fn capacity(&self, holder: &Holder, order: &Capacity) -> Result<()> {
+        let capacity = self.part.capacity(holder, order);
+        time(&self.metrics, "capacity", capacity).await
+    }
+}
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -15,10 +15,12 @@
 use super::Mesh;
 
 const TABLE: &str = "members";
-/// First and longest pause between two looks; most daemons start together, later ones are soon
-/// heard of from those that they greet.
-const PAUSES: std::ops::Range<Duration> = Duration::from_millis(500)..Duration::from_secs(60);
-
+/// Pause after a look that failed, or before the own row is written.
+const SOON: Duration = Duration::from_millis(500);
+/// First and longest pause between two looks. A daemon writes its row before it looks, so that of
+/// two that start together one sees the other and greets it; looks after the first make up for
+/// greetings that were lost.
+const PAUSES: std::ops::Range<Duration> = Duration::from_secs(8)..Duration::from_secs(64);
 /// Growth of the pause.
 const FACTOR: u32 = 4;
 
@@ -44,9 +46,10 @@
     let Ok(value) = serde_json::to_vec(&member) else {
         return;
     };
-    let mut pause = PAUSES.start;
+    let mut next = PAUSES.start;
     let mut is_written = false;
     loop {
+        let mut pause = SOON;
         if !is_written {
             let write = Write {
                 table: TABLE,
@@ -67,7 +70,8 @@
                     return;
                 }
                 if is_written {
-                    pause = (pause * FACTOR).min(PAUSES.end);
+                    pause = next;
+                    next = (next * FACTOR).min(PAUSES.end);
                 }
             }
             Err(error) => warn!(log, "members_unread"; "reason" => %error),
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -57,9 +57,9 @@
 /// Words between two that also go to daemons which were not heard lately.
 const RARELY: u64 = 10;
 
-/// Age from which a daemon's word on the registry is no longer relied on; the store is asked anew
-/// each second, and a leaving upstream may get requests for two.
-const STALE: Millis = Millis(1_400);
+/// Age from which a daemon's word on the registry is no longer relied on: the store is asked anew
+/// each one and a half seconds at least, and a leaving upstream may get requests for three.
+const STALE: Millis = Millis(1_800);
 
 /// `Options` of the service.
 #[derive(Debug)]
@@ -132,6 +132,10 @@
     pub changes: Vec<Change>,
 }
 
+/// `Cut` says that this daemon could not reach the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut;
+
 /// `Hold` passes on the lease on the duties while this daemon holds it.
 #[derive(Clone, Debug)]
 pub struct Hold(pub Option<Lease>);
@@ -275,6 +279,20 @@
     }
 }
 
+impl Message<Cut> for Mesh {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Cut, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        if !self.roster.is_cut(now) {
+            info!(self.log, "store_unreachable"; "speaks" => self.roster.is_relay(now),
+                "revision" => self.registry.revision,
+                "told_ms_ago" => self.told.map(|told| (now - told).0));
+        }
+        self.roster.reach(now, true);
+    }
+}
+
 impl Message<Told> for Mesh {
     type Reply = ();
 
@@ -282,6 +300,7 @@
         let now = self.clock.now();
         self.registry.revision = self.registry.revision.max(told.revision);
         self.told = Some(now);
+        self.roster.reach(now, false);
         if !self.roster.is_relay(now) {
             return;
         }
@@ -318,7 +337,8 @@
     /// Fails when the socket can't be used.
     pub fn try_new(options: Options) -> std::io::Result<Self> {
         let pause = Millis(u64::try_from(EVERY.as_millis()).unwrap_or(u64::MAX));
-        let mut roster = Roster::new(&options.zone, options.address, pause);
+        let incarnation = clock::unix().0;
+        let mut roster = Roster::new(&options.zone, options.address, incarnation, pause);
         let now = options.clock.now();
         for seed in &options.seeds {
             roster.know(now, *seed, None);
@@ -330,7 +350,7 @@
             clock: options.clock,
             log: options.log,
             socket: Arc::new(UdpSocket::from_std(options.socket)?),
-            incarnation: clock::unix().0,
+            incarnation,
             number: 0,
             roster,
             far_work: Totals::new(),
@@ -369,6 +389,7 @@
             spent: beat.spent,
             work: beat.work,
             lease: beat.lease,
+            is_cut: beat.is_cut,
         };
         self.roster.hear(now, beat.from, word)
     }
@@ -401,6 +422,7 @@
             spent: digest.spent,
             work: digest.work,
             lease: digest.lease,
+            is_cut: false,
         };
         let zone = Zone::new(digest.relay, digest.daemons, digest.heard, word);
         self.roster.hear_zone(now, &digest.zone, zone)
@@ -425,6 +447,7 @@
             lease: self.lease.clone(),
             counts: self.counts.clone(),
             registry: self.registry,
+            is_cut: self.roster.is_cut(now),
             known: known.collect(),
         });
         if self.number % RARELY == 1 {
--- a/cactusglade-daemon/src/edge/mod.rs
+++ b/cactusglade-daemon/src/edge/mod.rs
@@ -6,6 +6,7 @@
 pub mod broker;
 pub mod duty;
 pub mod front;
+pub mod measure;
 pub mod mesh;
 pub mod probe;
 pub mod watch;
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -42,6 +42,11 @@
     pub retries: IntCounter,
     /// Sendings to upstreams that were not answered well, by how they ended.
     pub sendings: IntCounterVec,
+    /// Requests by route, organisation and whether the route's goal was met: `good`, `late`, or
+    /// `failed` where no fault of the caller's ended them.
+    pub goals: IntCounterVec,
+    /// Seconds of calls to the platform, by call and how they ended.
+    pub calls: HistogramVec,
     /// Streams moved off a leaving upstream.
     pub moves: IntCounter,
     /// Answers that belonged to another attempt.
@@ -95,6 +100,8 @@
                 "Tokens computed again",
             )?,
             sendings: sendings(&registry)?,
+            goals: goals(&registry)?,
+            calls: calls(&registry)?,
             retries: counter("cactusglade_retries_total", "Attempts beyond the first")?,
             moves: counter(
                 "cactusglade_moves_total",
@@ -138,6 +145,23 @@
     Ok(sendings)
 }
 
+fn goals(registry: &Registry) -> Result<IntCounterVec> {
+    let options = Opts::new(
+        "cactusglade_goals_total",
+        "Requests by whether the goal of their route was met",
+    );
+    let goals = IntCounterVec::new(options, &["route", "organisation", "result"])?;
+    registry.register(Box::new(goals.clone()))?;
+    Ok(goals)
+}
+
+fn calls(registry: &Registry) -> Result<HistogramVec> {
+    let options = HistogramOpts::new("cactusglade_platform_seconds", "Calls to the platform");
+    let calls = HistogramVec::new(options.buckets(SECONDS.to_vec()), &["call", "result"])?;
+    registry.register(Box::new(calls.clone()))?;
+    Ok(calls)
+}
+
 fn labelled(registry: &Registry) -> Result<(IntCounterVec, HistogramVec, Histogram)> {
     let requests = IntCounterVec::new(
         Opts::new("cactusglade_requests_total", "Requests by their end"),
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -65,6 +65,17 @@
     pub draw: f64,
 }
 
+/// `Basis` is what a choice rested on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Basis {
+    /// Upstreams that could take the request.
+    pub candidates: usize,
+    /// Requests that the chosen one was taken to work on or hold waiting.
+    pub load: u64,
+    /// Time since it last told of its load, nothing where it never did.
+    pub load_age: Option<Millis>,
+}
+
 /// `Grant` gives a request an upstream for one sending.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Grant {
@@ -74,6 +85,8 @@
     pub uncached: u64,
     /// Service that the upstream belongs to.
     pub service: arena::Service,
+    /// What the choice rested on.
+    pub basis: Basis,
 }
 
 /// `Report` is what a sending showed of its upstream.
@@ -269,7 +282,7 @@
         } else {
             budget.request(now, &bounds);
         }
-        Ok(self.grant(now, service, &candidate, ask.prompt))
+        Ok(self.grant(now, service, &candidate, candidates.len(), ask.prompt))
     }
 
     fn grant(
@@ -277,10 +290,17 @@
         now: Millis,
         service: arena::Service,
         candidate: &Candidate,
+        candidates: usize,
         prompt: Option<&Prompt>,
     ) -> Grant {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let uncached = candidate.uncached as u64;
+        let (uncached, load) = (candidate.uncached as u64, candidate.load.round() as u64);
+        let chosen = self.upstreams.get(candidate.upstream);
+        let basis = Basis {
+            candidates,
+            load,
+            load_age: chosen.and_then(|upstream| upstream.load_age(now)),
+        };
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.own += 1;
             upstream.backlog += uncached;
@@ -292,6 +312,7 @@
             upstream: candidate.upstream,
             uncached,
             service,
+            basis,
         }
     }
 
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -37,7 +37,7 @@
     /// Prompt tokens of this daemon's requests that it has still to read.
     pub backlog: u64,
     others: f64,
-    heard: Millis,
+    heard: Option<Millis>,
     latency: f64,
     failures: f64,
     judged: Millis,
@@ -57,7 +57,7 @@
             own: 0,
             backlog: 0,
             others: 0.0,
-            heard: Millis(0),
+            heard: None,
             latency: UNTRIED_MS,
             failures: 0.0,
             judged: Millis(0),
@@ -74,14 +74,21 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn hear(&mut self, now: Millis, running: u64, waiting: u64) {
         self.others = (running + waiting).saturating_sub(self.own) as f64;
-        self.heard = now;
+        self.heard = Some(now);
+    }
+
+    /// Time since it last told of its load.
+    #[must_use]
+    pub fn load_age(&self, now: Millis) -> Option<Millis> {
+        self.heard.map(|heard| now - heard)
     }
 
     /// Requests that it works on or holds waiting, as far as is known.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
     pub fn load(&self, now: Millis) -> f64 {
-        self.own as f64 + self.others * decay(now - self.heard, HALF_LIFE_MS)
+        let age = self.load_age(now).unwrap_or_default();
+        self.own as f64 + self.others * decay(age, HALF_LIFE_MS)
     }
 
     /// Recent time to its answers in milliseconds.
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -21,6 +21,9 @@
 const FORGOTTEN: Millis = Millis(20_000);
 /// Words after which a daemon is not taken to have just started.
 const YOUNG: u64 = 20;
+/// Time for which a daemon that could not reach the store leaves it to others to speak for the
+/// zone; outages for single daemons last some ten seconds.
+const CUT: Millis = Millis(15_000);
 /// Daemons of a zone that are tried while none is known to speak for it.
 const TRIED: usize = 2;
 
@@ -40,6 +43,8 @@
     pub work: Totals,
     /// The lease on the duties, where it is held there.
     pub lease: Option<Lease>,
+    /// Whether the daemon could not reach the store lately.
+    pub is_cut: bool,
 }
 
 /// `Zone` is what a zone has told of itself.
@@ -78,6 +83,10 @@
 pub struct Roster {
     zone: String,
     own: SocketAddr,
+    /// Which start of this daemon it is.
+    incarnation: u64,
+    /// When this daemon last could not reach the store, unless it has since.
+    cut: Option<Millis>,
     /// Time between two words.
     pause: Millis,
     /// Daemons of the own zone, and those whose zone is not known.
@@ -92,10 +101,12 @@
 impl Roster {
     /// Starts with nobody known.
     #[must_use]
-    pub fn new(zone: &str, own: SocketAddr, pause: Millis) -> Self {
+    pub fn new(zone: &str, own: SocketAddr, incarnation: u64, pause: Millis) -> Self {
         Self {
             zone: zone.to_owned(),
             own,
+            incarnation,
+            cut: None,
             pause,
             peers: BTreeMap::new(),
             places: BTreeMap::new(),
@@ -203,10 +214,30 @@
     }
 
     /// The daemon that speaks for this one's zone, where that is another.
+    ///
+    /// It is one that reaches the store, and of those the one that has run longest, since it has
+    /// heard what daemons that are gone have counted.
     #[must_use]
     pub fn speaker(&self, now: Millis) -> Option<SocketAddr> {
-        let least = self.neighbours(now).map(|(address, _)| *address).min();
-        least.filter(|address| *address < self.own)
+        let near = self.neighbours(now);
+        let near = near.map(|(address, peer)| {
+            let word = &peer.word;
+            (word.is_cut, word.incarnation, *address)
+        });
+        let first = near.min()?;
+        let own = (self.is_cut(now), self.incarnation, self.own);
+        (first < own).then_some(first.2)
+    }
+
+    /// Takes in whether this daemon could reach the store.
+    pub fn reach(&mut self, now: Millis, is_cut: bool) {
+        self.cut = is_cut.then_some(now);
+    }
+
+    /// Whether this daemon could not reach the store lately.
+    #[must_use]
+    pub fn is_cut(&self, now: Millis) -> bool {
+        self.cut.is_some_and(|at| now - at < CUT)
     }
 
     /// The lease on the duties as another daemon that is heard holds it.
--- a/cactusglade-policy/tests/roster.rs
+++ b/cactusglade-policy/tests/roster.rs
@@ -25,7 +25,7 @@
 }
 
 fn roster() -> Roster {
-    let mut roster = Roster::new("a", address(5), PAUSE);
+    let mut roster = Roster::new("a", address(5), 1, PAUSE);
     roster.know(Millis(0), address(6), Some("a"));
     roster
 }
@@ -98,6 +98,39 @@
     );
 }
 
+#[test]
+fn a_daemon_that_started_later_does_not_take_over() {
+    let mut roster = roster();
+    roster.know(Millis(0), address(4), Some("a"));
+    let later = Word {
+        incarnation: 2,
+        ..word(1, 0)
+    };
+    roster.hear(Millis(0), address(4), later);
+    assert!(
+        roster.is_relay(Millis(100)),
+        "it has heard what others counted"
+    );
+}
+
+#[test]
+fn a_daemon_that_does_not_reach_the_store_lets_another_speak() {
+    let mut roster = roster();
+    roster.hear(Millis(0), address(6), word(1, 0));
+    assert!(roster.is_relay(Millis(100)));
+    roster.reach(Millis(100), true);
+    assert_eq!(roster.speaker(Millis(200)), Some(address(6)));
+    let cut = Word {
+        is_cut: true,
+        ..word(2, 0)
+    };
+    roster.hear(Millis(300), address(6), cut);
+    assert!(roster.is_relay(Millis(400)), "both are cut off");
+    roster.hear(Millis(500), address(6), word(3, 0));
+    roster.reach(Millis(600), false);
+    assert!(roster.is_relay(Millis(700)), "it reaches the store again");
+}
+
 #[test]
 fn another_zone_counts_by_what_its_speaker_tells() {
     let mut roster = roster();
--- a/cactusglade-wire/src/beat/mod.rs
+++ b/cactusglade-wire/src/beat/mod.rs
@@ -63,6 +63,8 @@
     pub counts: BTreeMap<u64, Totals>,
     /// How the sender knows the registry.
     pub registry: Registry,
+    /// Whether the sender could not reach the store lately.
+    pub is_cut: bool,
     /// Some daemons that the sender knows, with their zones.
     pub known: Vec<(SocketAddr, String)>,
 }
--- a/cactusglade-wire/tests/beat.rs
+++ b/cactusglade-wire/tests/beat.rs
@@ -35,6 +35,7 @@
             .map(|window| (1 << 30 | window, counts.clone()))
             .collect(),
         registry: Registry::default(),
+        is_cut: true,
         known: vec![(from, "a-zone-with-a-name".to_owned()); 8],
     };
     let datagram = Datagram::Beat(beat);
