--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -11,8 +11,8 @@
 use slog::Logger;
 use slog::warn;
 
-use super::Members;
 use super::Mesh;
+use super::messages::Members;
 
 const TABLE: &str = "members";
 /// Pause after a look that failed, or before the own row is written.
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -1,6 +1,7 @@
 //! The service that exchanges datagrams with the other daemons.
 
 mod members;
+mod messages;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -8,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusglade_core::fleet::Change;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
@@ -26,7 +26,6 @@
 use cactusglade_wire::beat::MAX_BYTES;
 use cactusglade_wire::beat::Registry;
 use kameo::Actor;
-use kameo::Reply;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
 use kameo::message::Context;
@@ -43,6 +42,14 @@
 use crate::edge::broker::Broker;
 
 pub use members::find;
+pub use messages::Cut;
+pub use messages::Fleet;
+pub use messages::Hearsay;
+pub use messages::Hold;
+pub use messages::Look;
+pub use messages::Told;
+
+use messages::Members;
 
 /// Name of the service.
 pub const NAME: &str = "mesh";
@@ -114,51 +121,6 @@
     daemons: u64,
 }
 
-/// `Hearsay` is how another daemon of the zone knows the registry.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Hearsay {
-    /// Revision up to which it knows the entries; nothing where no daemon reads them for this one.
-    pub revision: Option<u64>,
-}
-
-/// `Told` says that the store has told this daemon of the registry.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// Revision that the changes follow.
-    pub after: u64,
-    /// Revision that they lead to.
-    pub revision: u64,
-    /// The changes.
-    pub changes: Vec<Change>,
-}
-
-/// `Cut` says that this daemon could not reach the store.
-#[derive(Clone, Copy, Debug)]
-pub struct Cut;
-
-/// `Hold` passes on the lease on the duties while this daemon holds it.
-#[derive(Clone, Debug)]
-pub struct Hold(pub Option<Lease>);
-
-/// `Look` asks how the fleet stands.
-#[derive(Clone, Copy, Debug)]
-pub struct Look;
-
-/// `Fleet` is what the mesh knows of all daemons.
-#[derive(Clone, Debug, Default, Reply)]
-pub struct Fleet {
-    /// Work that all daemons sent to each service, in milliseconds of one upstream.
-    pub work: Totals,
-    /// The lease on the duties as another daemon holds it that is heard.
-    pub lease: Option<Lease>,
-    /// What the daemons of the zone have counted, where this one speaks for it.
-    pub ledger: Option<Ledger>,
-}
-
-/// `Members` tells of daemons that the store names.
-#[derive(Clone, Debug)]
-struct Members(Vec<(SocketAddr, String)>);
-
 struct Tick;
 
 struct Came(Datagram);
