--- a/cactusglade-cli/src/commands/report.rs
+++ b/cactusglade-cli/src/commands/report.rs
@@ -47,8 +47,8 @@
     daemons: Vec<Address>,
     #[options(no_short, help = "seconds between two looks", default = "1")]
     every: u64,
-    #[options(no_short, help = "seconds to look for", default = "60")]
-    r#for: u64,
+    #[options(no_short, long = "for", help = "seconds to look for", default = "60")]
+    length: u64,
     #[options(no_short, help = "read samples from this file instead", meta = "FILE")]
     samples: Option<String>,
     #[options(no_short, help = "write the samples into this file", meta = "FILE")]
@@ -124,7 +124,7 @@
         }
         let every = Duration::from_secs(self.every.max(1));
         let mut samples = Vec::new();
-        for look in 0..=self.r#for / self.every.max(1) {
+        for look in 0..=self.length / self.every.max(1) {
             if look > 0 {
                 tokio::time::sleep(every).await;
             }
@@ -140,7 +140,7 @@
                     Err(error) => eprintln!("{} does not answer: {error}", daemon.0),
                 }
             }
-            eprint!("\r{} of {} s", look * self.every, self.r#for);
+            eprint!("\r{} of {} s", look * self.every, self.length);
         }
         eprintln!();
         Ok(samples)
--- a/cactusglade-cli/src/explain/story.rs
+++ b/cactusglade-cli/src/explain/story.rs
@@ -28,6 +28,8 @@
 ];
 /// Time around the request in which what other requests met at the same upstream is shown.
 const AROUND: Millis = Millis(5_000);
+/// Events that say nothing wrong of an upstream.
+const ROUTINE: [&str; 2] = ["placed", "request"];
 /// Lines about one upstream that are shown.
 const MOST: usize = 8;
 
@@ -144,10 +146,10 @@
         .collect()
 }
 
-/// What was logged of an upstream about the time of a request, other than by the request itself.
+/// What went wrong at an upstream about the time of a request, other than by the request itself.
 fn around(lines: &[Line], id: &str, upstream: &str, from: Millis, to: Millis) -> Vec<Line> {
     let near = lines.iter().filter(|line| {
-        let is_other = line.request() != Some(id) && line.event != "request";
+        let is_other = line.request() != Some(id) && !ROUTINE.contains(&line.event.as_str());
         let is_near = line.at + AROUND >= from && line.at <= to + AROUND;
         is_other && is_near && line.field("upstream") == Some(upstream)
     });
--- a/cactusglade-cli/tests/explain.rs
+++ b/cactusglade-cli/tests/explain.rs
@@ -12,6 +12,7 @@
 ts=5000 level=INFO event=sending_failed daemon=a id=r1 upstream=i-1 outcome=Lost next="Give(UpstreamLost)" sent=1
 this is no line of a log
 ts=5001 level=INFO event=request daemon=a id=r1 code=upstream_lost sent=1 took_ms=200 version=13
+ts=5050 level=INFO event=placed daemon=b id=r2 upstream=i-1 load=2
 ts=5100 level=INFO event=sending_failed daemon=b id=r2 upstream=i-1 outcome=Unsent next=Again sent=0
 ts=5200 level=INFO event=sending_failed daemon=b id=r3 upstream=i-2 outcome=Unsent next=Again sent=0
 ts=7700 level=INFO event=upstream_leaving daemon=b upstream=i-1 service=app own=0
