Keep the zone's speaker as it was; only its ledger goes to who runs longest

By reading: the word of a speaker was relied on up to 1.8 s and changes were gathered for half a second, too much for 2,000 ms; and a speaker that changes in a cut makes other zones miss what was spent while it changes. Neither is shown by a trace.

Change: the least address speaks again; ages are 1.4 s and the store is asked within 1.3 s; only the ledger of usage is stored by the daemon that runs longest and reaches the store.

--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -129,7 +129,10 @@
             .await
             .unwrap_or_default();
         if let Some(ledger) = &fleet.ledger {
-            self.usage.publish(ledger).await;
+            if let Some(is_stored) = self.usage.publish(ledger).await {
+                let is_cut = !is_stored;
+                let _ = self.options.mesh.tell(mesh::Reach { is_cut }).await;
+            }
         }
         self.hold.keep(clock, fleet.lease.clone()).await;
         let fence = self.hold.fence(clock.now());
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -83,13 +83,18 @@
         }
     }
 
-    /// Stores the zone's ledger once another window has ended.
-    pub async fn publish(&mut self, ledger: &Ledger) {
+    /// Stores the zone's ledger once another window has ended, and says whether that went well.
+    pub async fn publish(&mut self, ledger: &Ledger) -> Option<bool> {
         let unix = clock::unix();
         let ended = self.windows.window(unix - CLOSE).saturating_sub(1);
-        if ended > self.through && self.put(ledger, ended).await {
+        if ended <= self.through {
+            return None;
+        }
+        let is_stored = self.put(ledger, ended).await;
+        if is_stored {
             self.through = ended;
         }
+        Some(is_stored)
     }
 
     /// Stores the ledger at once, also with the window under way.
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -26,9 +26,12 @@
     pub changes: Vec<Change>,
 }
 
-/// `Cut` says that this daemon could not reach the store.
+/// `Reach` says whether this daemon could store the ledger of its zone.
 #[derive(Clone, Copy, Debug)]
-pub struct Cut;
+pub struct Reach {
+    /// Whether it could not.
+    pub is_cut: bool,
+}
 
 /// `Hold` passes on the lease on the duties while this daemon holds it.
 #[derive(Clone, Debug)]
@@ -45,7 +48,7 @@
     pub work: Totals,
     /// The lease on the duties as another daemon holds it that is heard.
     pub lease: Option<Lease>,
-    /// What the daemons of the zone have counted, where this one speaks for it.
+    /// What the daemons of the zone have counted, where this one keeps their ledger.
     pub ledger: Option<Ledger>,
 }
 
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -42,11 +42,11 @@
 use crate::edge::broker::Broker;
 
 pub use members::find;
-pub use messages::Cut;
 pub use messages::Fleet;
 pub use messages::Hearsay;
 pub use messages::Hold;
 pub use messages::Look;
+pub use messages::Reach;
 pub use messages::Told;
 
 use messages::Members;
@@ -64,9 +64,9 @@
 /// Words between two that also go to daemons which were not heard lately.
 const RARELY: u64 = 10;
 
-/// Age from which a daemon's word on the registry is no longer relied on: the store is asked anew
-/// each one and a half seconds at least, and a leaving upstream may get requests for three.
-const STALE: Millis = Millis(1_800);
+/// Age from which a daemon's word on the registry is no longer relied on; the store is asked anew
+/// within one and three tenths of a second, and a leaving upstream may get requests for two.
+const STALE: Millis = Millis(1_400);
 
 /// `Options` of the service.
 #[derive(Debug)]
@@ -241,17 +241,16 @@
     }
 }
 
-impl Message<Cut> for Mesh {
+impl Message<Reach> for Mesh {
     type Reply = ();
 
-    async fn handle(&mut self, _: Cut, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, reach: Reach, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        if !self.roster.is_cut(now) {
-            info!(self.log, "store_unreachable"; "speaks" => self.roster.is_relay(now),
-                "revision" => self.registry.revision,
-                "told_ms_ago" => self.told.map(|told| (now - told).0));
+        if reach.is_cut != self.roster.is_cut(now) {
+            info!(self.log, "ledger_reach"; "is_cut" => reach.is_cut,
+                "neighbours" => self.roster.near(now));
         }
-        self.roster.reach(now, true);
+        self.roster.reach(now, reach.is_cut);
     }
 }
 
@@ -262,7 +261,6 @@
         let now = self.clock.now();
         self.registry.revision = self.registry.revision.max(told.revision);
         self.told = Some(now);
-        self.roster.reach(now, false);
         if !self.roster.is_relay(now) {
             return;
         }
@@ -286,7 +284,7 @@
         Fleet {
             work,
             lease: self.roster.lease(now).cloned(),
-            ledger: self.roster.is_relay(now).then(|| self.ledger.clone()),
+            ledger: self.roster.is_keeper(now).then(|| self.ledger.clone()),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -45,7 +45,7 @@
 /// Pause after changes, so that those which come together cost one call: entries of upstreams that
 /// are starting change with each of their heartbeats. A small part of the two seconds within which
 /// a change must be in force.
-const GATHER: Duration = Duration::from_millis(500);
+const GATHER: Duration = Duration::from_millis(400);
 
 /// `Sink` takes what a source tells.
 pub trait Sink<T>: Send + 'static {
--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -8,7 +8,6 @@
 use cactusglade_core::fleet::Change;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::beat::Entries;
-use cactusglade_wire::port::Error;
 use cactusglade_wire::port::News;
 use cactusglade_wire::port::Result;
 use cactusglade_wire::port::Revision;
@@ -23,7 +22,7 @@
 
 /// Time for which a daemon that reads for others lets the store wait: its word on the registry is
 /// not older than this and the pause in which it gathers changes.
-const WAIT: Millis = Millis(1_000);
+const WAIT: Millis = Millis(900);
 /// Time for which something passed on may be under way before the store is asked.
 const UNDER_WAY: Duration = Duration::from_millis(300);
 /// Time after which a daemon that hears nothing new looks again at whom it relies on.
@@ -51,8 +50,7 @@
 
     async fn read(&mut self) -> Result<News<Change>> {
         self.has_asked = true;
-        let news = self.source.read().await;
-        let news = self.noted(news).await?;
+        let news = self.source.read().await?;
         self.tell(news.revision, news.revision, Vec::new()).await;
         Ok(news)
     }
@@ -88,21 +86,11 @@
 impl<S: Source<Item = Change>> Relayed<S> {
     async fn ask(&mut self, after: Revision, wait: Millis) -> Result<News<Change>> {
         self.has_asked = true;
-        let news = self.source.follow(after, wait).await;
-        let news = self.noted(news).await?;
+        let news = self.source.follow(after, wait).await?;
         self.tell(after, news.revision, news.items.clone()).await;
         Ok(news)
     }
 
-    /// Lets the mesh know where the store did not answer, so that another daemon speaks.
-    async fn noted(&mut self, news: Result<News<Change>>) -> Result<News<Change>> {
-        if news.as_ref().is_err_and(|error| *error != Error::Compacted) {
-            // The mesh ends before this task only when the daemon does.
-            let _ = self.mesh.tell(mesh::Cut).await;
-        }
-        news
-    }
-
     async fn tell(&mut self, after: Revision, revision: Revision, changes: Vec<Change>) {
         let told = mesh::Told {
             after: after.0,
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -21,8 +21,8 @@
 const FORGOTTEN: Millis = Millis(20_000);
 /// Words after which a daemon is not taken to have just started.
 const YOUNG: u64 = 20;
-/// Time for which a daemon that could not reach the store leaves it to others to speak for the
-/// zone; outages for single daemons last some ten seconds.
+/// Time for which a daemon that could not reach the store leaves the ledger of its zone to others;
+/// outages for single daemons last some ten seconds.
 const CUT: Millis = Millis(15_000);
 /// Daemons of a zone that are tried while none is known to speak for it.
 const TRIED: usize = 2;
@@ -214,19 +214,25 @@
     }
 
     /// The daemon that speaks for this one's zone, where that is another.
+    #[must_use]
+    pub fn speaker(&self, now: Millis) -> Option<SocketAddr> {
+        let least = self.neighbours(now).map(|(address, _)| *address).min();
+        least.filter(|address| *address < self.own)
+    }
+
+    /// Whether this daemon stores what those of its zone have counted.
     ///
     /// It is one that reaches the store, and of those the one that has run longest, since it has
     /// heard what daemons that are gone have counted.
     #[must_use]
-    pub fn speaker(&self, now: Millis) -> Option<SocketAddr> {
+    pub fn is_keeper(&self, now: Millis) -> bool {
         let near = self.neighbours(now);
         let near = near.map(|(address, peer)| {
             let word = &peer.word;
             (word.is_cut, word.incarnation, *address)
         });
-        let first = near.min()?;
         let own = (self.is_cut(now), self.incarnation, self.own);
-        (first < own).then_some(first.2)
+        near.min().is_none_or(|first| own < first)
     }
 
     /// Takes in whether this daemon could reach the store.
--- a/cactusglade-policy/tests/roster.rs
+++ b/cactusglade-policy/tests/roster.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn a_daemon_that_started_later_does_not_take_over() {
+fn a_daemon_that_started_later_does_not_take_the_ledger_over() {
     let mut roster = roster();
     roster.know(Millis(0), address(4), Some("a"));
     let later = Word {
@@ -108,27 +108,28 @@
     };
     roster.hear(Millis(0), address(4), later);
     assert!(
-        roster.is_relay(Millis(100)),
+        roster.is_keeper(Millis(100)),
         "it has heard what others counted"
     );
+    assert_eq!(roster.speaker(Millis(100)), Some(address(4)));
 }
 
 #[test]
-fn a_daemon_that_does_not_reach_the_store_lets_another_speak() {
+fn a_daemon_that_does_not_reach_the_store_leaves_the_ledger_to_another() {
     let mut roster = roster();
     roster.hear(Millis(0), address(6), word(1, 0));
-    assert!(roster.is_relay(Millis(100)));
+    assert!(roster.is_keeper(Millis(100)));
     roster.reach(Millis(100), true);
-    assert_eq!(roster.speaker(Millis(200)), Some(address(6)));
+    assert!(!roster.is_keeper(Millis(200)));
     let cut = Word {
         is_cut: true,
         ..word(2, 0)
     };
     roster.hear(Millis(300), address(6), cut);
-    assert!(roster.is_relay(Millis(400)), "both are cut off");
+    assert!(roster.is_keeper(Millis(400)), "both are cut off");
     roster.hear(Millis(500), address(6), word(3, 0));
     roster.reach(Millis(600), false);
-    assert!(roster.is_relay(Millis(700)), "it reaches the store again");
+    assert!(roster.is_keeper(Millis(700)), "it reaches the store again");
 }
 
 #[test]
