--- a/cactusglade-cli/src/burn/sample.rs
+++ b/cactusglade-cli/src/burn/sample.rs
@@ -59,7 +59,7 @@
     pub fn since(&self, former: &Self) -> Option<Self> {
         let grew =
             self.good >= former.good && self.late >= former.late && self.failed >= former.failed;
-        grew.then(|| Self {
+        grew.then_some(Self {
             good: self.good - former.good,
             late: self.late - former.late,
             failed: self.failed - former.failed,
--- a/cactusglade-cli/src/commands/report.rs
+++ b/cactusglade-cli/src/commands/report.rs
@@ -147,7 +147,8 @@
     }
 }
 
-fn told(error: impl ToString) -> Error {
+#[allow(clippy::needless_pass_by_value, reason = "it is given to `map_err`")]
+fn told<E: ToString>(error: E) -> Error {
     failed(error.to_string())
 }
 
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -128,11 +128,11 @@
             .ask(broker::Stand)
             .await
             .unwrap_or_default();
-        if let Some(ledger) = &fleet.ledger {
-            if let Some(is_stored) = self.usage.publish(ledger).await {
-                let is_cut = !is_stored;
-                let _ = self.options.mesh.tell(mesh::Reach { is_cut }).await;
-            }
+        if let Some(ledger) = &fleet.ledger
+            && let Some(is_stored) = self.usage.publish(ledger).await
+        {
+            let is_cut = !is_stored;
+            let _ = self.options.mesh.tell(mesh::Reach { is_cut }).await;
         }
         self.hold.keep(clock, fleet.lease.clone()).await;
         let fence = self.hold.fence(clock.now());
