Give requests up before the system does, so that none arrives after a cut

At 22.09 s, three seconds after the last byte, the system's probes ended all connections to that server at once, before the daemon gave the request up. It was sent elsewhere and answered; what lay in the network arrived at 26.98 s, 3.1 s after the cut had healed and 2.6 s after the server had said that it leaves (DRAIN). Where the daemon gives up first, closing discards it. Ruled out: news of the leaving server (known within 0.3 s on all daemons).

Change: no probes on connections to upstreams; a request that may be repeated goes elsewhere after six tenths of its time at the latest.

--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -25,6 +25,9 @@
 
 /// Silence after which a repeatable request is sent elsewhere, as a multiple of its objective.
 const SILENT_GOALS: u64 = 2;
+/// The same as a part of the time that is left, in hundredths, so that the other upstream has time
+/// to answer; short requests take some tens of milliseconds, and a tenth of a second with a prompt.
+const SILENT_PART: u64 = 60;
 
 /// `Stop` is how an exchange ends without an answer of an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -199,7 +202,8 @@
             && self.attempt.sent() + 1 < object.map_or(0, |route| route.attempts);
         if may_move {
             let now = self.entry.context.clock.now();
-            self.entry.deadline.min(now + Millis(goal.0 * SILENT_GOALS))
+            let part = Millis((self.entry.deadline - now).0 * SILENT_PART / 100);
+            now + part.min(Millis(goal.0 * SILENT_GOALS))
         } else {
             self.entry.deadline
         }
--- a/cactusglade-link/src/link/client.rs
+++ b/cactusglade-link/src/link/client.rs
@@ -119,7 +119,7 @@
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Answer> {
         let mut connection = match self.take().await {
             Some(connection) => connection,
-            None => Connection::try_new(self.address, self.within).await?,
+            None => Connection::probed(self.address, self.within).await?,
         };
         let response = connection.send(request).await?;
         let status = response.status().as_u16();
--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -72,12 +72,34 @@
 }
 
 impl Connection {
-    /// Connects within a time.
+    /// Connects within a time; whoever waits for answers bounds the time for them.
+    ///
+    /// The system is not asked to find out a silent peer. What is queued on a connection that the
+    /// system gives up can still arrive where the network holds it, and closing it then is too late
+    /// to discard it; what the sender gives up itself is discarded.
     ///
     /// # Errors
     ///
     /// Returns [`Error::NotSent`] where nobody listens or the time is over.
     pub async fn try_new(address: SocketAddr, within: Duration) -> Result<Self> {
+        Self::connect(address, within, |socket| socket.set_nodelay(true)).await
+    }
+
+    /// Connects as [`try_new`](Self::try_new) does, for calls that wait long for their answer: a
+    /// peer that has gone silent is found out sooner.
+    ///
+    /// # Errors
+    ///
+    /// As for [`try_new`](Self::try_new).
+    pub async fn probed(address: SocketAddr, within: Duration) -> Result<Self> {
+        Self::connect(address, within, prepare).await
+    }
+
+    async fn connect(
+        address: SocketAddr,
+        within: Duration,
+        prepare: fn(&TcpStream) -> std::io::Result<()>,
+    ) -> Result<Self> {
         let connect = async {
             let socket = TcpStream::connect(address)
                 .await
