Keep the sum that daemons spend in a window within the tolerated one for every cut

Cause: both sides of a cut spend a copy of the bucket until they detect it, and a group that grew got half of the added capacity at once: 339,000 of 338,000 units for a cut that begins with a full bucket. A restarted daemon began with a full bucket, so that restarts added up. Change: the capacity follows from what the window tolerates beyond the refill: two copies of it and two refills until the detection fit. A group that grows gets no units at once, buckets of the first catalog after a start begin empty; organisations that are added later begin full.

--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -154,8 +154,9 @@
         if catalog.version <= self.catalog.version {
             return false;
         }
+        let is_first = self.catalog.version == 0;
         self.catalog = catalog;
-        self.update_buckets(now);
+        self.update_buckets(now, is_first);
         true
     }
 
@@ -171,7 +172,7 @@
         if !is_same {
             self.daemons = daemons;
             self.reachable_share = share;
-            self.update_buckets(now);
+            self.update_buckets(now, false);
         }
     }
 
@@ -194,7 +195,9 @@
         };
     }
 
-    fn update_buckets(&mut self, now: Millis) {
+    /// Applies the quotas and this group's share of them; `is_first` says that no catalog was in
+    /// force before, so that nothing is known of what the organisations have used.
+    fn update_buckets(&mut self, now: Millis, is_first: bool) {
         let catalog = self.catalog.clone();
         let known = |key: &arena::Organisation| catalog.organisations.get(*key).is_some();
         self.buckets.retain(|key, _| known(key));
@@ -206,7 +209,12 @@
                 self.buckets.remove(&key);
                 continue;
             };
-            let bucket = self.buckets.entry(key).or_default();
+            let new = if is_first {
+                Bucket::empty
+            } else {
+                Bucket::full
+            };
+            let bucket = self.buckets.entry(key).or_insert_with(new);
             bucket.configure(now, quota, &self.options.tolerance, self.reachable_share);
         }
     }
--- a/cactusglade-policy/src/quota/mod.rs
+++ b/cactusglade-policy/src/quota/mod.rs
@@ -2,22 +2,27 @@
 //!
 //! Daemons that reach each other share one bucket: each charges its copy with the requests that it
 //! admits and with those that the others report. A partitioned group of daemons has a bucket of its
-//! own. Each group's bucket gets the group's share of the quota, so that all shares add up to it.
+//! own, filled at the group's share of the rate. Until a partition is detected, both sides spend
+//! from copies of one bucket, so the capacity is at most half of what a window tolerates beyond the
+//! refill. A daemon that starts doesn't know what was spent before, so its buckets begin empty.
 
 use cactusglade_core::catalog::Quota;
 use cactusglade_core::units::Millis;
 
-/// Share of the tolerated overshoot per window that is used; the rest covers requests that other
-/// daemons have admitted but not yet reported, and those that both sides of a partition admit until
-/// they detect it.
-const TOLERANCE_SHARE: f64 = 0.4;
-/// Share of a window's units that can be used in a burst; the rest is refilled over the window.
-const BURST_SHARE: f64 = 0.25;
+/// Refill rate as a share of the quota's rate. A lower rate leaves room for a greater capacity:
+/// bursts of a few seconds gain more from the capacity than they lose by the rate.
+const RATE_SHARE: f64 = 0.9;
+/// Time within which both sides of a partition detect it: the heartbeat timeout of a large zone and
+/// the delay of a summary.
+const DETECTION_TIME: Millis = Millis(1_200);
+/// Share of the units beyond the refill that each of two copies of the bucket may hold. The rest
+/// covers requests that other daemons have admitted but not yet reported.
+const CAPACITY_SHARE: f64 = 0.4;
+/// Least capacity in seconds of the rate, where the tolerated units leave less.
+const MIN_CAPACITY_S: f64 = 0.1;
 /// Share of the bucket's capacity below zero down to which requests without a prompt are still
 /// admitted: they take few units and are answered in milliseconds.
 const SMALL_REQUEST_RESERVE: f64 = 0.25;
-/// Share of the added capacity that is available immediately when a group grows.
-const JOIN_CREDIT_SHARE: f64 = 0.5;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// `Tolerance` is the amount by which a quota may be exceeded.
@@ -41,25 +46,44 @@
 }
 
 impl Bucket {
+    /// Creates a bucket that begins empty, for an organisation that may have used its quota before
+    /// this daemon started.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::default()
+    }
+
+    /// Creates a bucket that begins full, for an organisation that has used nothing yet.
+    #[must_use]
+    pub fn full() -> Self {
+        Self {
+            level: f64::INFINITY,
+            ..Self::default()
+        }
+    }
+
     /// Sets the quota, and the group's share of it from 0 to 1.
+    ///
+    /// A group that grows gets no units at once, since those that joined may have spent theirs.
     #[allow(clippy::cast_precision_loss)]
     pub fn configure(&mut self, now: Millis, quota: &Quota, tolerance: &Tolerance, share: f64) {
-        self.fill(now);
+        if self.rate > 0.0 {
+            self.fill(now);
+        }
+        self.filled = now;
         let seconds = tolerance.window.0.max(1) as f64 / MILLIS_PER_SECOND;
+        let detection = DETECTION_TIME.0 as f64 / MILLIS_PER_SECOND;
         let nominal = quota.rate.mul_add(seconds, quota.burst);
-        let tolerated = nominal * tolerance.overshoot + tolerance.slack;
-        let allowance = tolerated.mul_add(TOLERANCE_SHARE, nominal) * share;
-        let previous = std::mem::replace(&mut self.capacity, allowance * BURST_SHARE);
-        self.rate = allowance * (1.0 - BURST_SHARE) / seconds;
-        self.level = if previous == 0.0 {
-            self.capacity
-        } else if self.capacity > previous {
-            (self.capacity - previous).mul_add(JOIN_CREDIT_SHARE, self.level)
-        } else if self.level > 0.0 {
-            self.level * self.capacity / previous
-        } else {
-            self.level
-        };
+        let tolerated = nominal * (1.0 + tolerance.overshoot) + tolerance.slack;
+        let rate = quota.rate * RATE_SHARE;
+        let rest = tolerated - rate * (seconds + detection);
+        let capacity = (rest * CAPACITY_SHARE).max(quota.rate * MIN_CAPACITY_S);
+        let previous = std::mem::replace(&mut self.capacity, capacity * share);
+        self.rate = rate * share;
+        if self.level > 0.0 && self.capacity < previous {
+            self.level *= self.capacity / previous;
+        }
+        self.level = self.level.min(self.capacity);
     }
 
     /// Takes units if the bucket is not empty, and returns whether it did.
