Let only the relay of a zone read the registry while nothing in it changes

Cause: the store has one revision for all tables; the relay announced the revision up to which it had read, and forwarded nothing where no entry had changed, so each daemon of its zone read the store after 300 ms, about once a second. Ruled out: forwarding empty changes; a lost datagram would still cost a read. Change: policy::relay announces the revision of the last change and forwards changes from there.

--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -19,8 +19,8 @@
 /// `Changeset` reports what this daemon has read of the registry from the store.
 #[derive(Clone, Debug)]
 pub struct Changeset {
-    /// Revision to which the changes apply.
-    pub after: u64,
+    /// Revision to which the changes apply; `None` if all entries were read.
+    pub after: Option<u64>,
     /// Revision after the changes.
     pub revision: u64,
     /// Changed entries, in order.
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -13,6 +13,8 @@
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
+use cactusglade_policy::relay;
+use cactusglade_policy::relay::Reading;
 use cactusglade_policy::roster::Announcement;
 use cactusglade_policy::roster::Consumption;
 use cactusglade_policy::roster::Roster;
@@ -115,10 +117,8 @@
     counts: BTreeMap<u64, Totals>,
     /// Request counts of this daemon and of those whose heartbeats it received.
     ledger: Ledger,
-    /// State of the registry as this daemon has read it from the store.
-    registry: Watermark,
-    /// Time at which this daemon last read the registry from the store.
-    registry_read_at: Option<Millis>,
+    /// How far this daemon has read the registry from the store.
+    registry: relay::Progress,
     /// State of the registry as the zone's relay reports it.
     progress: watch::Sender<Progress>,
     entries: mpsc::Sender<Entries>,
@@ -190,7 +190,10 @@
         self.counts = statistics.counts;
         self.sequence += 1;
         self.roster.expire(now);
-        self.refresh_watermark(now);
+        if self.roster.is_relay(now) {
+            // The state that other daemons relay doesn't count while this one is the relay.
+            self.publish_progress(Watermark::default());
+        }
         self.send_heartbeat(now).await;
         if self.roster.is_relay(now) {
             self.send_summaries(now).await;
@@ -269,13 +272,17 @@
 
     async fn handle(&mut self, changeset: Changeset, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        self.registry.revision = self.registry.revision.max(changeset.revision);
-        self.registry_read_at = Some(now);
+        let reading = Reading {
+            after: changeset.after,
+            revision: changeset.revision,
+            has_changes: !changeset.changes.is_empty(),
+        };
+        let base = self.registry.record(now, &reading);
         if !self.roster.is_relay(now) {
             return;
         }
         let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for part in Entries::split(changeset.after, changeset.revision, &changeset.changes) {
+        for part in Entries::split(base, changeset.revision, &changeset.changes) {
             self.send(&Datagram::Entries(part), neighbours.iter().copied())
                 .await;
         }
@@ -331,8 +338,7 @@
             lease: None,
             counts: BTreeMap::new(),
             ledger: Ledger::default(),
-            registry: Watermark::default(),
-            registry_read_at: None,
+            registry: relay::Progress::default(),
             progress: options.progress,
             entries: options.entries,
             reachable: 0,
@@ -383,15 +389,6 @@
         });
     }
 
-    /// Updates the age of this daemon's state of the registry, and withdraws the published state
-    /// while this daemon is the zone's relay itself.
-    fn refresh_watermark(&mut self, now: Millis) {
-        self.registry.age_ms = self.registry_read_at.map(|read_at| (now - read_at).0);
-        if self.roster.is_relay(now) {
-            self.publish_progress(Watermark::default());
-        }
-    }
-
     /// Records a summary of another zone; returns what was added to the totals of that zone.
     fn receive_summary(&mut self, now: Millis, summary: Summary) -> Consumption {
         let announcement = Announcement {
@@ -430,7 +427,10 @@
             work: self.own_totals.work.clone(),
             lease: self.lease.clone(),
             counts: self.counts.clone(),
-            registry: self.registry,
+            registry: Watermark {
+                revision: self.registry.revision(),
+                age_ms: self.registry.age(now).map(|age| age.0),
+            },
             is_store_unreachable: self.roster.is_store_unreachable(now),
             members: members.collect(),
         });
--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -52,8 +52,7 @@
     async fn read(&mut self) -> Result<Update<Change>> {
         self.has_read_store = true;
         let update = self.source.read().await?;
-        self.report(update.revision, update.revision, Vec::new())
-            .await;
+        self.report(None, update.revision, Vec::new()).await;
         Ok(update)
     }
 
@@ -94,15 +93,15 @@
     async fn poll_store(&mut self, after: Revision, wait: Millis) -> Result<Update<Change>> {
         self.has_read_store = true;
         let update = self.source.watch(after, wait).await?;
-        self.report(after, update.revision, update.items.clone())
+        self.report(Some(after), update.revision, update.items.clone())
             .await;
         Ok(update)
     }
 
     /// Reports to the mesh what was read from the store, so that it can forward the changes.
-    async fn report(&mut self, after: Revision, revision: Revision, changes: Vec<Change>) {
+    async fn report(&mut self, after: Option<Revision>, revision: Revision, changes: Vec<Change>) {
         let changeset = mesh::Changeset {
-            after: after.0,
+            after: after.map(|after| after.0),
             revision: revision.0,
             changes,
         };
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pool;
 pub mod prefix;
 pub mod quota;
+pub mod relay;
 pub mod retry;
 pub mod rollout;
 pub mod roster;
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -80,7 +80,7 @@
 /// `Watermark` says how far a daemon has read the registry of upstreams.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Watermark {
-    /// Revision up to which it has read the entries.
+    /// Revision of the last change that it knows.
     pub revision: u64,
     /// Milliseconds since the store itself last confirmed that revision, where it ever did.
     pub age_ms: Option<u64>,
