Order on-demand upstreams only for what the reclaimable ones don't carry

After the reclaim of one of six zones 0.7 of the need was ordered on demand for 15 s, although the five others held 75 upstreams for a need of 55; and a quarter of the need was kept on demand all the time. Change: in a wave of reclaims, on-demand upstreams make up what is missing after the loss of one more zone; otherwise a tenth of the need is kept. Test: a_reclaim_that_the_other_zones_carry_orders_nothing_on_demand (failed before).

--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Reclaimable upstreams cost a fraction of the others, so they carry the load, with enough in each
 //! zone that the remaining zones carry it after a reclaim. A few on-demand upstreams carry what
-//! can't wait for replacements, and more replace reclaimable ones while those are unavailable. See
+//! can't wait for replacements. More are ordered only where the reclaimable ones that are left, less
+//! those of one more zone while further reclaims are expected, don't meet the need. See
 //! `docs/PLATFORM.md`.
 
 use std::collections::BTreeMap;
@@ -16,9 +17,7 @@
 /// waves.
 const TOLERATED_ZONE_LOSSES: usize = 2;
 /// Share of the need that on-demand upstreams carry at all times.
-const ON_DEMAND_SHARE: f64 = 0.25;
-/// Share of the need that on-demand upstreams carry during a wave of reclaims.
-const ON_DEMAND_SHARE_IN_WAVE: f64 = 0.7;
+const ON_DEMAND_SHARE: f64 = 0.1;
 /// Time after a reclaim within which further reclaims are expected.
 const RECLAIM_WAVE: Millis = Millis(15_000);
 /// Minimum number of on-demand upstreams of a service.
@@ -195,16 +194,13 @@
         } else {
             0.0
         };
-        let reclaimable_count = zones.values().map(|zone| zone.reclaimable).sum::<u64>() as f64;
-        // On-demand upstreams replace missing reclaimable ones.
+        let reclaimable = || zones.values().map(|zone| zone.reclaimable);
+        // Another zone may be reclaimed before replacements have booted.
         let in_wave = self.reclaimed.is_some_and(|at| now - at < RECLAIM_WAVE);
-        let share = if in_wave {
-            ON_DEMAND_SHARE_IN_WAVE
-        } else {
-            ON_DEMAND_SHARE
-        };
-        let base = (self.planned_need * share).max(MIN_ON_DEMAND);
-        let on_demand = base.max(self.planned_need - reclaimable_count).ceil() as u64;
+        let at_risk = reclaimable().max().filter(|_| in_wave).unwrap_or_default();
+        let lasting = (reclaimable().sum::<u64>() - at_risk) as f64;
+        let base = (self.planned_need * ON_DEMAND_SHARE).max(MIN_ON_DEMAND);
+        let on_demand = base.max(self.planned_need - lasting).ceil() as u64;
         let on_demand_by_zone = distribute(on_demand, scale, zones).into_iter();
         let targets = on_demand_by_zone.map(|(zone, on_demand)| {
             let room = scale.max.saturating_sub(on_demand);
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -92,6 +92,66 @@
     assert!(on_demand_orders.map(|order| order.count).sum::<u64>() > before);
 }
 
+/// Six zones of which one is reclaimed, and no replacements are to be had for some seconds: the
+/// other five carry the load, also after the loss of one more.
+#[test]
+fn a_reclaim_that_the_other_zones_carry_orders_nothing_on_demand() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let zone = Zone {
+        on_demand: 1,
+        reclaimable: 15,
+    };
+    let mut existing = names.map(|name| (name.to_owned(), zone));
+    let mut scale = scale();
+    scale.max = 42;
+    scale.prices = names.map(|name| (name.to_owned(), 1.0)).into();
+    let before = existing.clone().into();
+    let mut plan = Plan::default();
+    for at in [0, 1_000, 2_000, 3_100] {
+        plan.measure(Millis(at), 25.0, &before);
+    }
+    let ordered = plan.orders(Millis(3_200), &scale, &before);
+    for (name, zone) in &mut existing {
+        for order in ordered.iter().filter(|order| order.zone == *name) {
+            if order.reclaimable {
+                zone.reclaimable = order.count;
+            } else {
+                zone.on_demand = order.count;
+            }
+        }
+    }
+    let carried = existing.clone().into();
+    assert_eq!(plan.orders(Millis(3_300), &scale, &carried), Vec::new());
+    existing[5].1.reclaimable = 0;
+    let reclaimed = existing.clone().into();
+    let orders = plan.orders(Millis(3_400), &scale, &reclaimed);
+    let on_demand = orders.iter().filter(|order| !order.reclaimable);
+    assert_eq!(on_demand.count(), 0, "{orders:?}");
+}
+
+/// In two zones the loss of the second leaves nothing, so that its load must not wait for it.
+#[test]
+fn a_reclaim_after_which_one_more_is_too_much_orders_on_demand() {
+    let mut existing = zones(1, 4);
+    let mut plan = observed_plan(&existing);
+    let orders = plan.orders(Millis(3_200), &scale(), &existing);
+    carry_out(&mut existing, &orders);
+    let needed = plan.need();
+    for name in ["a", "b"] {
+        existing
+            .get_mut(name)
+            .expect("the zone is known")
+            .reclaimable = 0;
+    }
+    let orders = plan.orders(Millis(3_400), &scale(), &existing);
+    carry_out(&mut existing, &orders);
+    let on_demand = existing.values().map(|zone| zone.on_demand).sum::<u64>();
+    let one_zone = existing["c"].reclaimable;
+    #[allow(clippy::cast_precision_loss)]
+    let left = (on_demand + one_zone) as f64;
+    assert!(left >= needed.floor(), "{left} of {needed}");
+}
+
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 struct Step {
     busy: u8,
