Make fewer calls to the store at a start, a take-over and during its outages

Change: each daemon leaves the lease to others for a random time; only relays read the list of daemons again; a daemon sends a heartbeat as soon as it has read the list; pauses after failed calls double up to 1.5 s. Until the first heartbeat the share of quotas follows from the list.

--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -22,7 +22,11 @@
     term: Millis(4_000),
     margin: Millis(1_700),
     renewal: Millis(800),
+    patience: Millis(0),
 };
+/// Upper bound of a daemon's random patience. A lease that was taken is known everywhere after about
+/// half a second.
+const MAX_PATIENCE: Millis = Millis(2_000);
 
 /// `Election` acquires, renews and observes the lease on the duties for one daemon.
 #[derive(Debug)]
@@ -39,9 +43,13 @@
 impl<S: Store> Election<S> {
     /// Starts without the lease. `holder` must differ between restarts of a daemon.
     pub fn new(store: S, holder: &str, log: Logger) -> Self {
+        let timing = Timing {
+            patience: Millis(rand::random_range(0..MAX_PATIENCE.0)),
+            ..LEASE_TIMING
+        };
         Self {
             store,
-            lease: Lease::with_timing(holder, LEASE_TIMING),
+            lease: Lease::with_timing(holder, timing),
             holder: holder.to_owned(),
             row: None,
             is_held: false,
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -13,6 +13,7 @@
 
 use super::Mesh;
 use super::messages::Members;
+use super::messages::ReadsMembers;
 
 const TABLE: &str = "members";
 /// Pause before the next attempt while this daemon's row is not written or the table can't be read.
@@ -21,7 +22,7 @@
 ///
 /// A daemon writes its row before it reads the table, so that of two daemons that start together at
 /// least one finds the other and sends it heartbeats. Later reads make up for heartbeats that were
-/// lost.
+/// lost; the relay makes them for its zone, and so does a daemon that no other one reaches.
 const READ_PAUSES: std::ops::Range<Duration> = Duration::from_secs(8)..Duration::from_secs(64);
 /// Factor by which the pause grows after each read.
 const PAUSE_FACTOR: u32 = 4;
@@ -50,8 +51,19 @@
         return;
     };
     let mut next_pause = READ_PAUSES.start;
-    let mut is_written = false;
+    let (mut is_written, mut is_read) = (false, false);
     loop {
+        if is_read {
+            let Some(mesh) = mesh.upgrade() else { return };
+            match mesh.ask(ReadsMembers).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    tokio::time::sleep(next_pause).await;
+                    continue;
+                }
+                Err(_) => return,
+            }
+        }
         let mut pause = RETRY_PAUSE;
         if !is_written {
             let write = Write {
@@ -73,6 +85,7 @@
                     return;
                 }
                 if is_written {
+                    is_read = true;
                     pause = next_pause;
                     next_pause = (next_pause * PAUSE_FACTOR).min(READ_PAUSES.end);
                 }
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -57,3 +57,7 @@
 /// `Members` lists the addresses and zones of the daemons that have a row in the store.
 #[derive(Clone, Debug)]
 pub(super) struct Members(pub Vec<(SocketAddr, String)>);
+
+/// `ReadsMembers` asks whether this daemon is to read the list of daemons again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadsMembers;
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -52,6 +52,7 @@
 pub use messages::Reachability;
 
 use messages::Members;
+use messages::ReadsMembers;
 
 /// Name of the service.
 pub const NAME: &str = "mesh";
@@ -242,6 +243,19 @@
         for (address, zone) in &members.0 {
             self.roster.add(now, *address, Some(zone));
         }
+        // Until it has heard from the others, this daemon knows neither the relay nor the lease.
+        self.sequence += 1;
+        let heartbeat = self.heartbeat(now);
+        self.send(&heartbeat, self.roster.peers()).await;
+        self.report_fleet(now).await;
+    }
+}
+
+impl Message<ReadsMembers> for Mesh {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: ReadsMembers, _: &mut Context<Self, bool>) -> bool {
+        self.roster.is_relay(self.clock.now())
     }
 }
 
@@ -411,6 +425,16 @@
     /// Sends a heartbeat to the daemons of this zone, and one in [`HEARTBEATS_PER_BROADCAST`]
     /// also to daemons from which none was received lately.
     async fn send_heartbeat(&self, now: Millis) {
+        let heartbeat = self.heartbeat(now);
+        if self.sequence % HEARTBEATS_PER_BROADCAST == 1 {
+            self.send(&heartbeat, self.roster.peers()).await;
+        } else {
+            self.send(&heartbeat, self.roster.neighbours(now)).await;
+        }
+    }
+
+    /// Returns a heartbeat with the state of this daemon.
+    fn heartbeat(&self, now: Millis) -> Datagram {
         let sample = self
             .roster
             .members()
@@ -418,7 +442,7 @@
         let members = sample
             .into_iter()
             .map(|(address, zone)| (*address, zone.clone()));
-        let heartbeat = Datagram::Heartbeat(Heartbeat {
+        Datagram::Heartbeat(Heartbeat {
             from: self.address,
             zone: self.zone.clone(),
             incarnation: self.incarnation,
@@ -433,12 +457,7 @@
             },
             is_store_unreachable: self.roster.is_store_unreachable(now),
             members: members.collect(),
-        });
-        if self.sequence % HEARTBEATS_PER_BROADCAST == 1 {
-            self.send(&heartbeat, self.roster.peers()).await;
-        } else {
-            self.send(&heartbeat, self.roster.neighbours(now)).await;
-        }
+        })
     }
 
     /// Sends the zone's summary to the other zones, and forwards their summaries within the zone.
@@ -490,8 +509,13 @@
     /// Notifies the broker when the number of daemons, or of those whose heartbeats arrive,
     /// changes.
     async fn report_fleet(&mut self, now: Millis) {
-        let (daemons, reachable) = (self.roster.count(), self.roster.reachable(now));
-        // Without a heartbeat from another daemon the size of the fleet is not known.
+        let reachable = self.roster.reachable(now);
+        // Before the first heartbeat of another daemon, the fleet is as large as the list says.
+        let daemons = match self.roster.count() {
+            1 => self.roster.listed(),
+            heard => heard,
+        };
+        // A daemon that no other one reaches and that knows no list is not the only one.
         if (daemons, reachable) == (self.daemons, self.reachable) || daemons == 1 {
             return;
         }
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -38,9 +38,13 @@
 /// Time for which the store may hold a call open until the first change. TCP keep-alive probes
 /// detect a dead connection earlier.
 const MAX_WAIT: Millis = Millis(25_000);
-/// Range of the random pause after a call that failed, in milliseconds. It keeps daemons that lost
-/// the store together from calling it again at the same time.
-const RETRY_PAUSE_MS: std::ops::Range<u64> = 100..400;
+/// Pause after the first call that failed. It doubles with each further one up to
+/// [`MAX_RETRY_PAUSE`], and is random from half of that on, so that daemons that lost the store
+/// together don't call it again at the same time.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after a call that failed; a daemon must be up to date within 3 s of the store's
+/// return.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Pause after changes, so that changes in quick succession cost one call: entries of upstreams
 /// that are starting change with each of their heartbeats. The pause is a small part of the 2 s
@@ -101,6 +105,8 @@
     options: Options<S, K>,
     revision: Revision,
     is_unreachable: bool,
+    /// Pause after the next call that fails.
+    retry_pause: Duration,
 }
 
 impl<S: Source, K: Sink<S::Item>> Follower<S, K> {
@@ -109,6 +115,7 @@
             options,
             revision: Revision(0),
             is_unreachable: false,
+            retry_pause: MIN_RETRY_PAUSE,
         }
     }
 
@@ -149,6 +156,7 @@
 
     /// Applies an answer of the source, and notes that the source is reachable.
     async fn receive(&mut self, update: Update<S::Item>, is_all: bool) {
+        self.retry_pause = MIN_RETRY_PAUSE;
         if self.is_unreachable {
             self.is_unreachable = false;
             info!(self.options.log, "store_regained"; "source" => self.options.name,
@@ -163,7 +171,7 @@
         if update.revision < self.revision {
             warn!(self.options.log, "answer_outdated"; "source" => self.options.name,
                 "revision" => update.revision.0, "known" => self.revision.0);
-            pause().await;
+            self.pause().await;
             return;
         }
         self.revision = update.revision;
@@ -180,13 +188,15 @@
                 "reason" => %error, "revision" => self.revision.0);
             self.options.sink.set_unreachable(true).await;
         }
-        pause().await;
+        self.pause().await;
     }
-}
 
-/// Waits before the next call after one that failed.
-async fn pause() {
-    tokio::time::sleep(Duration::from_millis(rand::random_range(RETRY_PAUSE_MS))).await;
+    /// Waits before the next call after one that failed.
+    async fn pause(&mut self) {
+        let longest = self.retry_pause;
+        self.retry_pause = (longest * 2).min(MAX_RETRY_PAUSE);
+        tokio::time::sleep(longest.mul_f64(rand::random_range(0.5..1.0))).await;
+    }
 }
 
 /// `Orders` applies the operators' orders.
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -22,6 +22,9 @@
     pub margin: Millis,
     /// Time between two renewals.
     pub renewal: Millis,
+    /// Time beyond the term for which this daemon leaves an unchanged row to others. It differs
+    /// between daemons, so that not all of a large fleet read and write the row at once.
+    pub patience: Millis,
 }
 
 impl Default for Timing {
@@ -30,6 +33,7 @@
             term: TERM,
             margin: Millis(2_000),
             renewal: Millis(1_500),
+            patience: Millis(0),
         }
     }
 }
@@ -57,6 +61,8 @@
     observed: Option<Observed>,
     /// When the last successful write of the lease was sent.
     renewed: Option<Millis>,
+    /// When the state was first asked for.
+    started: Option<Millis>,
 }
 
 impl Lease {
@@ -76,6 +82,7 @@
             timing,
             observed: None,
             renewed: None,
+            started: None,
         }
     }
 
@@ -116,11 +123,15 @@
         }
     }
 
-    /// Returns whether the row has been unchanged for a term, so that it should be read.
-    #[must_use]
-    pub fn is_stale(&self, now: Millis) -> bool {
-        let observed = self.observed.as_ref();
-        observed.is_none_or(|observed| now - observed.since >= self.timing.term)
+    /// Returns whether this daemon should read the row: it has been unchanged for a term and this
+    /// daemon's patience, or no row is known for as long as the patience.
+    pub fn is_stale(&mut self, now: Millis) -> bool {
+        let started = *self.started.get_or_insert(now);
+        let patience = self.timing.patience;
+        match &self.observed {
+            None => now - started >= patience,
+            Some(observed) => now - observed.since >= self.timing.term + patience,
+        }
     }
 
     /// Records that a write which was sent at `sent` has taken effect.
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -215,6 +215,12 @@
         1 + peers.count() as u64 + zones.sum::<u64>()
     }
 
+    /// Returns the number of daemons whose addresses and zones are known, this one included.
+    #[must_use]
+    pub fn listed(&self) -> u64 {
+        1 + self.members.len() as u64
+    }
+
     /// Returns the number of reachable daemons, this one included.
     #[must_use]
     pub fn reachable(&self, now: Millis) -> u64 {
--- a/cactusglade-policy/tests/lease.rs
+++ b/cactusglade-policy/tests/lease.rs
@@ -7,6 +7,7 @@
 use cactusglade_policy::lease::Action;
 use cactusglade_policy::lease::Lease;
 use cactusglade_policy::lease::TERM;
+use cactusglade_policy::lease::Timing;
 
 const HOLDERS: usize = 3;
 
@@ -122,3 +123,74 @@
     assert_eq!(simulation.leases[1].epoch(simulation.now), Some(2));
     assert_eq!(simulation.leases[0].epoch(simulation.now), None);
 }
+
+/// Daemons of a large fleet.
+const FLEET: u64 = 195;
+/// Time until every daemon has heard of a lease that was taken, and the interval at which a daemon
+/// looks at its state.
+const GOSSIP_DELAY: Millis = Millis(600);
+const ROUND: u64 = 400;
+/// Greatest patience of a daemon.
+const MAX_PATIENCE: u64 = 2_000;
+
+/// Returns how often a fleet reads the row, and after what time one of its daemons has taken it.
+fn take_over(observed: Option<&Row>, since: Millis) -> (u64, Millis) {
+    let lease = |number: u64| {
+        let timing = Timing {
+            patience: Millis(number * MAX_PATIENCE / FLEET),
+            ..Timing::default()
+        };
+        let mut lease = Lease::with_timing(&format!("holder-{number}"), timing);
+        if observed.is_some() {
+            lease.observe(Millis(0), observed.cloned());
+        }
+        lease.is_stale(Millis(0));
+        lease
+    };
+    let mut fleet = (0..FLEET).map(lease).collect::<Vec<_>>();
+    let (mut reads, mut taken) = (0, None::<(Millis, Row)>);
+    for now in since.0..since.0 + 10_000 {
+        for (number, lease) in (0..).zip(&mut fleet) {
+            if (now + number * 7) % ROUND != 0 {
+                continue;
+            }
+            if let Some((at, row)) = &taken
+                && Millis(now) >= *at + GOSSIP_DELAY
+            {
+                lease.observe(Millis(now), Some(row.clone()));
+                continue;
+            }
+            if !lease.is_stale(Millis(now)) {
+                continue;
+            }
+            reads += 1;
+            let stored = taken.as_ref().map(|(_, row)| row.clone());
+            let stored = stored.or_else(|| observed.cloned());
+            if let Action::Write(row) = lease.observe(Millis(now), stored) {
+                lease.confirm(Millis(now), row.clone());
+                taken = Some((Millis(now), row));
+            }
+        }
+    }
+    let (at, _) = taken.expect("a daemon takes the lease");
+    (reads, at)
+}
+
+#[test]
+fn a_fleet_that_starts_does_not_read_the_lease_all_at_once() {
+    let (reads, at) = take_over(None, Millis(0));
+    assert!(reads <= FLEET / 2, "{reads} reads");
+    assert!(at <= Millis(500), "{at:?}");
+}
+
+#[test]
+fn a_fleet_whose_holder_failed_does_not_read_the_lease_all_at_once() {
+    let row = Row {
+        holder: "failed".to_owned(),
+        epoch: 1,
+        renewal: 4,
+    };
+    let (reads, at) = take_over(Some(&row), Millis(1));
+    assert!(reads <= FLEET / 2, "{reads} reads");
+    assert!(at <= TERM + Millis(500), "{at:?}");
+}
