Keep a surplus of reclaimable upstreams and expect two more reclaims in a wave

Change: 1.3 times as many reclaimable upstreams as zone losses require, and in a wave the on-demand ones make up for two more zones instead of one.

--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -3,8 +3,7 @@
 //! Reclaimable upstreams cost a fraction of the others, so they carry the load, with enough in each
 //! zone that the remaining zones carry it after a reclaim. A few on-demand upstreams carry what
 //! can't wait for replacements. More are ordered only where the reclaimable ones that are left, less
-//! those of one more zone while further reclaims are expected, don't meet the need. See
-//! `docs/PLATFORM.md`.
+//! those of the zones that may be reclaimed next, don't meet the need. See `docs/PLATFORM.md`.
 
 use std::collections::BTreeMap;
 
@@ -16,6 +15,9 @@
 /// Number of zones that may lose all reclaimable upstreams at the same time; reclaims come in
 /// waves.
 const TOLERATED_ZONE_LOSSES: usize = 2;
+/// Reclaimable upstreams per needed one, beyond what zone losses require: they also make up for
+/// upstreams that crash while no others are to be had, at a fraction of the price.
+const RECLAIMABLE_SURPLUS: f64 = 1.3;
 /// Share of the need that on-demand upstreams carry at all times.
 const ON_DEMAND_SHARE: f64 = 0.1;
 /// Time after a reclaim within which further reclaims are expected.
@@ -190,15 +192,18 @@
         let remaining_zones = zones.len().saturating_sub(TOLERATED_ZONE_LOSSES).max(1) as f64;
         let can_reclaim = scale.spot_price.is_some();
         let reclaimable_per_zone = if can_reclaim {
-            (self.planned_need / remaining_zones).ceil()
+            (self.planned_need * RECLAIMABLE_SURPLUS / remaining_zones).ceil()
         } else {
             0.0
         };
-        let reclaimable = || zones.values().map(|zone| zone.reclaimable);
-        // Another zone may be reclaimed before replacements have booted.
-        let in_wave = self.reclaimed.is_some_and(|at| now - at < RECLAIM_WAVE);
-        let at_risk = reclaimable().max().filter(|_| in_wave).unwrap_or_default();
-        let lasting = (reclaimable().sum::<u64>() - at_risk) as f64;
+        let reclaimable = zones.values().map(|zone| zone.reclaimable);
+        let mut reclaimable = reclaimable.collect::<Vec<_>>();
+        reclaimable.sort_unstable();
+        // Further zones may be reclaimed before replacements have booted.
+        if self.reclaimed.is_some_and(|at| now - at < RECLAIM_WAVE) {
+            reclaimable.truncate(zones.len().saturating_sub(TOLERATED_ZONE_LOSSES));
+        }
+        let lasting = reclaimable.iter().sum::<u64>() as f64;
         let base = (self.planned_need * ON_DEMAND_SHARE).max(MIN_ON_DEMAND);
         let on_demand = base.max(self.planned_need - lasting).ceil() as u64;
         let on_demand_by_zone = distribute(on_demand, scale, zones).into_iter();
