--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -45,3 +45,39 @@
     /// The entry of the upstream with this name was removed.
     Removed(String),
 }
+
+/// `Sighting` is what a daemon has seen of an upstream and shares with the others.
+///
+/// In a large fleet a daemon sends an upstream a request every few seconds, so that its own
+/// requests say little about the upstream's load, or whether it still answers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sighting {
+    /// Hash of the upstream's name.
+    pub upstream: u32,
+    /// Number of running and waiting requests that the upstream stated last.
+    pub load: Option<u64>,
+    /// Time that a prompt waited there beyond the time to read it, in milliseconds.
+    pub delay_ms: Option<u64>,
+    /// Hash of the name of the daemon that lost a request at the upstream.
+    pub lost_by: Option<u32>,
+}
+
+impl Sighting {
+    /// Creates a sighting that says nothing yet.
+    #[must_use]
+    pub const fn new(upstream: u32) -> Self {
+        Self {
+            upstream,
+            load: None,
+            delay_ms: None,
+            lost_by: None,
+        }
+    }
+
+    /// Takes over what a later sighting of the same upstream says.
+    pub fn update(&mut self, later: &Self) {
+        self.load = later.load.or(self.load);
+        self.delay_ms = later.delay_ms.or(self.delay_ms);
+        self.lost_by = later.lost_by.or(self.lost_by);
+    }
+}
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -326,6 +326,7 @@
 /// Returns the broker's policy options from the settings.
 fn policy_options(settings: &Settings) -> policy::Options {
     policy::Options {
+        name: settings.name.clone(),
         zone: settings.zone.clone(),
         retries: budget::Bounds {
             ratio: settings.retry_ratio,
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -9,6 +9,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Sighting;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::link::Connection;
@@ -77,6 +78,8 @@
     pub grant: Grant,
     /// Organisation for which the request is counted; `None` where it was counted before.
     pub organisation: Option<arena::Organisation>,
+    /// Time from the sending to the first event or the head of the answer.
+    pub latency: Millis,
 }
 
 /// `Ended` reports the end of an attempt.
@@ -154,6 +157,10 @@
 #[derive(Clone, Debug)]
 pub struct Charge(pub Totals);
 
+/// `Learn` passes on what other daemons have seen of upstreams.
+#[derive(Clone, Debug)]
+pub struct Learn(pub Vec<Sighting>);
+
 /// `Survey` requests the [`Inventory`].
 #[derive(Clone, Copy, Debug)]
 pub struct Survey;
@@ -178,6 +185,8 @@
     pub work: Totals,
     /// Number of requests that upstreams began to answer, by window and organisation.
     pub counts: BTreeMap<u64, Counts>,
+    /// What this daemon has seen of upstreams since the last call.
+    pub sightings: Vec<Sighting>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -245,6 +254,8 @@
 
     async fn handle(&mut self, begun: Begun, _: &mut Context<Self, ()>) {
         self.policy.finish_prefill(&begun.grant);
+        self.policy
+            .begin_answer(self.clock.now(), &begun.grant, begun.latency);
         let organisation = begun.organisation;
         let catalog = self.policy.catalog();
         if let Some(object) = organisation.and_then(|key| catalog.organisations.get(key)) {
@@ -349,6 +360,17 @@
     }
 }
 
+impl Message<Learn> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, learn: Learn, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        for sighting in &learn.0 {
+            self.policy.record_sighting(now, sighting);
+        }
+    }
+}
+
 impl Message<Survey> for Broker {
     type Reply = Inventory;
 
@@ -381,6 +403,7 @@
             quota_used: self.quota_used.clone(),
             work: self.work.clone(),
             counts: self.windows.counts().clone(),
+            sightings: self.policy.take_sightings(),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -34,6 +34,7 @@
 pub use messages::Charge;
 pub use messages::Ended;
 pub use messages::Inventory;
+pub use messages::Learn;
 pub use messages::Meter;
 pub use messages::Observe;
 pub use messages::Outage;
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -95,10 +95,12 @@
             return;
         }
         self.has_begun = true;
-        self.latency = Some(self.clock.now() - self.sent_at);
+        let latency = self.clock.now() - self.sent_at;
+        self.latency = Some(latency);
         let begun = Begun {
             grant: self.grant,
             organisation,
+            latency,
         };
         // Fails only while the daemon stops.
         let _ = self.broker.tell(begun).await;
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -2,6 +2,7 @@
 
 mod members;
 mod messages;
+mod sightings;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -9,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusglade_core::fleet::Sighting;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
@@ -25,6 +27,7 @@
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::gossip::Heartbeat;
 use cactusglade_wire::gossip::MAX_DATAGRAM_BYTES;
+use cactusglade_wire::gossip::Sightings;
 use cactusglade_wire::gossip::Summary;
 use cactusglade_wire::gossip::Watermark;
 use kameo::Actor;
@@ -53,6 +56,7 @@
 
 use messages::Members;
 use messages::ReadsMembers;
+use sightings::Exchange;
 
 /// Name of the service.
 pub const NAME: &str = "mesh";
@@ -123,6 +127,8 @@
     /// State of the registry as the zone's relay reports it.
     progress: watch::Sender<Progress>,
     entries: mpsc::Sender<Entries>,
+    /// What the relay has still to pass on of the sightings of upstreams.
+    exchange: Exchange,
     reachable: u64,
     daemons: u64,
 }
@@ -191,6 +197,7 @@
         self.counts = statistics.counts;
         self.sequence += 1;
         self.roster.expire(now);
+        self.send_sightings(now, &statistics.sightings).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -228,6 +235,10 @@
                 let _ = self.entries.try_send(entries);
                 return;
             }
+            Datagram::Sightings(sightings) => {
+                self.receive_sightings(now, sightings).await;
+                return;
+            }
         };
         if !added.quota_used.is_empty() {
             let _ = self.broker.tell(broker::Charge(added.quota_used)).await;
@@ -355,6 +366,7 @@
             registry: relay::Progress::default(),
             progress: options.progress,
             entries: options.entries,
+            exchange: Exchange::default(),
             reachable: 0,
             daemons: 0,
         };
@@ -493,6 +505,39 @@
         }
     }
 
+    /// Sends what this daemon has seen of upstreams to its zone; the relay also passes on what its
+    /// zone has seen to the other relays, and what those have sent to its zone.
+    async fn send_sightings(&mut self, now: Millis, own: &[Sighting]) {
+        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
+        for part in Sightings::split(&self.zone, false, own) {
+            self.send(&Datagram::Sightings(part), neighbours.iter().copied())
+                .await;
+        }
+        let (outbound, inbound) = self.exchange.take(own);
+        if !self.roster.is_relay(now) {
+            return;
+        }
+        let relays = self.roster.relays(now);
+        for part in Sightings::split(&self.zone, false, &outbound) {
+            self.send(&Datagram::Sightings(part), relays.iter().copied())
+                .await;
+        }
+        for part in Sightings::split(&self.zone, true, &inbound) {
+            self.send(&Datagram::Sightings(part), neighbours.iter().copied())
+                .await;
+        }
+    }
+
+    /// Passes sightings on to the broker, and keeps them for the relay to pass on.
+    async fn receive_sightings(&mut self, now: Millis, sightings: Sightings) {
+        if self.roster.is_relay(now) && !sightings.is_forwarded {
+            let is_own_zone = sightings.zone == self.zone;
+            self.exchange.add(is_own_zone, &sightings.entries);
+        }
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(broker::Learn(sightings.entries)).await;
+    }
+
     /// Sends a datagram to each of these addresses.
     async fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
         let Some(bytes) = datagram.encode() else {
--- /dev/null
+++ b/cactusglade-model/src/engine/mod.rs
@@ -0,0 +1,117 @@
+//! A model of an engine: slots, prefill of one prompt after the other, and a prompt cache.
+
+use std::collections::BTreeMap;
+
+use cactusglade_core::call::Part;
+
+/// Engine time of a decoding step without and per running request, in milliseconds.
+const STEP_MS: f64 = 3.8;
+const STEP_MS_PER_REQUEST: f64 = 0.1;
+
+/// `Profile` holds the figures of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    /// Requests that run at the same time.
+    pub slots: usize,
+    /// Prompt tokens read per millisecond.
+    pub prefill_per_ms: f64,
+    /// Prompt tokens that the cache holds.
+    pub cache_tokens: u64,
+}
+
+/// `Run` is how an engine processes one request, with times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    /// Time of the first token.
+    pub first_token: f64,
+    /// Time of the last token.
+    pub end: f64,
+    /// Prompt tokens that were found in the cache.
+    pub cached: u64,
+}
+
+/// `Engine` is the state of one engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    profile: Profile,
+    /// Ends of the accepted requests, in order.
+    ends: Vec<f64>,
+    prefill_free: f64,
+    /// Last use and length of the cached parts.
+    cache: BTreeMap<u64, (f64, u64)>,
+    /// Whether it accepts connections and answers.
+    pub is_dark: bool,
+    /// Requests accepted so far.
+    pub accepted: u64,
+}
+
+impl Engine {
+    /// Creates an idle engine with an empty cache.
+    #[must_use]
+    pub const fn new(profile: Profile) -> Self {
+        Self {
+            profile,
+            ends: Vec::new(),
+            prefill_free: 0.0,
+            cache: BTreeMap::new(),
+            is_dark: false,
+            accepted: 0,
+        }
+    }
+
+    /// Returns the number of running and waiting requests.
+    #[must_use]
+    pub fn load(&self, now: f64) -> u64 {
+        self.ends.iter().filter(|end| **end > now).count() as u64
+    }
+
+    /// Accepts a request with these prompt parts, which generates `tokens`.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn accept(&mut self, now: f64, parts: &[Part], tokens: u64) -> Run {
+        self.ends.retain(|end| *end > now);
+        self.accepted += 1;
+        let slot_free = match self.ends.len().checked_sub(self.profile.slots) {
+            None => now,
+            Some(queued) => self.ends[queued],
+        };
+        let start = slot_free.max(self.prefill_free).max(now);
+        let cached = self.cached(parts);
+        let prompt = parts.iter().map(|part| part.tokens).sum::<u64>();
+        let prefill = (prompt - cached) as f64 / self.profile.prefill_per_ms;
+        let running = self.ends.len().min(self.profile.slots) as f64;
+        let step = STEP_MS + STEP_MS_PER_REQUEST * running;
+        let first_token = start + prefill + step;
+        let end = first_token + tokens as f64 * step;
+        self.prefill_free = start + prefill;
+        self.remember(now, parts);
+        let position = self.ends.partition_point(|other| *other < end);
+        self.ends.insert(position, end);
+        Run {
+            first_token,
+            end,
+            cached,
+        }
+    }
+
+    fn cached(&self, parts: &[Part]) -> u64 {
+        let known = parts
+            .iter()
+            .take_while(|part| self.cache.contains_key(&part.id));
+        known.map(|part| part.tokens).sum()
+    }
+
+    fn remember(&mut self, now: f64, parts: &[Part]) {
+        for part in parts {
+            self.cache.insert(part.id, (now, part.tokens));
+        }
+        let mut held = self.cache.values().map(|(_, tokens)| tokens).sum::<u64>();
+        while held > self.profile.cache_tokens {
+            let oldest = self.cache.iter().min_by(|a, b| a.1.0.total_cmp(&b.1.0));
+            let Some((id, (_, tokens))) = oldest.map(|(id, entry)| (*id, *entry)) else {
+                return;
+            };
+            self.cache.remove(&id);
+            held -= tokens;
+        }
+    }
+}
--- /dev/null
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -0,0 +1,397 @@
+//! Plays callers, daemons and engines against each other.
+
+mod setup;
+
+use std::collections::BTreeMap;
+
+use cactusglade_core::arena;
+use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Sighting;
+use cactusglade_core::units::Millis;
+use cactusglade_policy::broker::Broker;
+use cactusglade_policy::broker::Fastest;
+use cactusglade_policy::broker::Grant;
+use cactusglade_policy::broker::Query;
+use cactusglade_policy::broker::Report;
+use cactusglade_policy::broker::Strategy;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::engine::Engine;
+use crate::engine::Profile;
+use crate::load;
+use crate::load::Arrival;
+use crate::load::Class;
+
+/// Time after which a daemon gives up a request that it sent on a kept connection to an engine that
+/// does not answer, as a multiple of the latency target.
+const LOSS_TARGETS: f64 = 2.0;
+/// Time after which a daemon gives up connecting, in milliseconds.
+const CONNECT_TIMEOUT_MS: f64 = 450.0;
+/// Share of the requests that are sent on a kept connection, as in a fleet of 195 daemons.
+const KEPT_SHARE: f64 = 0.35;
+/// Time after which an engine that went dark is dropped from the registry, in milliseconds.
+const REGISTRY_DELAY_MS: f64 = 4_000.0;
+/// Most engines to which one request is sent.
+const MAX_ATTEMPTS: usize = 2;
+
+/// `Error` of a model's configuration.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The catalog that follows from the options is not valid.
+    #[error("the catalog is not valid: {0}")]
+    Catalog(String),
+}
+
+/// Result of setting up a model.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Options` of a run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Number of engines.
+    pub engines: usize,
+    /// Number of availability zones over which both are spread.
+    pub zones: usize,
+    /// Figures of each engine.
+    pub profile: Profile,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Simulated time in milliseconds.
+    pub span_ms: f64,
+    /// Time at the start whose requests are not counted, while caches fill.
+    pub warm_up_ms: f64,
+    /// Interval at which daemons share sightings and time until these arrive, in milliseconds;
+    /// `None` if they share none.
+    pub gossip_ms: Option<(f64, f64)>,
+    /// Engines that stop answering, and when.
+    pub dark: Option<(usize, f64)>,
+}
+
+/// `Outcome` counts the requests of one class.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Requests.
+    pub asked: u64,
+    /// Requests whose first token came within the target.
+    pub on_time: u64,
+    /// Requests that were given up.
+    pub failed: u64,
+    /// Times to the first token in milliseconds, in order.
+    pub latencies: Vec<f64>,
+}
+
+/// `Summary` is the result of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    /// Outcomes by name of the class.
+    pub classes: BTreeMap<&'static str, Outcome>,
+    /// Prompt tokens of all requests, and those of them that engines had cached.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that engines had cached.
+    pub cached_tokens: u64,
+    /// Requests at the busiest engine over the mean.
+    pub imbalance: f64,
+    /// Attempts at engines that did not answer.
+    pub losses: u64,
+}
+
+impl Outcome {
+    /// Returns the share of the requests that were answered on time.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn on_time_share(&self) -> f64 {
+        self.on_time as f64 / self.asked.max(1) as f64
+    }
+
+    /// Returns a quantile, from 0 to 1, of the times to the first token in milliseconds.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    pub fn latency(&self, quantile: f64) -> f64 {
+        let last = self.latencies.len().saturating_sub(1);
+        let index = (last as f64 * quantile.clamp(0.0, 1.0)).round() as usize;
+        self.latencies.get(index).copied().unwrap_or_default()
+    }
+}
+
+impl Summary {
+    /// Returns the share of the prompt tokens that engines had cached.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn cached_share(&self) -> f64 {
+        self.cached_tokens as f64 / self.prompt_tokens.max(1) as f64
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive(usize),
+    /// A daemon learns that an engine has begun to answer, and the engine's load.
+    FirstToken {
+        daemon: usize,
+        grant: Grant,
+        load: u64,
+        latency_ms: f64,
+    },
+    End {
+        daemon: usize,
+        grant: Grant,
+    },
+    Lost {
+        daemon: usize,
+        grant: Grant,
+        request: usize,
+        tried: Vec<arena::Upstream>,
+    },
+    Share,
+    Deliver(Vec<(usize, Sighting)>),
+    GoDark(usize),
+    Remove(usize),
+}
+
+/// Plays a run with the daemons' own strategy.
+///
+/// # Errors
+///
+/// Fails if the options do not make a valid catalog.
+pub fn play(options: &Options) -> Result<Summary> {
+    Model::try_new(options, || Fastest).map(Model::run)
+}
+
+struct Model<'a, R> {
+    options: &'a Options,
+    route: arena::Route,
+    brokers: Vec<Broker<R>>,
+    engines: Vec<Engine>,
+    requests: Vec<Arrival>,
+    events: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    random: StdRng,
+    summary: Summary,
+}
+
+/// Times are kept in whole microseconds, so that events have an order.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn micros(ms: f64) -> u64 {
+    (ms * 1_000.0) as u64
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+const fn millis(ms: f64) -> Millis {
+    Millis(ms as u64)
+}
+
+impl<R: Strategy> Model<'_, R> {
+    fn schedule(&mut self, at: f64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((micros(at), self.sequence), event);
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn run(mut self) -> Summary {
+        for request in 0..self.requests.len() {
+            self.schedule(self.requests[request].at, Event::Arrive(request));
+        }
+        if let Some((interval, _)) = self.options.gossip_ms {
+            self.schedule(interval, Event::Share);
+        }
+        if let Some((engines, at)) = self.options.dark {
+            for engine in 0..engines {
+                self.schedule(at, Event::GoDark(engine));
+                self.schedule(at + REGISTRY_DELAY_MS, Event::Remove(engine));
+            }
+        }
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            self.handle(at as f64 / 1_000.0, event);
+        }
+        for outcome in self.summary.classes.values_mut() {
+            outcome.latencies.sort_by(f64::total_cmp);
+        }
+        let accepted = self.engines.iter().map(|engine| engine.accepted);
+        let mean = accepted.clone().sum::<u64>() as f64 / self.engines.len().max(1) as f64;
+        self.summary.imbalance = accepted.max().unwrap_or_default() as f64 / mean.max(1.0);
+        self.summary
+    }
+
+    fn handle(&mut self, now: f64, event: Event) {
+        match event {
+            Event::Arrive(request) => {
+                let daemon = self.random.random_range(0..self.brokers.len());
+                self.send(now, daemon, request, Vec::new());
+            }
+            Event::FirstToken {
+                daemon,
+                grant,
+                load,
+                latency_ms,
+            } => {
+                let broker = &mut self.brokers[daemon];
+                broker.record_load(millis(now), grant.upstream, load, 0);
+                broker.finish_prefill(&grant);
+                broker.begin_answer(millis(now), &grant, millis(latency_ms));
+            }
+            Event::End { daemon, grant } => {
+                let report = Report {
+                    is_good: Some(true),
+                    is_lost: false,
+                    latency: None,
+                };
+                let broker = &mut self.brokers[daemon];
+                broker.finish(millis(now), grant.upstream, &report, 0.5);
+            }
+            Event::Lost {
+                daemon,
+                grant,
+                request,
+                tried,
+            } => self.lose(now, daemon, &grant, request, tried),
+            Event::Share => self.share(now),
+            Event::Deliver(sightings) => {
+                for (daemon, broker) in self.brokers.iter_mut().enumerate() {
+                    for (from, sighting) in &sightings {
+                        if *from != daemon {
+                            broker.record_sighting(millis(now), sighting);
+                        }
+                    }
+                }
+            }
+            Event::GoDark(engine) => self.engines[engine].is_dark = true,
+            Event::Remove(engine) => {
+                let name = setup::engine_name(engine);
+                for broker in &mut self.brokers {
+                    broker.apply(millis(now), [Change::Removed(name.clone())]);
+                }
+            }
+        }
+    }
+
+    /// Gives a request up at an engine that did not answer, and sends it to another.
+    fn lose(
+        &mut self,
+        now: f64,
+        daemon: usize,
+        grant: &Grant,
+        request: usize,
+        mut tried: Vec<arena::Upstream>,
+    ) {
+        let report = Report {
+            is_good: Some(false),
+            is_lost: true,
+            latency: None,
+        };
+        let draw = self.random.random();
+        let broker = &mut self.brokers[daemon];
+        broker.finish_prefill(grant);
+        broker.finish(millis(now), grant.upstream, &report, draw);
+        tried.push(grant.upstream);
+        self.send(now, daemon, request, tried);
+    }
+
+    /// Collects what all daemons have seen, and delivers it to all others.
+    fn share(&mut self, now: f64) {
+        let Some((interval, delay)) = self.options.gossip_ms else {
+            return;
+        };
+        let brokers = self.brokers.iter_mut().enumerate();
+        let sightings = brokers.flat_map(|(daemon, broker)| {
+            let sightings = broker.take_sightings().into_iter();
+            sightings.map(move |sighting| (daemon, sighting))
+        });
+        let sightings = sightings.collect();
+        self.schedule(now + delay, Event::Deliver(sightings));
+        if now < self.options.span_ms {
+            self.schedule(now + interval, Event::Share);
+        }
+    }
+
+    fn send(&mut self, now: f64, daemon: usize, request: usize, tried: Vec<arena::Upstream>) {
+        let arrival = self.requests[request].clone();
+        let class = self.options.classes[arrival.class];
+        let is_counted = arrival.at >= self.options.warm_up_ms;
+        let outcome = self.summary.classes.entry(class.name).or_default();
+        outcome.asked += u64::from(is_counted && tried.is_empty());
+        let query = Query {
+            route: self.route,
+            prompt: Some(&arrival.prompt),
+            tried: &tried,
+            is_retry: !tried.is_empty(),
+            draw: self.random.random(),
+        };
+        let broker = &mut self.brokers[daemon];
+        let granted = if tried.len() < MAX_ATTEMPTS {
+            broker.place(millis(now), &query).ok()
+        } else {
+            None
+        };
+        let Some(grant) = granted else {
+            outcome.failed += u64::from(is_counted);
+            return;
+        };
+        let name = broker.upstream(grant.upstream);
+        let engine = name.and_then(|upstream| setup::engine_index(&upstream.instance.name));
+        let Some(engine) = engine.and_then(|index| self.engines.get_mut(index)) else {
+            return;
+        };
+        if engine.is_dark {
+            self.summary.losses += 1;
+            let lost = Event::Lost {
+                daemon,
+                grant,
+                request,
+                tried,
+            };
+            let silence = if self.random.random_bool(KEPT_SHARE) {
+                class.target_ms * LOSS_TARGETS
+            } else {
+                CONNECT_TIMEOUT_MS
+            };
+            self.schedule(now + silence, lost);
+            return;
+        }
+        let load = engine.load(now);
+        let run = engine.accept(now, &arrival.prompt.parts, class.answer_tokens);
+        if is_counted {
+            let latency = run.first_token - arrival.at;
+            outcome.latencies.push(latency);
+            outcome.on_time += u64::from(latency <= class.target_ms);
+            self.summary.prompt_tokens += arrival.prompt.input_tokens;
+            self.summary.cached_tokens += run.cached;
+        }
+        let first_token = Event::FirstToken {
+            daemon,
+            grant,
+            load: load + 1,
+            latency_ms: run.first_token - now,
+        };
+        self.schedule(run.first_token, first_token);
+        self.schedule(run.end, Event::End { daemon, grant });
+    }
+}
+
+impl<'a, R: Strategy> Model<'a, R> {
+    fn try_new(options: &'a Options, strategy: impl Fn() -> R) -> Result<Self> {
+        let mut random = StdRng::seed_from_u64(options.seed);
+        let requests = load::arrivals(&options.classes, options.span_ms, &mut random);
+        let (route, brokers) = setup::brokers(options, strategy)?;
+        Ok(Self {
+            options,
+            route,
+            brokers,
+            engines: vec![Engine::new(options.profile); options.engines],
+            requests,
+            events: BTreeMap::new(),
+            sequence: 0,
+            random,
+            summary: Summary::default(),
+        })
+    }
+}
--- /dev/null
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -0,0 +1,122 @@
+//! Builds the daemons' brokers with a catalog and a registry.
+
+use std::sync::Arc;
+
+use cactusglade_core::arena;
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::catalog::Draft;
+use cactusglade_core::catalog::Path;
+use cactusglade_core::catalog::Route;
+use cactusglade_core::catalog::Rule;
+use cactusglade_core::catalog::Semantics;
+use cactusglade_core::catalog::Service;
+use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Instance;
+use cactusglade_core::fleet::Phase;
+use cactusglade_core::units::Millis;
+use cactusglade_policy::broker;
+use cactusglade_policy::broker::Broker;
+use cactusglade_policy::broker::Strategy;
+use cactusglade_policy::budget::Bounds;
+use cactusglade_policy::quota::Tolerance;
+
+use super::Error;
+use super::Options;
+use super::Result;
+
+const SERVICE: &str = "pool";
+const ROUTE: &str = "chat";
+const ENGINE_PREFIX: &str = "engine-";
+/// Retries allowed in a window beyond the ratio, for the whole fleet.
+const RETRY_SLACK: f64 = 430.0;
+
+/// Returns the name of an engine in the registry.
+pub fn engine_name(index: usize) -> String {
+    format!("{ENGINE_PREFIX}{index}")
+}
+
+/// Returns the index of an engine from its name.
+pub fn engine_index(name: &str) -> Option<usize> {
+    name.strip_prefix(ENGINE_PREFIX)?.parse().ok()
+}
+
+fn catalog() -> Result<Arc<Catalog>> {
+    let draft = Draft {
+        version: 1,
+        services: vec![Service {
+            name: SERVICE.to_owned(),
+            tokens_per_event: 6,
+            scale: None,
+        }],
+        routes: vec![Rule {
+            path: Path {
+                host: "model".to_owned(),
+                prefix: "/".to_owned(),
+            },
+            route: Route {
+                name: ROUTE.to_owned(),
+                semantics: Semantics::Resumable,
+                timeout: Millis(12_000),
+                latency_target: Millis(1_000),
+                max_gap: Millis(500),
+                priority: 0,
+                max_attempts: 2,
+                is_public: false,
+                split: Vec::new(),
+            },
+            split: vec![(SERVICE.to_owned(), 1)],
+        }],
+        ..Draft::default()
+    };
+    let catalog = Catalog::try_new(draft, &Catalog::default());
+    Ok(Arc::new(
+        catalog.map_err(|reason| Error::Catalog(reason.to_string()))?,
+    ))
+}
+
+/// Returns one broker for each daemon, all with the same catalog and registry.
+pub fn brokers<R: Strategy>(
+    options: &Options,
+    strategy: impl Fn() -> R,
+) -> Result<(arena::Route, Vec<Broker<R>>)> {
+    let catalog = catalog()?;
+    let route = catalog.routes.find(ROUTE);
+    let route = route.ok_or_else(|| Error::Catalog("it has no route".to_owned()))?;
+    let zone = |index: usize| format!("zone-{}", index % options.zones.max(1));
+    let instances = (0..options.engines).map(|index| {
+        Change::Put(Box::new(Instance {
+            name: engine_name(index),
+            started_unix_ms: 1,
+            service: SERVICE.to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: zone(index),
+            version: "v1".to_owned(),
+            slots: options.profile.slots as u64,
+            phase: Phase::Ready,
+            reclaimable: false,
+        }))
+    });
+    let instances = instances.collect::<Vec<_>>();
+    let brokers = (0..options.daemons).map(|index| {
+        let policy = broker::Options {
+            name: format!("daemon-{index}"),
+            zone: zone(index),
+            retries: Bounds {
+                ratio: 0.2,
+                window: Millis(10_000),
+                slack: RETRY_SLACK,
+            },
+            tolerance: Tolerance {
+                window: Millis(8_000),
+                overshoot: 0.1,
+                slack: 0.0,
+            },
+        };
+        let mut broker = Broker::new(policy, strategy());
+        broker.adopt(Millis(0), catalog.clone());
+        broker.set_membership(Millis(0), options.daemons as u64, options.daemons as u64);
+        broker.apply(Millis(0), instances.clone());
+        broker
+    });
+    Ok((route, brokers.collect()))
+}
--- /dev/null
+++ b/cactusglade-model/src/load/mod.rs
@@ -0,0 +1,87 @@
+//! Callers: classes of requests whose prompts share parts.
+
+use cactusglade_core::call::Part;
+use cactusglade_core::call::Prompt;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+/// Identifiers that are left for the parts of one class.
+const CLASS_STRIDE: u64 = 1 << 40;
+
+/// `Class` is a kind of request.
+#[derive(Clone, Copy, Debug)]
+pub struct Class {
+    /// Name.
+    pub name: &'static str,
+    /// Requests per second over the whole fleet.
+    pub per_s: f64,
+    /// Tokens at the head of the prompt that all requests of the class share.
+    pub common_tokens: u64,
+    /// Tokens that the requests of one session share.
+    pub session_tokens: u64,
+    /// Tokens of the request alone.
+    pub own_tokens: u64,
+    /// Number of sessions.
+    pub sessions: u64,
+    /// Share of the requests that belong to one session.
+    pub hot_share: f64,
+    /// Tokens of the answer.
+    pub answer_tokens: u64,
+    /// Time within which the first token is due, in milliseconds.
+    pub target_ms: f64,
+}
+
+/// `Arrival` is one request of a caller.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Time in milliseconds.
+    pub at: f64,
+    /// Index of the class.
+    pub class: usize,
+    /// Prompt.
+    pub prompt: Prompt,
+}
+
+impl Class {
+    fn prompt(&self, number: u64, class: u64, random: &mut StdRng) -> Prompt {
+        let session = if random.random_bool(self.hot_share) {
+            0
+        } else {
+            random.random_range(0..self.sessions)
+        };
+        let base = CLASS_STRIDE * (class + 1);
+        let part = |id, tokens| Part { id, tokens };
+        Prompt {
+            input_tokens: self.common_tokens + self.session_tokens + self.own_tokens,
+            max_output_tokens: self.answer_tokens,
+            parts: vec![
+                part(base, self.common_tokens),
+                part(base + 1 + session, self.session_tokens),
+                part(base + self.sessions + 1 + number, self.own_tokens),
+            ],
+        }
+    }
+}
+
+/// Returns the requests of `span_ms`, in the order of their arrival.
+#[must_use]
+pub fn arrivals(classes: &[Class], span_ms: f64, random: &mut StdRng) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    for (index, class) in classes.iter().enumerate() {
+        let mut at = 0.0;
+        for number in 0.. {
+            // Exponential pauses: arrivals of many independent callers.
+            at -= random.random_range(f64::EPSILON..1.0).ln() * 1_000.0 / class.per_s;
+            if at >= span_ms {
+                break;
+            }
+            arrivals.push(Arrival {
+                at,
+                class: index,
+                prompt: class.prompt(number, index as u64, random),
+            });
+        }
+    }
+    arrivals.sort_by(|a, b| a.at.total_cmp(&b.at));
+    arrivals
+}
--- /dev/null
+++ b/cactusglade-model/tests/choice.rs
@@ -0,0 +1,133 @@
+//! Guards against daemons of a large fleet that know too little of the engines to spread requests,
+//! or that all follow the same report.
+
+use cactusglade_model::engine::Profile;
+use cactusglade_model::fleet;
+use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Summary;
+use cactusglade_model::load::Class;
+
+/// Interval of heartbeats in a zone of 32 daemons, and time until all zones have a report.
+const GOSSIP_MS: (f64, f64) = (200.0, 350.0);
+
+const DOSSIER: Class = Class {
+    name: "dossier",
+    per_s: 123.0,
+    common_tokens: 512,
+    session_tokens: 4_870,
+    own_tokens: 6_610,
+    sessions: 823,
+    hot_share: 0.0,
+    answer_tokens: 384,
+    target_ms: 1_000.0,
+};
+const CHAT: Class = Class {
+    name: "chat",
+    per_s: 118.0,
+    common_tokens: 119,
+    session_tokens: 79,
+    own_tokens: 628,
+    sessions: 524,
+    hot_share: 0.0,
+    answer_tokens: 294,
+    target_ms: 1_000.0,
+};
+const CHECK: Class = Class {
+    name: "check",
+    per_s: 219.0,
+    common_tokens: 341,
+    session_tokens: 227,
+    own_tokens: 1_800,
+    sessions: 974,
+    hot_share: 0.0,
+    answer_tokens: 24,
+    target_ms: 1_500.0,
+};
+
+fn options(daemons: usize, gossip_ms: Option<(f64, f64)>) -> Options {
+    Options {
+        seed: 1,
+        daemons,
+        engines: 100,
+        zones: 6,
+        profile: Profile {
+            slots: 12,
+            prefill_per_ms: 56.6,
+            cache_tokens: 300_000,
+        },
+        classes: vec![DOSSIER, CHAT, CHECK],
+        span_ms: 20_000.0,
+        warm_up_ms: 6_000.0,
+        gossip_ms,
+        dark: None,
+    }
+}
+
+fn play(options: &Options) -> Summary {
+    let summary = fleet::play(options).expect("the options are valid");
+    for (name, outcome) in &summary.classes {
+        println!(
+            "{name}: {} asked, {:.3} on time, {} failed, p50 {:.0} ms, p99 {:.0} ms",
+            outcome.asked,
+            outcome.on_time_share(),
+            outcome.failed,
+            outcome.latency(0.5),
+            outcome.latency(0.99)
+        );
+    }
+    println!(
+        "cached {:.3}, busiest/mean {:.2}, {} losses",
+        summary.cached_share(),
+        summary.imbalance,
+        summary.losses
+    );
+    summary
+}
+
+/// One session gets a quarter of the longest prompts. Its engine can't read them all, and each
+/// daemon sees only a few of them.
+#[test]
+fn a_hot_session_does_not_pile_up_at_one_engine() {
+    let mut options = options(195, Some(GOSSIP_MS));
+    options.classes[0].hot_share = 0.26;
+    let summary = play(&options);
+    let dossier = &summary.classes["dossier"];
+    assert!(dossier.on_time_share() >= 0.97, "{summary:.3?}");
+    assert!(summary.imbalance < 1.5, "{summary:.3?}");
+}
+
+/// Shared reports arrive late; if all daemons followed them to the least loaded engine, they would
+/// overload it.
+#[test]
+fn daemons_that_hear_the_same_loads_do_not_all_choose_the_same_engine() {
+    for daemons in [24, 195, 400] {
+        let mut options = options(daemons, Some(GOSSIP_MS));
+        for class in &mut options.classes {
+            class.per_s *= 1.5;
+        }
+        let summary = play(&options);
+        let dossier = &summary.classes["dossier"];
+        assert!(dossier.on_time_share() >= 0.99, "{daemons}: {summary:.3?}");
+        assert!(summary.imbalance < 1.5, "{daemons}: {summary:.3?}");
+    }
+}
+
+/// Engines stop answering and stay in the registry for four seconds. Without shared losses each of
+/// the daemons has to lose requests there itself.
+#[test]
+fn engines_that_stop_answering_cost_few_requests_in_a_large_fleet() {
+    let losses = |gossip_ms| {
+        let mut options = options(195, gossip_ms);
+        options.dark = Some((14, 8_000.0));
+        play(&options).losses
+    };
+    let (alone, shared) = (losses(None), losses(Some(GOSSIP_MS)));
+    assert!(shared * 2 <= alone, "{shared} losses, {alone} unshared");
+}
+
+#[test]
+fn a_run_repeats_from_its_seed() {
+    let options = options(24, Some(GOSSIP_MS));
+    let first = format!("{:?}", play(&options));
+    assert_eq!(first, format!("{:?}", play(&options)));
+}
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
 mod registry;
+mod sample;
 mod strategy;
 mod upstream;
 
@@ -15,6 +16,7 @@
 use cactusglade_core::call::Prompt;
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::fleet::Sighting;
 use cactusglade_core::units::Millis;
 
 use crate::affinity;
@@ -41,6 +43,8 @@
 /// `Options` configures a broker.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Name of the daemon.
+    pub name: String,
     /// Availability zone of the daemon.
     pub zone: String,
     /// Retry budget over all daemons.
@@ -107,6 +111,12 @@
     catalog: Arc<Catalog>,
     upstreams: Table<arena::Upstream, Upstream>,
     services: BTreeMap<String, Vec<arena::Upstream>>,
+    /// Upstreams by the hashes that identify them between daemons.
+    upstream_hashes: BTreeMap<u32, arena::Upstream>,
+    /// What this daemon has seen of upstreams since it last shared it.
+    sightings: BTreeMap<u32, Sighting>,
+    /// Hash of this daemon's name.
+    own: u32,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
     /// Versions that receive no requests, by service.
@@ -127,11 +137,14 @@
     #[must_use]
     pub fn new(options: Options, strategy: R) -> Self {
         Self {
+            own: affinity::short_hash(&options.name),
             options,
             strategy,
             catalog: Arc::default(),
             upstreams: Table::default(),
             services: BTreeMap::new(),
+            upstream_hashes: BTreeMap::new(),
+            sightings: BTreeMap::new(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             withheld: BTreeMap::new(),
@@ -284,7 +297,7 @@
         let route = catalog.routes.get(query.route).ok_or(Kind::UnknownRoute)?;
         let service = pick_service(&route.split, query.draw).ok_or(Kind::NoUpstream)?;
         let target = catalog.services.get(service).ok_or(Kind::NoUpstream)?;
-        let candidates = self.candidates(now, &target.name, query);
+        let (candidates, usable) = self.candidates(now, &target.name, query);
         let index = self.strategy.choose(&candidates, query.draw);
         let candidate = index.map(|index| candidates[index]);
         let candidate = candidate.ok_or(Kind::NoUpstream)?;
@@ -297,7 +310,7 @@
         } else {
             budget.record_request(now, &bounds);
         }
-        Ok(self.grant(now, service, &candidate, candidates.len(), query.prompt))
+        Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
     fn grant(
@@ -355,10 +368,10 @@
         ((events * tokens_per_event) as f64 * DECODE_MS_PER_TOKEN) as u64
     }
 
-    /// Returns the upstreams that may serve the request.
+    /// Returns a sample of the upstreams that may serve the request, and the number of all of them.
     ///
-    /// Upstreams that are backing off are returned only if there is no other.
-    fn candidates(&self, now: Millis, service: &str, query: &Query<'_>) -> Vec<Candidate> {
+    /// Upstreams that are doubted count only if there is no other.
+    fn candidates(&self, now: Millis, service: &str, query: &Query<'_>) -> (Vec<Candidate>, usize) {
         let keys = self.services.get(service).map(Vec::as_slice);
         let available = |key: &arena::Upstream| {
             let upstream = self.upstreams.get(*key)?;
@@ -375,19 +388,24 @@
         }
         let session = query.prompt.and_then(Prompt::session);
         let preferred = session.and_then(|session| {
-            let entries = available.iter();
-            let preferred =
-                entries.max_by_key(|(_, upstream)| affinity::weight(session, upstream.hash));
-            preferred.map(|(key, _)| *key)
+            let weight = |upstream: &Upstream| affinity::weight(session, upstream.hash);
+            let keys = available.iter().map(|(key, one)| (weight(one), *key));
+            keys.max().map(|(_, key)| key)
         });
-        let ready = |(_, upstream): &&(_, &Upstream)| upstream.backoff.is_over(now);
-        let any_ready = available.iter().any(|entry| ready(&entry));
-        let usable = available.iter().filter(|entry| !any_ready || ready(entry));
-        usable
-            .map(|(key, upstream)| {
-                self.candidate(now, *key, upstream, query, preferred == Some(*key))
-            })
-            .collect()
+        if available
+            .iter()
+            .any(|(_, upstream)| !upstream.is_doubted(now))
+        {
+            available.retain(|(_, upstream)| !upstream.is_doubted(now));
+        }
+        let is_preferred = |(key, _): &(_, &Upstream)| preferred == Some(*key);
+        let position = available.iter().position(is_preferred);
+        let sample = sample::indices(available.len(), position, query.draw);
+        let candidates = sample.into_iter().map(|index| {
+            let (key, upstream) = available[index];
+            self.candidate(now, key, upstream, query, position == Some(index))
+        });
+        (candidates.collect(), available.len())
     }
 
     #[allow(clippy::cast_precision_loss)]
@@ -423,6 +441,11 @@
             } else {
                 upstream.latency()
             },
+            delay: if query.prompt.is_some() {
+                upstream.delay(now)
+            } else {
+                0.0
+            },
         }
     }
 
@@ -430,16 +453,60 @@
     pub fn record_load(&mut self, now: Millis, key: arena::Upstream, running: u64, waiting: u64) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_load(now, running, waiting);
+            let hash = affinity::short_hash(&upstream.instance.name);
+            self.sighting(hash).load = Some(running + waiting);
+        }
+    }
+
+    /// Returns what this daemon has seen of upstreams since the last call.
+    pub fn take_sightings(&mut self) -> Vec<Sighting> {
+        std::mem::take(&mut self.sightings).into_values().collect()
+    }
+
+    /// Records what another daemon has seen of an upstream.
+    pub fn record_sighting(&mut self, now: Millis, sighting: &Sighting) {
+        let key = self.upstream_hashes.get(&sighting.upstream);
+        let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) else {
+            return;
+        };
+        if let Some(load) = sighting.load {
+            upstream.record_load(now, load, 0);
+        }
+        if let Some(delay) = sighting.delay_ms {
+            upstream.record_delay(now, Millis(delay));
+        }
+        if let Some(daemon) = sighting.lost_by {
+            upstream.record_loss(now, daemon);
         }
     }
 
-    /// Records that an upstream has read the prompt of a request.
+    fn sighting(&mut self, upstream: u32) -> &mut Sighting {
+        self.sightings
+            .entry(upstream)
+            .or_insert(Sighting::new(upstream))
+    }
+
+    /// Records that an upstream no longer has to read the prompt of a request.
     pub fn finish_prefill(&mut self, grant: &Grant) {
         if let Some(upstream) = self.upstreams.get_mut(grant.upstream) {
             upstream.backlog = upstream.backlog.saturating_sub(grant.uncached);
         }
     }
 
+    /// Records that an upstream has begun to answer a request, and how long it took; for a request
+    /// with a prompt this tells how long the prompt waited.
+    pub fn begin_answer(&mut self, now: Millis, grant: &Grant, latency: Millis) {
+        if grant.uncached == 0 {
+            return;
+        }
+        let delay = latency - Millis(self.prefill_ms(grant));
+        if let Some(upstream) = self.upstreams.get_mut(grant.upstream) {
+            upstream.record_delay(now, delay);
+            let hash = affinity::short_hash(&upstream.instance.name);
+            self.sighting(hash).delay_ms = Some(delay.0);
+        }
+    }
+
     /// Records the end of an attempt; `draw` from 0 to 1 is the jitter of the backoff.
     pub fn finish(&mut self, now: Millis, key: arena::Upstream, report: &Report, draw: f64) {
         let Some(upstream) = self.upstreams.get_mut(key) else {
@@ -454,6 +521,10 @@
         }
         if report.is_lost {
             upstream.backoff.record_failure(now, draw);
+            upstream.record_loss(now, self.own);
+            let hash = affinity::short_hash(&upstream.instance.name);
+            let own = self.own;
+            self.sighting(hash).lost_by = Some(own);
         }
     }
 
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -11,6 +11,7 @@
 use super::Broker;
 use super::Strategy;
 use super::Upstream;
+use crate::affinity;
 
 /// Time after an outage of the store within which upstreams renew entries that expired during it.
 const STORE_GRACE: Millis = Millis(2_000);
@@ -104,7 +105,10 @@
 
     fn index_services(&mut self) {
         self.services.clear();
+        self.upstream_hashes.clear();
         for (key, upstream) in self.upstreams.iter() {
+            let hash = affinity::short_hash(&upstream.instance.name);
+            self.upstream_hashes.insert(hash, key);
             let service = upstream.instance.service.clone();
             self.services.entry(service).or_default().push(key);
         }
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -23,6 +23,9 @@
     pub failures: f64,
     /// Recent time to the head of an answer in milliseconds, zero for a model request.
     pub latency: f64,
+    /// Time that prompts recently waited beyond the time to read them in milliseconds, zero for a
+    /// request without a prompt.
+    pub delay: f64,
 }
 
 /// `Strategy` selects one of the candidates; it is fixed when the daemon starts.
@@ -37,6 +40,9 @@
 /// Cost per request beyond the slots, in milliseconds: an engine admits a waiting request when a
 /// running one ends.
 const QUEUE_COST_MS: f64 = 60.0;
+/// Delay of prompts that is not counted, in milliseconds: one other prompt that is being read. It is
+/// over when the next prompt arrives, and a session that moves has to be read again.
+const USUAL_DELAY_MS: f64 = 250.0;
 /// Cost of another availability zone, in milliseconds: a round trip of 2 to 3 ms, and the price of
 /// the bytes transferred.
 const OTHER_ZONE_COST_MS: f64 = 6.0;
@@ -64,6 +70,7 @@
             + candidate.load * LOAD_COST_MS
             + busy
             + candidate.latency
+            + (candidate.delay - USUAL_DELAY_MS).max(0.0)
             + waiting * QUEUE_COST_MS
             + other_zone
             + candidate.failures * FAILURE_COST_MS
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -9,10 +9,20 @@
 
 /// Half-life of the load reported by an upstream, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 1_000.0;
+/// Half-life of the delay of prompts at an upstream in milliseconds, so that one that was slow gets
+/// its share back little by little.
+const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
+/// Weight of the newest delay in the moving average.
+const NEWEST_DELAY_WEIGHT: f64 = 0.3;
 /// Weight of the newest answer in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Latency that is assumed before the first answer, in milliseconds.
 const INITIAL_LATENCY_MS: f64 = 20.0;
+/// Time within which a second daemon must lose a request at an upstream for both losses to count.
+const LOSS_WINDOW: Millis = Millis(1_000);
+/// Time for which an upstream gets no requests after two daemons have lost one there. The registry
+/// drops an upstream that has failed after some seconds.
+const DOUBT_PERIOD: Millis = Millis(2_000);
 /// Half-life of the failure rate in milliseconds, so that an upstream without requests is tried
 /// again.
 const FAILURE_HALF_LIFE_MS: f64 = 2_000.0;
@@ -39,8 +49,13 @@
     other_load: f64,
     reported: Option<Millis>,
     latency: f64,
+    delay: f64,
+    delay_updated: Millis,
     failures: f64,
     failures_updated: Millis,
+    /// When a daemon last lost a request here, and the hash of its name.
+    loss: Option<(Millis, u32)>,
+    doubted_until: Millis,
 }
 
 impl Upstream {
@@ -59,8 +74,12 @@
             other_load: 0.0,
             reported: None,
             latency: INITIAL_LATENCY_MS,
+            delay: 0.0,
+            delay_updated: Millis(0),
             failures: 0.0,
             failures_updated: Millis(0),
+            loss: None,
+            doubted_until: Millis(0),
         }
     }
 
@@ -75,6 +94,26 @@
     pub fn record_load(&mut self, now: Millis, running: u64, waiting: u64) {
         self.other_load = (running + waiting).saturating_sub(self.in_flight) as f64;
         self.reported = Some(now);
+        self.loss = None;
+    }
+
+    /// Records that a daemon lost a request at the upstream; two daemons must agree, since the
+    /// cause may be the network of one.
+    pub fn record_loss(&mut self, now: Millis, daemon: u32) {
+        let is_confirmed = self
+            .loss
+            .is_some_and(|(at, other)| other != daemon && now - at < LOSS_WINDOW);
+        if is_confirmed {
+            self.doubted_until = now + DOUBT_PERIOD;
+        }
+        self.loss = Some((now, daemon));
+    }
+
+    /// Returns whether requests should go elsewhere: this daemon backs off, or several daemons lost
+    /// requests at the upstream.
+    #[must_use]
+    pub fn is_doubted(&self, now: Millis) -> bool {
+        !self.backoff.is_over(now) || now < self.doubted_until
     }
 
     /// Returns the time since the last reported load.
@@ -91,6 +130,23 @@
         self.in_flight as f64 + self.other_load * decay(age, LOAD_HALF_LIFE_MS)
     }
 
+    /// Records the time that a prompt waited beyond the time to read it.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn record_delay(&mut self, now: Millis, delay: Millis) {
+        let known = self.delay(now) * (1.0 - NEWEST_DELAY_WEIGHT);
+        self.delay = known + delay.0 as f64 * NEWEST_DELAY_WEIGHT;
+        self.delay_updated = now;
+    }
+
+    /// Returns the time that prompts wait beyond the time to read them, in milliseconds.
+    ///
+    /// It shows what the number of requests does not: prompts of other daemons that are being read,
+    /// and upstreams that are slow.
+    #[must_use]
+    pub fn delay(&self, now: Millis) -> f64 {
+        self.delay * decay(now - self.delay_updated, DELAY_HALF_LIFE_MS)
+    }
+
     /// Returns the moving average of the time to the head of an answer, in milliseconds.
     #[must_use]
     pub const fn latency(&self) -> f64 {
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -82,6 +82,7 @@
 
 fn set_up(names: &[&str]) -> Fixture {
     let options = Options {
+        name: "entry-1".to_owned(),
         zone: "a".to_owned(),
         retries: Bounds {
             ratio: 0.2,
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -9,6 +9,7 @@
 
 use bincode::Options;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Sighting;
 use cactusglade_core::row::Lease;
 use serde::Deserialize;
 use serde::Serialize;
@@ -121,6 +122,33 @@
     }
 }
 
+/// `Sightings` is what the daemons of one zone have seen of upstreams since they last reported it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sightings {
+    /// Name of the zone.
+    pub zone: String,
+    /// Whether the relay of another zone forwards them to its own zone.
+    pub is_forwarded: bool,
+    /// One entry for each upstream.
+    pub entries: Vec<Sighting>,
+}
+
+/// Sightings in one datagram, each at most twenty bytes long.
+const SIGHTINGS_PER_PART: usize = 60;
+
+impl Sightings {
+    /// Splits sightings into parts that each fit a datagram.
+    #[must_use]
+    pub fn split(zone: &str, is_forwarded: bool, entries: &[Sighting]) -> Vec<Self> {
+        let parts = entries.chunks(SIGHTINGS_PER_PART).map(|entries| Self {
+            zone: zone.to_owned(),
+            is_forwarded,
+            entries: entries.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Datagram` is one message between daemons.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -132,6 +160,8 @@
     Summary(Summary),
     /// Sent by the relay of the own zone.
     Entries(Entries),
+    /// Sent between daemons of one zone, and between relays.
+    Sightings(Sightings),
 }
 
 impl Datagram {
--- a/cactusglade-wire/tests/beat.rs
+++ b/cactusglade-wire/tests/beat.rs
@@ -6,9 +6,11 @@
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Instance;
 use cactusglade_core::fleet::Phase;
+use cactusglade_core::fleet::Sighting;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::gossip::Heartbeat;
+use cactusglade_wire::gossip::Sightings;
 use cactusglade_wire::gossip::Watermark;
 
 /// Number of organisations in the largest deployment.
@@ -70,6 +72,23 @@
     }
 }
 
+#[test]
+fn sightings_are_split_into_parts_that_each_fit_a_datagram() {
+    let sighting = |upstream| Sighting {
+        upstream: u32::MAX - upstream,
+        load: Some(4_000),
+        delay_ms: Some(60_000),
+        lost_by: Some(u32::MAX),
+    };
+    let sightings = (0..7_700).map(sighting).collect::<Vec<_>>();
+    let parts = Sightings::split("a-zone-with-a-name", true, &sightings);
+    let joined = parts.iter().flat_map(|part| part.entries.clone());
+    assert_eq!(joined.collect::<Vec<_>>(), sightings);
+    for part in parts {
+        assert!(Datagram::Sightings(part).encode().is_some());
+    }
+}
+
 #[test]
 fn arbitrary_bytes_are_decoded_without_a_panic() {
     check::run::<Vec<u8>>(5_000, |bytes| {
