Answer what was accepted during a stop, and judge silent streams by their events

It now gets its answer, the listener is closed once no more connections arrive, and the body of a refused request is read, since closing with unread bytes resets the answer. - A resumable stream whose upstream sent a byte, or an old event, now and then never moved to another upstream: each byte renewed its time. The time now runs from the last new event. - A sound stream with events every 320 ms, of 500 ms allowed, moved near its deadline, since its silence was bounded by 0.6 of the time left. The bound is three gaps once events have begun.

--- a/cactusglade-daemon/src/edge/front/connection.rs
+++ b/cactusglade-daemon/src/edge/front/connection.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use super::context::Context;
 use super::context::Phase;
@@ -21,6 +22,8 @@
 /// Time added to the callers' idle timeout before an idle connection is closed, so that a caller
 /// that respects the timeout never sends a request on a connection that is being closed.
 const IDLE_TIMEOUT_MARGIN: Millis = Millis(2_000);
+/// Time within which a connection that was accepted while the daemon closes must send its request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -30,7 +33,9 @@
     let _ = link::set_keepalive(&socket);
     let limits = context.catalogs.borrow().limits;
     let mut phase = context.phase.clone();
+    let (has_request, mut requests) = watch::channel(false);
     let service = service_fn(move |request| {
+        has_request.send_replace(true);
         let context = context.clone();
         async move { Ok::<_, Infallible>(request::handle(context, request).await) }
     });
@@ -48,6 +53,13 @@
         _ = connection.as_mut() => return,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
     }
+    // A caller that has just connected may have sent a request already; it gets an answer, which
+    // closes the connection. A connection that has carried a request is closed while it is idle.
+    let first_request = requests.wait_for(|has_request| *has_request);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, first_request) => {}
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/cactusglade-daemon/src/edge/front/mod.rs
+++ b/cactusglade-daemon/src/edge/front/mod.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 pub use context::Context;
 pub use context::Phase;
@@ -31,6 +32,11 @@
 /// Maximum number of open connections of callers. Each needs a file descriptor, of which a host has
 /// some thousands.
 const MAX_CONNECTIONS: usize = 2_000;
+/// While the daemon closes, it stops listening once no connection has arrived for this time, since
+/// closing the listener resets those that wait to be accepted.
+const QUIET_PERIOD: Duration = Duration::from_millis(100);
+/// Longest time for which the daemon goes on listening while it closes.
+const MAX_LISTENING: Duration = Duration::from_secs(1);
 
 /// `Options` of the service.
 #[derive(Debug)]
@@ -99,6 +105,14 @@
         }
         count.send_replace(connections.len());
     }
+    let until = Instant::now() + MAX_LISTENING;
+    while Instant::now() < until
+        && let Ok(accepted) = tokio::time::timeout(QUIET_PERIOD, listener.accept()).await
+    {
+        if let Ok((socket, _)) = accepted {
+            connections.spawn(connection::serve(socket, context.clone()));
+        }
+    }
     drop(listener);
     while connections.join_next().await.is_some() {
         count.send_replace(connections.len());
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -22,8 +22,9 @@
 use super::exchange::Exchange;
 use super::sending::Started;
 
-/// Longest answer that is buffered, in bytes. Answers of plain services have some kilobytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Longest answer that is buffered, in bytes. Answers of plain services have some kilobytes, and a
+/// faulty upstream may send bytes without end while others do too.
+const MAX_ANSWER_BYTES: usize = 2 << 20;
 
 /// Answers a request whose answer is not streamed.
 pub async fn answer<F: port::Codec>(entry: Arc<Entry<F>>) -> Buffered {
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -34,6 +34,10 @@
 /// Timeout of receiving a body. Callers send theirs right after the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest body of a refused request that is read, in bytes, and the time for it.
+const MAX_DISCARDED_BYTES: usize = 256 << 10;
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Error of admitting a request.
 struct Rejection {
     kind: Kind,
@@ -101,11 +105,19 @@
         kind,
         id: Some(call.id.clone()),
     };
-    if *context.phase.borrow() == Phase::Closing {
-        return Err(rejection(Kind::Draining));
-    }
     let catalog = context.catalogs.borrow().clone();
-    let (route, organisation) = resolve(&catalog, &call).map_err(rejection)?;
+    let resolved = if *context.phase.borrow() == Phase::Closing {
+        Err(Kind::Draining)
+    } else {
+        resolve(&catalog, &call)
+    };
+    let (route, organisation) = match resolved {
+        Ok(resolved) => resolved,
+        Err(kind) => {
+            discard_body(body).await;
+            return Err(rejection(kind));
+        }
+    };
     let body = read_body(body, catalog.limits.body_bytes)
         .await
         .map_err(rejection)?;
@@ -150,6 +162,14 @@
     Ok((route, Some(organisation.ok_or(Kind::Unauthenticated)?)))
 }
 
+/// Reads the body of a request that is refused: closing a connection with unread bytes resets it,
+/// and the caller may lose the answer.
+async fn discard_body(body: Incoming) {
+    let limited = Limited::new(body, MAX_DISCARDED_BYTES);
+    // The request is refused in any case.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, limited.collect()).await;
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Kind> {
     let limited = Limited::new(body, max_bytes);
     match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -94,6 +94,8 @@
     splitter: Splitter,
     /// Number of the last event that was forwarded to the caller.
     cursor: Option<u64>,
+    /// Time until which the next new event must arrive.
+    event_due: Millis,
     is_counted: bool,
     has_ended: bool,
 }
@@ -101,6 +103,7 @@
 impl<F: port::Codec> Flow<F> {
     fn new(exchange: Exchange<F>, started: Started) -> Self {
         Self {
+            event_due: exchange.answer_deadline(),
             cursor: exchange.entry.call.last_event,
             exchange,
             body: started.body,
@@ -153,12 +156,7 @@
 
     /// Reads one frame of the body and returns the complete events that it ends.
     async fn read_frame(&mut self) -> Result<Option<Bytes>, Outcome> {
-        let deadline = self
-            .exchange
-            .entry
-            .context
-            .clock
-            .instant(self.event_deadline());
+        let deadline = self.exchange.entry.context.clock.instant(self.event_due);
         let Ok(frame) = tokio::time::timeout_at(deadline, self.body.frame()).await else {
             return Err(Outcome::Broken);
         };
@@ -179,6 +177,7 @@
         let mut bytes = BytesMut::new();
         while let Some(event) = self.splitter.pop() {
             if self.is_new(&event)? {
+                self.event_due = self.next_event_due();
                 self.cursor = event.id.or(self.cursor);
                 if let Some(reservation) = self.reservation.as_mut() {
                     reservation.events += 1;
@@ -202,22 +201,21 @@
         }
     }
 
-    /// Returns the time until which the upstream must send the next event.
-    fn event_deadline(&self) -> Millis {
-        let deadline = self.exchange.answer_deadline();
-        if !self.is_counted {
-            return deadline;
-        }
+    /// Returns the time until which the event after a new one must arrive.
+    ///
+    /// It depends on events only: an upstream that sends other bytes now and then is as silent as
+    /// one that sends none, and one whose events come within the greatest gap is never cut.
+    fn next_event_due(&self) -> Millis {
         let entry = &self.exchange.entry;
+        if self.exchange.answer_deadline() == entry.deadline {
+            // The stream can't be resumed elsewhere.
+            return entry.deadline;
+        }
         let gap = entry
             .catalog_route()
             .map_or(Millis(0), |route| route.max_gap);
         let now = entry.context.clock.now();
-        if deadline < entry.deadline {
-            deadline.min(now + Millis(gap.0 * MAX_SILENCE_GAPS))
-        } else {
-            deadline
-        }
+        entry.deadline.min(now + Millis(gap.0 * MAX_SILENCE_GAPS))
     }
 
     /// Reports the first event of each upstream, and counts the request with its first event.
@@ -250,6 +248,7 @@
             let started = self.exchange.send(self.cursor).await?;
             self.reservation = Some(started.reservation);
             if started.head.status.is_success() {
+                self.event_due = self.exchange.answer_deadline();
                 self.body = started.body;
                 self.splitter = Splitter::default();
                 return Ok(());
