--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -8,7 +8,9 @@
 use cactusglade_core::call::Prompt;
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::catalog::Draft;
+use cactusglade_core::catalog::Organisation;
 use cactusglade_core::catalog::Path;
+use cactusglade_core::catalog::Quota;
 use cactusglade_core::catalog::Route;
 use cactusglade_core::catalog::Rule;
 use cactusglade_core::catalog::Semantics;
@@ -17,7 +19,9 @@
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Instance;
 use cactusglade_core::fleet::Phase;
+use cactusglade_core::fleet::Sighting;
 use cactusglade_core::units::Millis;
+use cactusglade_policy::affinity;
 use cactusglade_policy::broker::Broker;
 use cactusglade_policy::broker::Fastest;
 use cactusglade_policy::broker::Options;
@@ -80,7 +84,7 @@
     route: arena::Route,
 }
 
-fn set_up(names: &[&str]) -> Fixture {
+fn new_broker() -> Broker<Fastest> {
     let options = Options {
         name: "entry-1".to_owned(),
         zone: "a".to_owned(),
@@ -95,7 +99,11 @@
             slack: 0.0,
         },
     };
-    let mut broker = Broker::new(options, Fastest);
+    Broker::new(options, Fastest)
+}
+
+fn set_up(names: &[&str]) -> Fixture {
+    let mut broker = new_broker();
     let catalog = catalog();
     let route = catalog
         .routes
@@ -255,3 +263,91 @@
     assert_eq!(fixture.place(3_600, &[]), Ok("x".to_owned()));
     assert_eq!(fixture.place(3_900, &[]), Err(Kind::NoUpstream));
 }
+
+fn loss(upstream: &str, daemon: u32) -> Sighting {
+    let hash = affinity::short_hash(upstream);
+    Sighting {
+        lost_by: Some(daemon),
+        ..Sighting::new(hash)
+    }
+}
+
+#[test]
+fn an_upstream_at_which_two_daemons_lost_requests_gets_none() {
+    let mut fixture = set_up(&["x", "y"]);
+    for daemon in [1, 2] {
+        fixture
+            .broker
+            .record_sighting(Millis(100), &loss("x", daemon));
+    }
+    for at in 101..140 {
+        assert_eq!(fixture.place(at, &[]), Ok("y".to_owned()));
+    }
+    let later = (2_200..2_240).map(|at| fixture.place(at, &[]));
+    assert!(later.collect::<Vec<_>>().contains(&Ok("x".to_owned())));
+}
+
+#[test]
+fn the_losses_of_one_daemon_take_no_upstream_out() {
+    let mut fixture = set_up(&["x"]);
+    for at in [100, 200, 300] {
+        fixture.broker.record_sighting(Millis(at), &loss("x", 1));
+    }
+    let key = fixture.key("x");
+    let upstream = fixture.broker.upstream(key);
+    let upstream = upstream.expect("the upstream is known");
+    assert!(!upstream.is_doubted(Millis(301)));
+}
+
+#[test]
+fn a_daemon_shares_the_loads_and_losses_that_it_has_seen_once() {
+    let mut fixture = set_up(&["x"]);
+    let key = fixture.key("x");
+    fixture.broker.record_load(Millis(5), key, 3, 1);
+    let lost = Report {
+        is_good: Some(false),
+        is_lost: true,
+        latency: None,
+    };
+    fixture.broker.finish(Millis(6), key, &lost, 1.0);
+    let own = affinity::short_hash("entry-1");
+    let seen = Sighting {
+        load: Some(4),
+        lost_by: Some(own),
+        ..Sighting::new(affinity::short_hash("x"))
+    };
+    assert_eq!(fixture.broker.take_sightings(), [seen]);
+    assert_eq!(fixture.broker.take_sightings(), []);
+}
+
+/// What an organisation has used before a start of the daemon is not known; one that a later
+/// catalog adds has used nothing.
+#[test]
+fn quotas_begin_empty_at_a_start_and_full_for_a_new_organisation() {
+    let organisation = |name: &str| Organisation {
+        name: name.to_owned(),
+        priority: None,
+        quota: Some(Quota {
+            rate: 1_000.0,
+            burst: 1_000.0,
+            counts_tokens: false,
+            default_units: 1,
+        }),
+    };
+    let mut broker = new_broker();
+    let mut catalog = Catalog::default();
+    for (version, names) in [(2, vec!["first"]), (3, vec!["first", "second"])] {
+        let organisations = names.iter().map(|name| (organisation(name), Vec::new()));
+        let draft = Draft {
+            version,
+            organisations: organisations.collect(),
+            ..Draft::default()
+        };
+        catalog = Catalog::try_new(draft, &catalog).expect("the draft is valid");
+        broker.adopt(Millis(0), Arc::new(catalog.clone()));
+    }
+    let key = |name| catalog.organisations.find(name).expect("it is known");
+    let mut charge = |name| broker.charge(Millis(0), key(name), 1.0, false);
+    assert!(charge("first").is_err());
+    assert!(charge("second").is_ok());
+}
