Use more of the tolerated units of a quota

Change: the detection time is that of the zone's size, and all tolerated units but what two partitions in a window may double go to capacity and refill. Tests: all cuts and pairs of cuts for a small and the largest quota, in small and large zones.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -59,6 +59,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Capacity of the queue of datagrams with changes of the registry that the relay forwards.
 const FORWARDED_CAPACITY: usize = 64;
+/// Time within which a partition is detected, until the size of the zone is known.
+const MAX_DETECTION_TIME: Millis = Millis(1_200);
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// `Daemon` is a daemon that runs on the platform `P`.
@@ -337,6 +339,7 @@
             window: from_seconds(settings.quota_window_s),
             overshoot: settings.quota_overshoot,
             slack: settings.quota_slack,
+            detection: MAX_DETECTION_TIME,
         },
     }
 }
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -151,6 +151,8 @@
     pub daemons: u64,
     /// Number of daemons whose heartbeats this one receives, itself included.
     pub reachable: u64,
+    /// Time within which a partition is detected.
+    pub detection: Millis,
 }
 
 /// `Charge` charges the quota units that organisations used at other daemons.
@@ -346,7 +348,7 @@
     async fn handle(&mut self, resize: Resize, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.policy
-            .set_membership(now, resize.daemons, resize.reachable);
+            .set_membership(now, resize.daemons, resize.reachable, resize.detection);
     }
 }
 
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -569,7 +569,11 @@
         (self.daemons, self.reachable) = (daemons, reachable);
         let _ = self
             .broker
-            .tell(broker::Resize { daemons, reachable })
+            .tell(broker::Resize {
+                daemons,
+                reachable,
+                detection: self.roster.detection_time(),
+            })
             .await;
     }
 }
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -27,6 +27,8 @@
 const SERVICE: &str = "pool";
 const ROUTE: &str = "chat";
 const ENGINE_PREFIX: &str = "engine-";
+/// Time within which a partition is detected.
+const DETECTION_TIME: Millis = Millis(1_200);
 /// Retries allowed in a window beyond the ratio, for the whole fleet.
 const RETRY_SLACK: f64 = 430.0;
 
@@ -110,11 +112,13 @@
                 window: Millis(8_000),
                 overshoot: 0.1,
                 slack: 0.0,
+                detection: DETECTION_TIME,
             },
         };
         let mut broker = Broker::new(policy, strategy());
         broker.adopt(Millis(0), catalog.clone());
-        broker.set_membership(Millis(0), options.daemons as u64, options.daemons as u64);
+        let daemons = options.daemons as u64;
+        broker.set_membership(Millis(0), daemons, daemons, DETECTION_TIME);
         broker.apply(Millis(0), instances.clone());
         broker
     });
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -173,16 +173,19 @@
         true
     }
 
-    /// Sets the number of daemons, and the number that this one reaches, itself included.
+    /// Sets the number of daemons, the number that this one reaches, itself included, and the time
+    /// within which a partition is detected.
     #[allow(clippy::cast_precision_loss)]
-    pub fn set_membership(&mut self, now: Millis, daemons: u64, reachable: u64) {
+    pub fn set_membership(&mut self, now: Millis, daemons: u64, reachable: u64, detection: Millis) {
         let (daemons, share) = (
             daemons.max(1) as f64,
             reachable as f64 / daemons.max(1) as f64,
         );
         let is_same = daemons.to_bits() == self.daemons.to_bits()
-            && share.to_bits() == self.reachable_share.to_bits();
+            && share.to_bits() == self.reachable_share.to_bits()
+            && detection == self.options.tolerance.detection;
         if !is_same {
+            self.options.tolerance.detection = detection;
             self.daemons = daemons;
             self.reachable_share = share;
             self.update_buckets(now, false);
--- a/cactusglade-policy/src/quota/mod.rs
+++ b/cactusglade-policy/src/quota/mod.rs
@@ -9,15 +9,16 @@
 use cactusglade_core::catalog::Quota;
 use cactusglade_core::units::Millis;
 
-/// Refill rate as a share of the quota's rate. A lower rate leaves room for a greater capacity:
-/// bursts of a few seconds gain more from the capacity than they lose by the rate.
-const RATE_SHARE: f64 = 0.9;
-/// Time within which both sides of a partition detect it: the heartbeat timeout of a large zone and
-/// the delay of a summary.
-const DETECTION_TIME: Millis = Millis(1_200);
-/// Share of the units beyond the refill that each of two copies of the bucket may hold. The rest
-/// covers requests that other daemons have admitted but not yet reported.
-const CAPACITY_SHARE: f64 = 0.4;
+/// Least refill rate as a share of the quota's rate. Organisations use about half of their quota.
+const MIN_RATE_SHARE: f64 = 0.85;
+/// Share of the tolerated units that is used; the rest covers requests that overdraw a bucket.
+const USED_SHARE: f64 = 0.96;
+/// Partitions in one window for which the tolerated units suffice.
+const PARTITIONS_PER_WINDOW: f64 = 2.0;
+/// Share of the units beyond the least refill that each of two copies of the bucket may hold; the
+/// rest goes to the refill. Requests come in bursts of several that are long, so that capacity
+/// admits more of them than refill does.
+const CAPACITY_SHARE: f64 = 0.35;
 /// Least capacity in seconds of the rate, where the tolerated units leave less.
 const MIN_CAPACITY_S: f64 = 0.1;
 /// Share of the bucket's capacity below zero down to which requests without a prompt are still
@@ -34,6 +35,8 @@
     pub overshoot: f64,
     /// Tolerated excess in units, in addition.
     pub slack: f64,
+    /// Time within which both sides of a partition detect it.
+    pub detection: Millis,
 }
 
 /// `Bucket` is the token bucket of a group of daemons that reach each other.
@@ -72,12 +75,15 @@
         }
         self.filled = now;
         let seconds = tolerance.window.0.max(1) as f64 / MILLIS_PER_SECOND;
-        let detection = DETECTION_TIME.0 as f64 / MILLIS_PER_SECOND;
+        let detection = tolerance.detection.0 as f64 / MILLIS_PER_SECOND;
         let nominal = quota.rate.mul_add(seconds, quota.burst);
         let tolerated = nominal * (1.0 + tolerance.overshoot) + tolerance.slack;
-        let rate = quota.rate * RATE_SHARE;
-        let rest = tolerated - rate * (seconds + detection);
+        // Both sides of a partition are refilled at the whole rate until they detect it.
+        let refills = seconds + detection * PARTITIONS_PER_WINDOW;
+        let least_rate = quota.rate * MIN_RATE_SHARE;
+        let rest = (tolerated * USED_SHARE - least_rate * refills).max(0.0);
         let capacity = (rest * CAPACITY_SHARE).max(quota.rate * MIN_CAPACITY_S);
+        let rate = least_rate + rest * (1.0 - 2.0 * CAPACITY_SHARE) / refills;
         let previous = std::mem::replace(&mut self.capacity, capacity * share);
         self.rate = rate * share;
         if self.level > 0.0 && self.capacity < previous {
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -398,6 +398,12 @@
             .filter(move |(_, peer)| is_reachable(peer))
     }
 
+    /// Returns the time within which a partition from another zone is detected.
+    #[must_use]
+    pub fn detection_time(&self) -> Millis {
+        self.summary_timeout() + self.interval
+    }
+
     fn heartbeat_timeout(&self) -> Millis {
         HEARTBEAT_TIMEOUT.max(Millis(self.interval.0 * MAX_MISSED_HEARTBEATS))
     }
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -97,6 +97,7 @@
             window: Millis(8_000),
             overshoot: 0.1,
             slack: 0.0,
+            detection: Millis(1_200),
         },
     };
     Broker::new(options, Fastest)
--- a/cactusglade-policy/tests/quota.rs
+++ b/cactusglade-policy/tests/quota.rs
@@ -13,17 +13,31 @@
     counts_tokens: true,
     default_units: 200,
 };
+/// The quota of the largest organisation of a fleet of 195 daemons.
+const LARGE_QUOTA: Quota = Quota {
+    rate: 788_776.0,
+    burst: 788_776.0,
+    ..QUOTA
+};
+/// Detection in a zone with 36 daemons, where the heartbeat interval is longer than in a small one.
 const TOLERANCE: Tolerance = Tolerance {
     window: Millis(8_000),
     overshoot: 0.1,
     slack: 140_000.0,
+    detection: Millis(1_200),
+};
+/// Detection in a small zone.
+const SMALL_ZONE: Tolerance = Tolerance {
+    detection: Millis(800),
+    ..TOLERANCE
 };
-/// Units that the platform tolerates per window.
-const MAX_UNITS: f64 = (20_000.0 * 8.0 + 20_000.0) * 1.1 + 140_000.0;
+
+/// Returns the units that the platform tolerates per window.
+fn max_units(quota: &Quota) -> f64 {
+    (quota.rate * 8.0 + quota.burst) * 1.1 + TOLERANCE.slack
+}
+
 const DAEMONS: u64 = 8;
-/// Time until both sides detect a partition, in tenths of a second: that of a zone with 36 daemons,
-/// in which the heartbeat interval is longer than in a small one.
-const DETECTION_TENTHS: u64 = 12;
 const REQUEST_UNITS: f64 = 3_000.0;
 /// Length of a simulation in tenths of a second.
 const TENTHS: u64 = 300;
@@ -43,6 +57,8 @@
 
 /// `Simulation` lets two groups of daemons spend as fast as their buckets allow.
 struct Simulation {
+    quota: Quota,
+    tolerance: Tolerance,
     near: Bucket,
     far: Bucket,
     /// Units spent in each tenth of a second.
@@ -50,10 +66,12 @@
 }
 
 impl Simulation {
-    fn new(bucket: Bucket) -> Self {
-        let mut near = bucket;
-        near.configure(Millis(0), &QUOTA, &TOLERANCE, 1.0);
+    fn new(quota: Quota, tolerance: Tolerance) -> Self {
+        let mut near = Bucket::full();
+        near.configure(Millis(0), &quota, &tolerance, 1.0);
         Self {
+            quota,
+            tolerance,
             near,
             far: near,
             spent: Vec::new(),
@@ -75,8 +93,9 @@
 
     fn configure(&mut self, near_share: f64, far_share: f64) {
         let now = Millis(self.spent.len() as u64 * 100);
-        self.near.configure(now, &QUOTA, &TOLERANCE, near_share);
-        self.far.configure(now, &QUOTA, &TOLERANCE, far_share);
+        let (quota, tolerance) = (&self.quota, &self.tolerance);
+        self.near.configure(now, quota, tolerance, near_share);
+        self.far.configure(now, quota, tolerance, far_share);
     }
 
     #[allow(clippy::cast_precision_loss)]
@@ -91,7 +110,7 @@
         // Both sides had the same bucket until the partition.
         self.far = self.near;
         for tenth in 0..u64::from(partition.span) {
-            if tenth == DETECTION_TENTHS {
+            if tenth == self.tolerance.detection.0 / 100 {
                 let share = far as f64 / DAEMONS as f64;
                 self.configure(1.0 - share, share);
             }
@@ -114,25 +133,33 @@
     }
 }
 
-fn max_units_with(bucket: Bucket, partitions: &[Partition]) -> f64 {
-    let mut simulation = Simulation::new(bucket);
+fn max_units_with(quota: &Quota, tolerance: &Tolerance, partitions: &[Partition]) -> f64 {
+    let mut simulation = Simulation::new(*quota, *tolerance);
     for partition in partitions {
         simulation.partition(*partition);
     }
     simulation.max_units_in_any_window()
 }
 
+fn check_partitions(partitions: &[Partition]) {
+    for quota in [QUOTA, LARGE_QUOTA] {
+        for tolerance in [SMALL_ZONE, TOLERANCE] {
+            let units = max_units_with(&quota, &tolerance, partitions);
+            let tolerated = max_units(&quota);
+            assert!(
+                units <= tolerated,
+                "{units} units, {tolerated} tolerated, for {partitions:?} of {quota:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn any_cut_keeps_every_window_within_what_is_tolerated() {
     for far in 1..u8::try_from(DAEMONS).expect("the fleet is small") {
         for at in 0..=MAX_TENTHS {
             for span in 0..=MAX_TENTHS {
-                let partition = Partition { far, at, span };
-                let units = max_units_with(Bucket::full(), &[partition]);
-                assert!(
-                    units <= MAX_UNITS,
-                    "{units} units, {MAX_UNITS} tolerated, for {partition:?}"
-                );
+                check_partitions(&[Partition { far, at, span }]);
             }
         }
     }
@@ -140,13 +167,7 @@
 
 #[test]
 fn two_cuts_keep_every_window_within_what_is_tolerated() {
-    check::run::<[Partition; 2]>(2_000, |partitions| {
-        let units = max_units_with(Bucket::full(), partitions);
-        assert!(
-            units <= MAX_UNITS,
-            "{units} units, {MAX_UNITS} tolerated, for {partitions:?}"
-        );
-    });
+    check::run::<[Partition; 2]>(2_000, |partitions| check_partitions(partitions));
 }
 
 /// Each daemon of the fleet restarts once within a window; the reports of what it admitted reach
@@ -175,9 +196,10 @@
                 }
             }
         }
+        let tolerated = max_units(&QUOTA);
         assert!(
-            units <= MAX_UNITS,
-            "{units} units, {MAX_UNITS} tolerated, for {restarts:?}"
+            units <= tolerated,
+            "{units} units, {tolerated} tolerated, for {restarts:?}"
         );
     });
 }
@@ -185,7 +207,7 @@
 #[test]
 fn the_allowed_units_are_used() {
     let nominal = QUOTA.rate * 8.0 + QUOTA.burst;
-    assert!(max_units_with(Bucket::full(), &[]) >= nominal);
+    assert!(max_units_with(&QUOTA, &TOLERANCE, &[]) >= nominal);
 }
 
 /// Traffic begins ten seconds or more after a calm start of all daemons.
