--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -172,6 +172,8 @@
 pub struct Inventory {
     /// Upstreams that are neither leaving nor removed, by service and zone.
     pub available: BTreeMap<String, BTreeMap<String, Zone>>,
+    /// Mean time that prompts recently waited at these upstreams in milliseconds, by service.
+    pub delays: BTreeMap<String, f64>,
 }
 
 /// `Meter` requests the [`Statistics`].
@@ -376,16 +378,16 @@
 impl Message<Survey> for Broker {
     type Reply = Inventory;
 
+    #[allow(clippy::cast_precision_loss)]
     async fn handle(&mut self, _: Survey, _: &mut Context<Self, Inventory>) -> Inventory {
         let now = self.clock.now();
-        let mut available: BTreeMap<String, BTreeMap<String, Zone>> = BTreeMap::new();
-        for (_, upstream) in self
-            .policy
-            .upstreams()
-            .filter(|(_, one)| one.is_available(now))
-        {
+        let mut inventory = Inventory::default();
+        let upstreams = self.policy.upstreams();
+        for (_, upstream) in upstreams.filter(|(_, one)| one.is_available(now)) {
             let instance = &upstream.instance;
-            let zones = available.entry(instance.service.clone()).or_default();
+            let service = instance.service.clone();
+            *inventory.delays.entry(service.clone()).or_default() += upstream.delay(now);
+            let zones = inventory.available.entry(service).or_default();
             let zone = zones.entry(instance.zone.clone()).or_default();
             if instance.reclaimable {
                 zone.reclaimable += 1;
@@ -393,7 +395,12 @@
                 zone.on_demand += 1;
             }
         }
-        Inventory { available }
+        for (service, delay) in &mut inventory.delays {
+            let zones = inventory.available.get(service).into_iter().flatten();
+            let count = zones.map(|(_, zone)| zone.on_demand + zone.reclaimable);
+            *delay /= count.sum::<u64>().max(1) as f64;
+        }
+        inventory
     }
 }
 
--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -5,6 +5,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::affinity;
+use cactusglade_policy::capacity;
 use cactusglade_policy::capacity::Plan;
 use cactusglade_policy::capacity::Zone;
 use cactusglade_wire::port;
@@ -81,7 +82,9 @@
             let zones = self.zones.iter();
             let zones = zones.map(|zone| (zone.clone(), count(zone).unwrap_or_default()));
             let zones = zones.collect::<BTreeMap<String, Zone>>();
-            load.measure(now, total, &zones);
+            let delay = inventory.delays.get(&service.name).copied();
+            let pressure = capacity::pressure(delay.unwrap_or_default());
+            load.measure(now, total, pressure, &zones);
             let due = load.plan.orders(now, scale, &zones);
             orders.extend(due.into_iter().map(|order| port::Capacity {
                 service: service.name.clone(),
@@ -123,12 +126,12 @@
     }
 
     #[allow(clippy::cast_precision_loss)]
-    fn measure(&mut self, now: Millis, total: u64, zones: &BTreeMap<String, Zone>) {
+    fn measure(&mut self, now: Millis, total: u64, pressure: f64, zones: &BTreeMap<String, Zone>) {
         let span = (now - self.measured_at).0 as f64;
         if let Some(before) = self.total
             && span > 0.0
         {
-            let busy = total.saturating_sub(before) as f64 / span;
+            let busy = total.saturating_sub(before) as f64 / span * pressure;
             for (mean, time_constant) in self.busy_means.iter_mut().zip(TIME_CONSTANTS_MS) {
                 *mean += (busy - *mean) * (span / time_constant).min(1.0);
             }
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -40,6 +40,22 @@
 /// the next wave.
 const MAX_DECREASE_PER_S: f64 = 0.05;
 
+/// Delay of prompts up to which the upstreams are not under pressure, in milliseconds.
+const NO_PRESSURE_DELAY_MS: f64 = 100.0;
+/// Delay of prompts at which twice the measured work is planned for, in milliseconds; latency
+/// targets are a second or more.
+const DOUBLE_PRESSURE_DELAY_MS: f64 = 500.0;
+
+/// Returns the factor by which the work is greater than measured, from 1 to 2, by the mean time that
+/// prompts wait at the upstreams.
+///
+/// The measured work is based on typical engines; slower ones show in what prompts wait.
+#[must_use]
+pub fn pressure(delay_ms: f64) -> f64 {
+    let range = DOUBLE_PRESSURE_DELAY_MS - NO_PRESSURE_DELAY_MS;
+    1.0 + ((delay_ms - NO_PRESSURE_DELAY_MS) / range).clamp(0.0, 1.0)
+}
+
 /// `Zone` counts the upstreams of a service in one zone that are not leaving.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Zone {
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -7,6 +7,7 @@
 use cactusglade_check::check;
 use cactusglade_core::catalog::Scale;
 use cactusglade_core::units::Millis;
+use cactusglade_policy::capacity;
 use cactusglade_policy::capacity::Order;
 use cactusglade_policy::capacity::Plan;
 use cactusglade_policy::capacity::Zone;
@@ -190,3 +191,11 @@
         }
     });
 }
+
+/// Engines that read prompts more slowly than assumed: the same measured work is more.
+#[test]
+fn prompts_that_wait_raise_the_need() {
+    assert!((capacity::pressure(40.0) - 1.0).abs() < f64::EPSILON);
+    assert!((capacity::pressure(300.0) - 1.5).abs() < 1e-9);
+    assert!((capacity::pressure(4_000.0) - 2.0).abs() < f64::EPSILON);
+}
