Keep sessions where their prompts are cached while all engines are busy

Change: delays no longer count for the choice, only for the number of upstreams planned; reading a prompt weighs 1.5 times, since it delays the requests alongside. Test: sessions_stay_at_their_engines_while_prompts_wait.

--- a/cactusglade-model/tests/choice.rs
+++ b/cactusglade-model/tests/choice.rs
@@ -131,3 +131,54 @@
     let first = format!("{:?}", play(&options));
     assert_eq!(first, format!("{:?}", play(&options)));
 }
+
+/// Few engines and long shared prompts: the engines keep up only if sessions stay where their
+/// prompts are cached, also while prompts wait.
+fn few_engines(seed: u64, engines: usize) -> Options {
+    let class = |name, per_s, session_tokens, own_tokens, answer_tokens, target_ms| Class {
+        name,
+        per_s,
+        common_tokens: 300,
+        session_tokens,
+        own_tokens,
+        sessions: 40,
+        hot_share: 0.0,
+        answer_tokens,
+        target_ms,
+    };
+    Options {
+        seed,
+        daemons: 6,
+        engines,
+        zones: 4,
+        profile: Profile {
+            slots: 64,
+            prefill_per_ms: 36.7,
+            cache_tokens: 400_000,
+        },
+        classes: vec![
+            class("brief", 8.9, 13_000, 3_720, 120, 1_200.0),
+            class("spec", 6.2, 6_000, 2_890, 52, 1_000.0),
+            class("shade", 10.0, 50, 1_110, 172, 800.0),
+        ],
+        span_ms: 40_000.0,
+        warm_up_ms: 6_000.0,
+        gossip_ms: Some((100.0, 150.0)),
+        dark: None,
+    }
+}
+
+#[test]
+fn sessions_stay_at_their_engines_while_prompts_wait() {
+    // Three engines can't read all prompts even if sessions stay; four can.
+    for (engines, least) in [(3, 0.4), (4, 0.85)] {
+        for seed in 1..=4 {
+            let summary = play(&few_engines(seed, engines));
+            let on_time = summary.classes["brief"].on_time_share();
+            assert!(
+                on_time >= least,
+                "{engines} engines, seed {seed}: {on_time:.3}"
+            );
+        }
+    }
+}
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -444,11 +444,6 @@
             } else {
                 upstream.latency()
             },
-            delay: if query.prompt.is_some() {
-                upstream.delay(now)
-            } else {
-                0.0
-            },
         }
     }
 
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -23,9 +23,6 @@
     pub failures: f64,
     /// Recent time to the head of an answer in milliseconds, zero for a model request.
     pub latency: f64,
-    /// Time that prompts recently waited beyond the time to read them in milliseconds, zero for a
-    /// request without a prompt.
-    pub delay: f64,
 }
 
 /// `Strategy` selects one of the candidates; it is fixed when the daemon starts.
@@ -40,9 +37,10 @@
 /// Cost per request beyond the slots, in milliseconds: an engine admits a waiting request when a
 /// running one ends.
 const QUEUE_COST_MS: f64 = 60.0;
-/// Delay of prompts that is not counted, in milliseconds: one other prompt that is being read. It is
-/// over when the next prompt arrives, and a session that moves has to be read again.
-const USUAL_DELAY_MS: f64 = 250.0;
+/// Weight of the time to read a prompt: it also delays the requests that run alongside. Where
+/// engines have just enough time for prompts that are cached, a session that moves makes the others
+/// wait, and more of them move.
+const PREFILL_WEIGHT: f64 = 1.5;
 /// Cost of another availability zone, in milliseconds: a round trip of 2 to 3 ms, and the price of
 /// the bytes transferred.
 const OTHER_ZONE_COST_MS: f64 = 6.0;
@@ -59,7 +57,8 @@
 impl Fastest {
     fn cost(candidate: &Candidate) -> f64 {
         let waiting = (candidate.load + 1.0 - candidate.slots).max(0.0);
-        let prefill = (candidate.backlog + candidate.uncached) / PREFILL_TOKENS_PER_MS;
+        let prefill =
+            (candidate.backlog + PREFILL_WEIGHT * candidate.uncached) / PREFILL_TOKENS_PER_MS;
         let busy = candidate.load / candidate.slots.max(1.0) * candidate.latency;
         let other_zone = if candidate.is_same_zone {
             0.0
@@ -70,7 +69,6 @@
             + candidate.load * LOAD_COST_MS
             + busy
             + candidate.latency
-            + (candidate.delay - USUAL_DELAY_MS).max(0.0)
             + waiting * QUEUE_COST_MS
             + other_zone
             + candidate.failures * FAILURE_COST_MS
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -140,8 +140,8 @@
 
     /// Returns the time that prompts wait beyond the time to read them, in milliseconds.
     ///
-    /// It shows what the number of requests does not: prompts of other daemons that are being read,
-    /// and upstreams that are slow.
+    /// It shows whether the upstreams together keep up. It doesn't count for the choice of one: while
+    /// all are busy it differs at random, and a session that moved for it would be read again.
     #[must_use]
     pub fn delay(&self, now: Millis) -> f64 {
         self.delay * decay(now - self.delay_updated, DELAY_HALF_LIFE_MS)
