Refill what is tolerated beyond a small quota, and order reclaimable upstreams by the need

The surplus of reclaimable upstreams came on top of what four zones require already. Change: the capacity is at most four seconds of the rate; reclaimable upstreams are at least twice the need, which more than four zones reach only by this.

--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -15,9 +15,9 @@
 /// Number of zones that may lose all reclaimable upstreams at the same time; reclaims come in
 /// waves.
 const TOLERATED_ZONE_LOSSES: usize = 2;
-/// Reclaimable upstreams per needed one, beyond what zone losses require: they also make up for
-/// upstreams that crash while no others are to be had, at a fraction of the price.
-const RECLAIMABLE_SURPLUS: f64 = 1.3;
+/// Least number of reclaimable upstreams per needed one, where zone losses require fewer: they also
+/// make up for upstreams that crash while no others are to be had, at a fraction of the price.
+const MIN_RECLAIMABLE_PER_NEED: f64 = 2.0;
 /// Share of the need that on-demand upstreams carry at all times.
 const ON_DEMAND_SHARE: f64 = 0.1;
 /// Time after a reclaim within which further reclaims are expected.
@@ -206,9 +206,11 @@
         zones: &BTreeMap<String, Zone>,
     ) -> BTreeMap<String, Zone> {
         let remaining_zones = zones.len().saturating_sub(TOLERATED_ZONE_LOSSES).max(1) as f64;
+        let all_zones = zones.len().max(1) as f64;
         let can_reclaim = scale.spot_price.is_some();
         let reclaimable_per_zone = if can_reclaim {
-            (self.planned_need * RECLAIMABLE_SURPLUS / remaining_zones).ceil()
+            let per_need = (1.0 / remaining_zones).max(MIN_RECLAIMABLE_PER_NEED / all_zones);
+            (self.planned_need * per_need).ceil()
         } else {
             0.0
         };
--- a/cactusglade-policy/src/quota/mod.rs
+++ b/cactusglade-policy/src/quota/mod.rs
@@ -19,8 +19,10 @@
 /// rest goes to the refill. Requests come in bursts of several that are long, so that capacity
 /// admits more of them than refill does.
 const CAPACITY_SHARE: f64 = 0.35;
-/// Least capacity in seconds of the rate, where the tolerated units leave less.
+/// Least capacity in seconds of the rate, where the tolerated units leave less, and greatest, where
+/// they leave more: the rest goes to the refill.
 const MIN_CAPACITY_S: f64 = 0.1;
+const MAX_CAPACITY_S: f64 = 4.0;
 /// Share of the bucket's capacity below zero down to which requests without a prompt are still
 /// admitted: they take few units and are answered in milliseconds.
 const SMALL_REQUEST_RESERVE: f64 = 0.25;
@@ -82,8 +84,10 @@
         let refills = seconds + detection * PARTITIONS_PER_WINDOW;
         let least_rate = quota.rate * MIN_RATE_SHARE;
         let rest = (tolerated * USED_SHARE - least_rate * refills).max(0.0);
-        let capacity = (rest * CAPACITY_SHARE).max(quota.rate * MIN_CAPACITY_S);
-        let rate = least_rate + rest * (1.0 - 2.0 * CAPACITY_SHARE) / refills;
+        let capacity = (rest * CAPACITY_SHARE)
+            .min(quota.rate * MAX_CAPACITY_S)
+            .max(quota.rate * MIN_CAPACITY_S);
+        let rate = least_rate + (rest - 2.0 * capacity).max(0.0) / refills;
         let previous = std::mem::replace(&mut self.capacity, capacity * share);
         self.rate = rate * share;
         if self.level > 0.0 && self.capacity < previous {
--- a/cactusglade-policy/tests/quota.rs
+++ b/cactusglade-policy/tests/quota.rs
@@ -19,6 +19,12 @@
     burst: 788_776.0,
     ..QUOTA
 };
+/// A quota that an operator has lowered.
+const SMALL_QUOTA: Quota = Quota {
+    rate: 5_000.0,
+    burst: 5_000.0,
+    ..QUOTA
+};
 /// Detection in a zone with 36 daemons, where the heartbeat interval is longer than in a small one.
 const TOLERANCE: Tolerance = Tolerance {
     window: Millis(8_000),
@@ -142,7 +148,7 @@
 }
 
 fn check_partitions(partitions: &[Partition]) {
-    for quota in [QUOTA, LARGE_QUOTA] {
+    for quota in [SMALL_QUOTA, QUOTA, LARGE_QUOTA] {
         for tolerance in [SMALL_ZONE, TOLERANCE] {
             let units = max_units_with(&quota, &tolerance, partitions);
             let tolerated = max_units(&quota);
@@ -210,6 +216,15 @@
     assert!(max_units_with(&QUOTA, &TOLERANCE, &[]) >= nominal);
 }
 
+/// What is tolerated beyond a small quota is many times its rate; it is used while an organisation
+/// asks for it all the time.
+#[test]
+fn the_tolerated_units_of_a_small_quota_are_refilled() {
+    let tolerated = max_units(&SMALL_QUOTA);
+    let units = max_units_with(&SMALL_QUOTA, &SMALL_ZONE, &[]);
+    assert!(units >= tolerated * 0.7, "{units} of {tolerated}");
+}
+
 /// Traffic begins ten seconds or more after a calm start of all daemons.
 #[test]
 fn the_burst_of_the_quota_is_admitted_after_a_calm_start() {
