--- a/cactusglade-policy/src/broker/sample.rs
+++ b/cactusglade-policy/src/broker/sample.rs
@@ -7,14 +7,17 @@
 
 use crate::affinity;
 
-/// Number of upstreams that are drawn at random.
-pub const SAMPLE_SIZE: usize = 4;
+/// Number of upstreams up to which all are compared. The few daemons before them see most of what
+/// happens there themselves.
+const MAX_COMPARED: usize = 16;
+/// Number of upstreams that are drawn at random where there are more.
+const SAMPLE_SIZE: usize = 8;
 
 /// Returns distinct indices below `count`: that of the preferred upstream, and some at random.
 ///
 /// `draw` is a random number from 0 to 1.
 pub fn indices(count: usize, preferred: Option<usize>, draw: f64) -> Vec<usize> {
-    if count <= SAMPLE_SIZE {
+    if count <= MAX_COMPARED {
         return (0..count).collect();
     }
     let mut indices = Vec::with_capacity(SAMPLE_SIZE + 1);
