--- a/cactusglade-policy/src/broker/sample.rs
+++ b/cactusglade-policy/src/broker/sample.rs
@@ -11,7 +11,7 @@
 /// happens there themselves.
 const MAX_COMPARED: usize = 16;
 /// Number of upstreams that are drawn at random where there are more.
-const SAMPLE_SIZE: usize = 8;
+const SAMPLE_SIZE: usize = 4;
 
 /// Returns distinct indices below `count`: that of the preferred upstream, and some at random.
 ///
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -22,7 +22,7 @@
 const LOSS_WINDOW: Millis = Millis(1_000);
 /// Time for which an upstream gets no requests after two daemons have lost one there. The registry
 /// drops an upstream that has failed after some seconds.
-const DOUBT_PERIOD: Millis = Millis(1_000);
+const DOUBT_PERIOD: Millis = Millis(2_000);
 /// Half-life of the failure rate in milliseconds, so that an upstream without requests is tried
 /// again.
 const FAILURE_HALF_LIFE_MS: f64 = 2_000.0;
