--- a/cactusglade-cli/src/commands/mod.rs
+++ b/cactusglade-cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands of `cactusglade`.
 
 mod address;
+mod experiment;
 mod explain;
 mod publish;
 mod report;
@@ -16,6 +17,7 @@
 use crate::demo;
 use crate::objects;
 
+pub use experiment::Experiment;
 pub use explain::Explain;
 pub use publish::Publish;
 pub use report::Report;
@@ -80,6 +82,8 @@
     Report(Report),
     #[options(help = "explain what happened to a request, from logs")]
     Explain(Explain),
+    #[options(help = "play a fleet's decisions in a model, or compare two experiments")]
+    Experiment(Experiment),
     #[options(help = "run a stand-in: platform, engine or service")]
     Standin(Standin),
     #[options(help = "run stand-ins and daemons in one process for a minute and check the results")]
@@ -163,6 +167,7 @@
             Self::Rollout(rollout) => rollout.run().await,
             Self::Report(report) => report.run().await,
             Self::Explain(explain) => explain.run(),
+            Self::Experiment(experiment) => experiment.run(),
             Self::Standin(standin) => standin.run().await,
             Self::Demo(demo) => {
                 let report = demo::run(demo.seed, demo.logs).await;
--- a/cactusglade-cli/src/lib.rs
+++ b/cactusglade-cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod commands;
 pub mod demo;
+pub mod experiment;
 pub mod explain;
 pub mod objects;
 pub mod publish;
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -282,7 +282,9 @@
             &ended.grant,
             self.policy.decode_ms(&ended.grant, ended.events),
         );
-        self.policy.finish(now, key, &ended.report, rand::random());
+        if self.policy.finish(now, key, &ended.report, rand::random()) {
+            self.log_doubt(key);
+        }
         let is_available = self
             .policy
             .upstream(key)
@@ -370,7 +372,9 @@
     async fn handle(&mut self, learn: Learn, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         for sighting in &learn.0 {
-            self.policy.record_sighting(now, sighting);
+            if let Some(key) = self.policy.record_sighting(now, sighting) {
+                self.log_doubt(key);
+            }
         }
     }
 }
@@ -451,6 +455,14 @@
         Ok(())
     }
 
+    /// Logs that losses of two daemons have taken an upstream out.
+    fn log_doubt(&self, key: arena::Upstream) {
+        if let Some(upstream) = self.policy.upstream(key) {
+            info!(self.log, "upstream_doubted"; "upstream" => &upstream.instance.name,
+                "service" => &upstream.instance.service, "own" => upstream.in_flight);
+        }
+    }
+
     /// Adds work to the total of the grant's service, in milliseconds of one upstream's time.
     fn add_work(&mut self, grant: &Grant, work: u64) {
         if let Some(object) = self.policy.catalog().services.get(grant.service) {
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -90,7 +90,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Summary {
     /// Outcomes by name of the class.
-    pub classes: BTreeMap<&'static str, Outcome>,
+    pub classes: BTreeMap<String, Outcome>,
     /// Prompt tokens of all requests, and those of them that engines had cached.
     pub prompt_tokens: u64,
     /// Prompt tokens that engines had cached.
@@ -315,9 +315,10 @@
 
     fn send(&mut self, now: f64, daemon: usize, request: usize, tried: Vec<arena::Upstream>) {
         let arrival = self.requests[request].clone();
-        let class = self.options.classes[arrival.class];
+        let options = self.options;
+        let class = &options.classes[arrival.class];
         let is_counted = arrival.at >= self.options.warm_up_ms;
-        let outcome = self.summary.classes.entry(class.name).or_default();
+        let outcome = self.summary.classes.entry(class.name.clone()).or_default();
         outcome.asked += u64::from(is_counted && tried.is_empty());
         let query = Query {
             route: self.route,
@@ -338,10 +339,10 @@
         };
         let name = broker.upstream(grant.upstream);
         let engine = name.and_then(|upstream| setup::engine_index(&upstream.instance.name));
-        let Some(engine) = engine.and_then(|index| self.engines.get_mut(index)) else {
+        let Some(engine) = engine.filter(|index| *index < self.engines.len()) else {
             return;
         };
-        if engine.is_dark {
+        if self.engines[engine].is_dark {
             self.summary.losses += 1;
             let lost = Event::Lost {
                 daemon,
@@ -357,10 +358,20 @@
             self.schedule(now + silence, lost);
             return;
         }
+        self.serve(now, daemon, grant, request, engine);
+    }
+
+    /// Has an engine process a request, and counts its result.
+    fn serve(&mut self, now: f64, daemon: usize, grant: Grant, request: usize, engine: usize) {
+        let options = self.options;
+        let arrival = &self.requests[request];
+        let class = &options.classes[arrival.class];
+        let engine = &mut self.engines[engine];
         let load = engine.load(now);
         let run = engine.accept(now, &arrival.prompt.parts, class.answer_tokens);
-        if is_counted {
+        if arrival.at >= options.warm_up_ms {
             let latency = run.first_token - arrival.at;
+            let outcome = self.summary.classes.entry(class.name.clone()).or_default();
             outcome.latencies.push(latency);
             outcome.on_time += u64::from(latency <= class.target_ms);
             self.summary.prompt_tokens += arrival.prompt.input_tokens;
--- a/cactusglade-model/src/load/mod.rs
+++ b/cactusglade-model/src/load/mod.rs
@@ -9,10 +9,10 @@
 const CLASS_STRIDE: u64 = 1 << 40;
 
 /// `Class` is a kind of request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Class {
     /// Name.
-    pub name: &'static str,
+    pub name: String,
     /// Requests per second over the whole fleet.
     pub per_s: f64,
     /// Tokens at the head of the prompt that all requests of the class share.
--- a/cactusglade-model/tests/choice.rs
+++ b/cactusglade-model/tests/choice.rs
@@ -10,39 +10,45 @@
 /// Interval of heartbeats in a zone of 32 daemons, and time until all zones have a report.
 const GOSSIP_MS: (f64, f64) = (200.0, 350.0);
 
-const DOSSIER: Class = Class {
-    name: "dossier",
-    per_s: 123.0,
-    common_tokens: 512,
-    session_tokens: 4_870,
-    own_tokens: 6_610,
-    sessions: 823,
-    hot_share: 0.0,
-    answer_tokens: 384,
-    target_ms: 1_000.0,
-};
-const CHAT: Class = Class {
-    name: "chat",
-    per_s: 118.0,
-    common_tokens: 119,
-    session_tokens: 79,
-    own_tokens: 628,
-    sessions: 524,
-    hot_share: 0.0,
-    answer_tokens: 294,
-    target_ms: 1_000.0,
-};
-const CHECK: Class = Class {
-    name: "check",
-    per_s: 219.0,
-    common_tokens: 341,
-    session_tokens: 227,
-    own_tokens: 1_800,
-    sessions: 974,
-    hot_share: 0.0,
-    answer_tokens: 24,
-    target_ms: 1_500.0,
-};
+fn dossier() -> Class {
+    Class {
+        name: "dossier".to_owned(),
+        per_s: 123.0,
+        common_tokens: 512,
+        session_tokens: 4_870,
+        own_tokens: 6_610,
+        sessions: 823,
+        hot_share: 0.0,
+        answer_tokens: 384,
+        target_ms: 1_000.0,
+    }
+}
+fn chat() -> Class {
+    Class {
+        name: "chat".to_owned(),
+        per_s: 118.0,
+        common_tokens: 119,
+        session_tokens: 79,
+        own_tokens: 628,
+        sessions: 524,
+        hot_share: 0.0,
+        answer_tokens: 294,
+        target_ms: 1_000.0,
+    }
+}
+fn check() -> Class {
+    Class {
+        name: "check".to_owned(),
+        per_s: 219.0,
+        common_tokens: 341,
+        session_tokens: 227,
+        own_tokens: 1_800,
+        sessions: 974,
+        hot_share: 0.0,
+        answer_tokens: 24,
+        target_ms: 1_500.0,
+    }
+}
 
 fn options(daemons: usize, gossip_ms: Option<(f64, f64)>) -> Options {
     Options {
@@ -55,7 +61,7 @@
             prefill_per_ms: 56.6,
             cache_tokens: 300_000,
         },
-        classes: vec![DOSSIER, CHAT, CHECK],
+        classes: vec![dossier(), chat(), check()],
         span_ms: 20_000.0,
         warm_up_ms: 6_000.0,
         gossip_ms,
@@ -140,8 +146,8 @@
 /// Few engines and long shared prompts: the engines keep up only if sessions stay where their
 /// prompts are cached, also while prompts wait.
 fn few_engines(seed: u64, engines: usize) -> Options {
-    let class = |name, per_s, session_tokens, own_tokens, answer_tokens, target_ms| Class {
-        name,
+    let class = |name: &str, per_s, session_tokens, own_tokens, answer_tokens, target_ms| Class {
+        name: name.to_owned(),
         per_s,
         common_tokens: 300,
         session_tokens,
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -461,21 +461,19 @@
         std::mem::take(&mut self.sightings).into_values().collect()
     }
 
-    /// Records what another daemon has seen of an upstream.
-    pub fn record_sighting(&mut self, now: Millis, sighting: &Sighting) {
-        let key = self.upstream_hashes.get(&sighting.upstream);
-        let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) else {
-            return;
-        };
+    /// Records what another daemon has seen of an upstream; returns the upstream if that takes it
+    /// out.
+    pub fn record_sighting(&mut self, now: Millis, sighting: &Sighting) -> Option<arena::Upstream> {
+        let key = *self.upstream_hashes.get(&sighting.upstream)?;
+        let upstream = self.upstreams.get_mut(key)?;
         if let Some(load) = sighting.load {
             upstream.record_load(now, load, 0);
         }
         if let Some(delay) = sighting.delay_ms {
             upstream.record_delay(now, Millis(delay));
         }
-        if let Some(daemon) = sighting.lost_by {
-            upstream.record_loss(now, daemon);
-        }
+        let daemon = sighting.lost_by?;
+        upstream.record_loss(now, daemon).then_some(key)
     }
 
     fn sighting(&mut self, upstream: u32) -> &mut Sighting {
@@ -505,10 +503,17 @@
         }
     }
 
-    /// Records the end of an attempt; `draw` from 0 to 1 is the jitter of the backoff.
-    pub fn finish(&mut self, now: Millis, key: arena::Upstream, report: &Report, draw: f64) {
+    /// Records the end of an attempt; `draw` from 0 to 1 is the jitter of the backoff. Returns
+    /// whether its loss takes the upstream out.
+    pub fn finish(
+        &mut self,
+        now: Millis,
+        key: arena::Upstream,
+        report: &Report,
+        draw: f64,
+    ) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
+            return false;
         };
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
         if let Some(is_good) = report.is_good {
@@ -517,13 +522,15 @@
                 upstream.backoff.record_success();
             }
         }
-        if report.is_lost {
-            upstream.backoff.record_failure(now, draw);
-            upstream.record_loss(now, self.own);
-            let hash = affinity::short_hash(&upstream.instance.name);
-            let own = self.own;
-            self.sighting(hash).lost_by = Some(own);
+        if !report.is_lost {
+            return false;
         }
+        let own = self.own;
+        upstream.backoff.record_failure(now, draw);
+        let is_out = upstream.record_loss(now, own);
+        let hash = affinity::short_hash(&upstream.instance.name);
+        self.sighting(hash).lost_by = Some(own);
+        is_out
     }
 
     /// Marks an upstream as leaving and returns whether it was not marked before.
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -97,16 +97,18 @@
         self.loss = None;
     }
 
-    /// Records that a daemon lost a request at the upstream; two daemons must agree, since the
-    /// cause may be the network of one.
-    pub fn record_loss(&mut self, now: Millis, daemon: u32) {
+    /// Records that a daemon lost a request at the upstream, and returns whether that takes the
+    /// upstream out; two daemons must agree, since the cause may be the network of one.
+    pub fn record_loss(&mut self, now: Millis, daemon: u32) -> bool {
         let is_confirmed = self
             .loss
             .is_some_and(|(at, other)| other != daemon && now - at < LOSS_WINDOW);
+        let was_doubted = now < self.doubted_until;
         if is_confirmed {
             self.doubted_until = now + DOUBT_PERIOD;
         }
         self.loss = Some((now, daemon));
+        is_confirmed && !was_doubted
     }
 
     /// Returns whether requests should go elsewhere: this daemon backs off, or several daemons lost
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -276,10 +276,11 @@
 #[test]
 fn an_upstream_at_which_two_daemons_lost_requests_gets_none() {
     let mut fixture = set_up(&["x", "y"]);
-    for daemon in [1, 2] {
-        fixture
-            .broker
-            .record_sighting(Millis(100), &loss("x", daemon));
+    let key = fixture.key("x");
+    for (daemon, taken_out) in [(1, None), (2, Some(key)), (1, None)] {
+        let sighting = loss("x", daemon);
+        let result = fixture.broker.record_sighting(Millis(100), &sighting);
+        assert_eq!(result, taken_out);
     }
     for at in 101..140 {
         assert_eq!(fixture.place(at, &[]), Ok("y".to_owned()));
