--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -3,17 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cactusglade_core::units::Millis;
 use cactusglade_wire::port::Store;
 use cactusglade_wire::port::Write;
 use kameo::actor::ActorRef;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::Logger;
+use slog::info;
 use slog::warn;
 
 use super::Mesh;
 use super::messages::Members;
 use super::messages::ReadsMembers;
+use crate::edge::broker;
 
 const TABLE: &str = "members";
 /// Pause before the next attempt while this daemon's row is not written or the table can't be read.
@@ -95,3 +98,31 @@
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
+
+impl Mesh {
+    /// Notifies the broker when the number of daemons, or of those whose heartbeats arrive,
+    /// changes.
+    pub(super) async fn report_fleet(&mut self, now: Millis) {
+        let reachable = self.roster.reachable(now);
+        // Before the first heartbeat of another daemon, the fleet is as large as the list says.
+        let daemons = match self.roster.count() {
+            1 => self.roster.listed(),
+            heard => heard,
+        };
+        // A daemon that no other one reaches and that knows no list is not the only one.
+        if (daemons, reachable) == (self.daemons, self.reachable) || daemons == 1 {
+            return;
+        }
+        info!(self.log, "fleet_changed"; "daemons" => daemons, "heard" => reachable,
+            "daemons_before" => self.daemons, "heard_before" => self.reachable);
+        (self.daemons, self.reachable) = (daemons, reachable);
+        let _ = self
+            .broker
+            .tell(broker::Resize {
+                daemons,
+                reachable,
+                detection: self.roster.detection_time(),
+            })
+            .await;
+    }
+}
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -2,6 +2,7 @@
 
 mod members;
 mod messages;
+mod registry;
 mod sightings;
 
 use std::collections::BTreeMap;
@@ -10,13 +11,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusglade_core::fleet::Sighting;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::relay;
-use cactusglade_policy::relay::Reading;
 use cactusglade_policy::roster::Announcement;
 use cactusglade_policy::roster::Consumption;
 use cactusglade_policy::roster::Roster;
@@ -27,7 +26,6 @@
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::gossip::Heartbeat;
 use cactusglade_wire::gossip::MAX_DATAGRAM_BYTES;
-use cactusglade_wire::gossip::Sightings;
 use cactusglade_wire::gossip::Summary;
 use cactusglade_wire::gossip::Watermark;
 use kameo::Actor;
@@ -73,12 +71,6 @@
 /// One heartbeat out of this many also goes to daemons from which none was received lately.
 const HEARTBEATS_PER_BROADCAST: u64 = 10;
 
-/// Age from which the relay's state of the registry is no longer relied on.
-///
-/// The relay reads the store at least every 1.3 s, and an upstream that leaves may get requests for
-/// 2 s at most.
-const MAX_WATERMARK_AGE: Millis = Millis(1_400);
-
 /// `Options` of the service.
 #[derive(Debug)]
 pub struct Options {
@@ -292,28 +284,6 @@
     }
 }
 
-impl Message<Changeset> for Mesh {
-    type Reply = ();
-
-    async fn handle(&mut self, changeset: Changeset, _: &mut Context<Self, ()>) {
-        let now = self.clock.now();
-        let reading = Reading {
-            after: changeset.after,
-            revision: changeset.revision,
-            has_changes: !changeset.changes.is_empty(),
-        };
-        let base = self.registry.record(now, &reading);
-        if !self.roster.is_relay(now) {
-            return;
-        }
-        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for part in Entries::split(base, changeset.revision, &changeset.changes) {
-            self.send(&Datagram::Entries(part), neighbours.iter().copied())
-                .await;
-        }
-    }
-}
-
 impl Message<Inspect> for Mesh {
     type Reply = Fleet;
 
@@ -400,21 +370,6 @@
         self.roster.record(now, heartbeat.from, announcement)
     }
 
-    /// Publishes the relay's state of the registry; one that is too old counts as none.
-    fn publish_progress(&self, registry: Watermark) {
-        let is_fresh = registry
-            .age_ms
-            .is_some_and(|age| Millis(age) < MAX_WATERMARK_AGE);
-        let progress = Progress {
-            revision: is_fresh.then_some(registry.revision),
-        };
-        self.progress.send_if_modified(|published| {
-            let is_changed = *published != progress;
-            *published = progress;
-            is_changed
-        });
-    }
-
     /// Records a summary of another zone; returns what was added to the totals of that zone.
     fn receive_summary(&mut self, now: Millis, summary: Summary) -> Consumption {
         let announcement = Announcement {
@@ -505,39 +460,6 @@
         }
     }
 
-    /// Sends what this daemon has seen of upstreams to its zone; the relay also passes on what its
-    /// zone has seen to the other relays, and what those have sent to its zone.
-    async fn send_sightings(&mut self, now: Millis, own: &[Sighting]) {
-        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for part in Sightings::split(&self.zone, false, own) {
-            self.send(&Datagram::Sightings(part), neighbours.iter().copied())
-                .await;
-        }
-        let (outbound, inbound) = self.exchange.take(own);
-        if !self.roster.is_relay(now) {
-            return;
-        }
-        let relays = self.roster.relays(now);
-        for part in Sightings::split(&self.zone, false, &outbound) {
-            self.send(&Datagram::Sightings(part), relays.iter().copied())
-                .await;
-        }
-        for part in Sightings::split(&self.zone, true, &inbound) {
-            self.send(&Datagram::Sightings(part), neighbours.iter().copied())
-                .await;
-        }
-    }
-
-    /// Passes sightings on to the broker, and keeps them for the relay to pass on.
-    async fn receive_sightings(&mut self, now: Millis, sightings: Sightings) {
-        if self.roster.is_relay(now) && !sightings.is_forwarded {
-            let is_own_zone = sightings.zone == self.zone;
-            self.exchange.add(is_own_zone, &sightings.entries);
-        }
-        // Fails only while the daemon stops.
-        let _ = self.broker.tell(broker::Learn(sightings.entries)).await;
-    }
-
     /// Sends a datagram to each of these addresses.
     async fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
         let Some(bytes) = datagram.encode() else {
@@ -550,32 +472,6 @@
             let _ = self.socket.send_to(&bytes, address).await;
         }
     }
-
-    /// Notifies the broker when the number of daemons, or of those whose heartbeats arrive,
-    /// changes.
-    async fn report_fleet(&mut self, now: Millis) {
-        let reachable = self.roster.reachable(now);
-        // Before the first heartbeat of another daemon, the fleet is as large as the list says.
-        let daemons = match self.roster.count() {
-            1 => self.roster.listed(),
-            heard => heard,
-        };
-        // A daemon that no other one reaches and that knows no list is not the only one.
-        if (daemons, reachable) == (self.daemons, self.reachable) || daemons == 1 {
-            return;
-        }
-        info!(self.log, "fleet_changed"; "daemons" => daemons, "heard" => reachable,
-            "daemons_before" => self.daemons, "heard_before" => self.reachable);
-        (self.daemons, self.reachable) = (daemons, reachable);
-        let _ = self
-            .broker
-            .tell(broker::Resize {
-                daemons,
-                reachable,
-                detection: self.roster.detection_time(),
-            })
-            .await;
-    }
 }
 
 /// Key of one incarnation of a daemon in the ledger.
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -3,8 +3,10 @@
 //! The broker has no queue: engines order their waiting requests by priority, so a request is sent
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
+mod quotas;
 mod registry;
 mod sample;
+mod sighting;
 mod strategy;
 mod upstream;
 
@@ -192,15 +194,6 @@
         }
     }
 
-    /// Charges units that other daemons admitted to an organisation's quota.
-    #[allow(clippy::cast_precision_loss)]
-    pub fn charge_remote(&mut self, organisation: u32, units: u64) {
-        let key = self.hashes.get(&organisation);
-        if let Some(bucket) = key.and_then(|key| self.buckets.get_mut(key)) {
-            bucket.charge(units as f64);
-        }
-    }
-
     /// Withholds requests from a version of a service while another version serves.
     ///
     /// `None` lets all versions of the service receive requests again.
@@ -211,30 +204,6 @@
         };
     }
 
-    /// Applies the quotas and this group's share of them; `is_first` says that no catalog was in
-    /// force before, so that nothing is known of what the organisations have used.
-    fn update_buckets(&mut self, now: Millis, is_first: bool) {
-        let catalog = self.catalog.clone();
-        let known = |key: &arena::Organisation| catalog.organisations.get(*key).is_some();
-        self.buckets.retain(|key, _| known(key));
-        self.hashes.clear();
-        for (key, organisation) in catalog.organisations.iter() {
-            self.hashes
-                .insert(affinity::short_hash(&organisation.name), key);
-            let Some(quota) = &organisation.quota else {
-                self.buckets.remove(&key);
-                continue;
-            };
-            let new = if is_first {
-                Bucket::empty
-            } else {
-                Bucket::full
-            };
-            let bucket = self.buckets.entry(key).or_insert_with(new);
-            bucket.configure(now, quota, &self.options.tolerance, self.reachable_share);
-        }
-    }
-
     /// Returns the state of an upstream.
     #[must_use]
     pub fn upstream(&self, key: arena::Upstream) -> Option<&Upstream> {
@@ -246,50 +215,6 @@
         self.upstreams.iter()
     }
 
-    /// Returns the quota units that a request costs its organisation.
-    #[must_use]
-    #[allow(clippy::cast_precision_loss)]
-    pub fn units(&self, key: arena::Organisation, prompt: Option<&Prompt>) -> f64 {
-        let organisation = self.catalog.organisations.get(key);
-        let quota = organisation.and_then(|organisation| organisation.quota);
-        match (quota, prompt) {
-            (Some(quota), Some(prompt)) if quota.counts_tokens => {
-                (prompt.input_tokens + prompt.max_output_tokens) as f64
-            }
-            (Some(quota), None) if quota.counts_tokens => quota.default_units as f64,
-            _ => 1.0,
-        }
-    }
-
-    /// Charges a request to its organisation's quota.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time until the next request can be admitted if the quota is used up.
-    pub fn charge(
-        &mut self,
-        now: Millis,
-        key: arena::Organisation,
-        units: f64,
-        is_small: bool,
-    ) -> Result<(), Millis> {
-        let Some(bucket) = self.buckets.get_mut(&key) else {
-            return Ok(());
-        };
-        if bucket.take(now, units, is_small) {
-            Ok(())
-        } else {
-            Err(bucket.retry_after())
-        }
-    }
-
-    /// Refunds the units of a request that did not run.
-    pub fn refund(&mut self, key: arena::Organisation, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(&key) {
-            bucket.refund(units);
-        }
-    }
-
     /// Selects an upstream for one attempt.
     ///
     /// # Errors
@@ -456,32 +381,6 @@
         }
     }
 
-    /// Returns what this daemon has seen of upstreams since the last call.
-    pub fn take_sightings(&mut self) -> Vec<Sighting> {
-        std::mem::take(&mut self.sightings).into_values().collect()
-    }
-
-    /// Records what another daemon has seen of an upstream; returns the upstream if that takes it
-    /// out.
-    pub fn record_sighting(&mut self, now: Millis, sighting: &Sighting) -> Option<arena::Upstream> {
-        let key = *self.upstream_hashes.get(&sighting.upstream)?;
-        let upstream = self.upstreams.get_mut(key)?;
-        if let Some(load) = sighting.load {
-            upstream.record_load(now, load, 0);
-        }
-        if let Some(delay) = sighting.delay_ms {
-            upstream.record_delay(now, Millis(delay));
-        }
-        let daemon = sighting.lost_by?;
-        upstream.record_loss(now, daemon).then_some(key)
-    }
-
-    fn sighting(&mut self, upstream: u32) -> &mut Sighting {
-        self.sightings
-            .entry(upstream)
-            .or_insert(Sighting::new(upstream))
-    }
-
     /// Records that an upstream no longer has to read the prompt of a request.
     pub fn finish_prefill(&mut self, grant: &Grant) {
         if let Some(upstream) = self.upstreams.get_mut(grant.upstream) {
