Keep the counts of a usage window until its report is due

Since a daemon leaves the lease to others for up to 2 s, the first reports of this test, which has windows of one second, came when the ledger, which kept four windows whatever their length, had dropped the counts. On the deployments, with windows of 5 s and reports due within 10 s, four windows were enough. Change: a ledger keeps as many windows as reports may be due for, and two more. Test: policy usage; four windows of one second do not cover ten seconds.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -16,6 +16,7 @@
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::budget;
 use cactusglade_policy::quota::Tolerance;
+use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::port::Platform;
 use cactusglade_wire::port::Rollout;
 use kameo::actor::ActorRef;
@@ -215,6 +216,10 @@
             broker: broker.clone(),
             progress,
             entries,
+            ledger: Ledger::new(
+                from_seconds(settings.usage_window_s),
+                from_seconds(settings.usage_late_s),
+            ),
             clock: self.clock,
             log: self.log.clone(),
         });
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -61,6 +61,7 @@
     store: S,
     name: String,
     windows: Windows,
+    window: Millis,
     report_within: Millis,
     through: u64,
     last_reported: Option<u64>,
@@ -77,6 +78,7 @@
         Self {
             store,
             name: options.name.clone(),
+            window: options.window,
             report_within: options.report_within,
             through: now.saturating_sub(1),
             last_reported: None,
@@ -232,7 +234,7 @@
         if is_waiting && unix_now < self.windows.end(window) + LEDGER_TIMEOUT {
             return None;
         }
-        let mut ledger = Ledger::default();
+        let mut ledger = Ledger::new(self.window, self.report_within);
         for record in &records {
             ledger.merge(&record.windows);
         }
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -88,6 +88,8 @@
     pub progress: watch::Sender<Progress>,
     /// Receives the changes of the registry that the zone's relay forwards.
     pub entries: mpsc::Sender<Entries>,
+    /// Empty ledger of request counts.
+    pub ledger: Ledger,
     /// Monotonic clock of the daemon.
     pub clock: Clock,
     /// Log of the daemon.
@@ -332,7 +334,7 @@
             own_totals: Consumption::default(),
             lease: None,
             counts: BTreeMap::new(),
-            ledger: Ledger::default(),
+            ledger: options.ledger,
             registry: relay::Progress::default(),
             progress: options.progress,
             entries: options.entries,
--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -9,8 +9,11 @@
 /// `Counts` maps the hash of an organisation's name to a number of requests.
 pub type Counts = BTreeMap<u32, u64>;
 
-/// Maximum number of windows kept; the report of a window is due two windows after its end.
+/// Maximum number of windows that a daemon reports of its own; its neighbours record them at once.
 pub const MAX_WINDOWS: usize = 4;
+/// Windows that a ledger keeps beyond those whose reports may still be due: the one under way, and
+/// one for clocks that differ.
+const FURTHER_WINDOWS: u64 = 2;
 
 /// `Windows` counts requests per window, numbered from the Unix epoch.
 #[derive(Clone, Debug, Default)]
@@ -63,12 +66,25 @@
 /// `Ledger` holds the counts that each daemon has reported.
 ///
 /// Every daemon keeps the counts of the daemons that it reaches, so that they survive a failure.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Ledger {
     windows: BTreeMap<u64, BTreeMap<String, Counts>>,
+    /// Maximum number of windows.
+    capacity: usize,
 }
 
 impl Ledger {
+    /// Creates a ledger that keeps windows of length `window` until their reports are due,
+    /// `report_within` after their end; the daemon that reports them may change until then.
+    #[must_use]
+    pub fn new(window: Millis, report_within: Millis) -> Self {
+        let due = report_within.0.div_ceil(window.0.max(1));
+        Self {
+            windows: BTreeMap::new(),
+            capacity: usize::try_from(due + FURTHER_WINDOWS).unwrap_or(usize::MAX),
+        }
+    }
+
     /// Records the counts of one incarnation of a daemon.
     pub fn record(&mut self, daemon: &str, counts: &BTreeMap<u64, Counts>) {
         for (window, counts) in counts {
@@ -79,7 +95,7 @@
                 *known = (*known).max(*count);
             }
         }
-        while self.windows.len() > MAX_WINDOWS {
+        while self.windows.len() > self.capacity {
             self.windows.pop_first();
         }
     }
