Read the lease back at once after a claim whose answer was lost

Its row was in the store, but the daemon waited for a whole term and its patience before it read it. Without patience the claim came before the fault, so that the wait, which is older, did not show. Change: after a write whose outcome is unknown the row is read in the next round.

--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -36,6 +36,8 @@
     holder: String,
     /// Row as last read or written, with its revision.
     row: Option<(Row, Revision)>,
+    /// Whether the outcome of the last write is unknown, so that the row may be this daemon's.
+    is_uncertain: bool,
     is_held: bool,
     log: Logger,
 }
@@ -52,6 +54,7 @@
             lease: Lease::with_timing(holder, timing),
             holder: holder.to_owned(),
             row: None,
+            is_uncertain: false,
             is_held: false,
             log,
         }
@@ -84,7 +87,7 @@
             return;
         }
         let is_held = is_own && self.fencing_token(now).is_some();
-        let is_due = is_held || is_own || self.lease.is_stale(now);
+        let is_due = is_held || is_own || self.is_uncertain || self.lease.is_stale(now);
         // The holder knows the row that it wrote; any other daemon has to read it.
         if !is_due || (!is_held && !self.read().await) {
             self.log_transition(clock.now());
@@ -102,6 +105,7 @@
     async fn read(&mut self) -> bool {
         match self.store.rows(TABLE).await {
             Ok(rows) => {
+                self.is_uncertain = false;
                 let row = rows.into_iter().find(|row| row.key == KEY);
                 self.row = row.and_then(|row| {
                     let lease = serde_json::from_slice(&row.value).ok()?;
@@ -141,6 +145,7 @@
             Err(error) => {
                 // The write may have taken effect; the next read shows whether it did.
                 warn!(self.log, "lease_unwritten"; "reason" => %error);
+                self.is_uncertain = true;
                 self.row = None;
             }
         }
