--- a/cactusglade-policy/tests/relay.rs
+++ b/cactusglade-policy/tests/relay.rs
@@ -54,14 +54,14 @@
 }
 
 /// A relay reads the registry; a follower applies what it forwards, and reads the store itself
-/// where it is told of a revision that it has not reached. Datagrams are lost at random, and the
-/// two swap roles at random.
+/// where it is told of a revision that it has not reached. Datagrams to one of two followers are lost
+/// at random, and the three swap roles at random.
 #[test]
 fn a_follower_misses_no_change_when_datagrams_are_lost_and_relays_change() {
     check::run::<Vec<(u8, bool, bool)>>(5_000, |steps| {
         let mut store = Vec::new();
         let mut revision = 0_u64;
-        let mut daemons = [0, 1].map(|_| (Progress::default(), 0_u64, Vec::new()));
+        let mut daemons = [0, 1, 2].map(|_| (Progress::default(), 0_u64, Vec::new()));
         let mut relay = 0;
         for (step, is_lost, swaps) in steps {
             revision += 1 + u64::from(*step % 5);
@@ -69,7 +69,7 @@
                 store.push(revision);
             }
             if *swaps {
-                relay = 1 - relay;
+                relay = (relay + 1) % daemons.len();
             }
             let changes_after = |after: u64| {
                 let changes = store.iter().copied().filter(move |change| *change > after);
@@ -81,16 +81,22 @@
             applied.extend(changes.iter().copied());
             *known = revision;
             let announced = progress.revision();
-            let (progress, known, applied) = &mut daemons[1 - relay];
-            if !is_lost && !changes.is_empty() && base <= *known && revision > *known {
-                applied.extend(changes.iter().copied().filter(|change| *change > *known));
-                *known = revision;
-            }
-            if announced > *known {
-                let missing = changes_after(*known);
-                read(progress, *known, revision, !missing.is_empty());
-                applied.extend(missing);
-                *known = revision;
+            for (number, (progress, known, applied)) in daemons.iter_mut().enumerate() {
+                if number == relay {
+                    continue;
+                }
+                // A lost datagram still reaches the other follower.
+                let is_lost = *is_lost && number == (relay + 1) % 3;
+                if !is_lost && !changes.is_empty() && base <= *known && revision > *known {
+                    applied.extend(changes.iter().copied().filter(|change| *change > *known));
+                    *known = revision;
+                }
+                if announced > *known {
+                    let missing = changes_after(*known);
+                    read(progress, *known, revision, !missing.is_empty());
+                    applied.extend(missing);
+                    *known = revision;
+                }
             }
             for (_, _, applied) in &daemons {
                 assert_eq!(applied, &store, "after the step to revision {revision}");
