State the version of the configuration in force to other daemons, and log when one is behind

The logs could not tell whether a daemon was behind, nor whether a version had come from a held call or from a read after a failure. Each daemon now states its version to the zone's relay when it comes into force and once in ten heartbeats; relays pass the newest one on. configuration_behind, configuration_read and a counter show it. No decision depends on it yet. A service of its own owns the configuration.

--- a/cactusglade-cli/src/explain/timeline.rs
+++ b/cactusglade-cli/src/explain/timeline.rs
@@ -11,9 +11,14 @@
 
 /// Events that report a change of a daemon's state: the event, the subject shown for it, and the
 /// field that distinguishes several subjects of the same kind.
-const STATE_EVENTS: [(&str, &str, Option<&str>); 14] = [
+const STATE_EVENTS: [(&str, &str, Option<&str>); 15] = [
     ("configuration_in_force", "configuration", None),
     ("configuration_refused", "refused configuration", None),
+    (
+        "configuration_behind",
+        "newer configuration elsewhere",
+        None,
+    ),
     ("generation_in_force", "configuration", None),
     ("fleet_changed", "other daemons", None),
     ("store_lost", "store", Some("source")),
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -15,6 +15,7 @@
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::budget;
+use cactusglade_policy::lag::Notice;
 use cactusglade_policy::quota::Tolerance;
 use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::port::Platform;
@@ -31,6 +32,8 @@
 use crate::boot::listen;
 use crate::edge::broker;
 use crate::edge::broker::Broker;
+use crate::edge::configuration;
+use crate::edge::configuration::Configuration;
 use crate::edge::duty;
 use crate::edge::duty::Duty;
 use crate::edge::front;
@@ -208,6 +211,7 @@
         let settings = self.settings;
         let (progress, relay_progress) = watch::channel(Progress::default());
         let (entries, forwarded) = mpsc::channel(FORWARDED_CAPACITY);
+        let (notices, stated) = watch::channel(None);
         let mesh = Mesh::try_new(mesh::Options {
             zone: settings.zone.clone(),
             socket: bind_datagrams(settings.peers)?,
@@ -216,6 +220,7 @@
             broker: broker.clone(),
             progress,
             entries,
+            notices,
             ledger: Ledger::new(
                 from_seconds(settings.usage_window_s),
                 from_seconds(settings.usage_late_s),
@@ -245,26 +250,46 @@
             has_read_store: false,
             parts: Vec::new(),
         };
-        self.start_watches(registry, broker, rollouts).await?;
+        let configuration = self.start_configuration(broker, &mesh, stated).await?;
+        let orders = Orders {
+            configuration,
+            broker: broker.clone(),
+            rollouts,
+        };
+        self.start_watches(registry, broker, orders).await?;
         Ok(mesh)
     }
 
+    /// Starts the service that owns the configuration.
+    async fn start_configuration(
+        &mut self,
+        broker: &ActorRef<Broker>,
+        mesh: &ActorRef<Mesh>,
+        notices: watch::Receiver<Option<Notice>>,
+    ) -> Result<ActorRef<Configuration>> {
+        let options = configuration::Options {
+            broker: broker.clone(),
+            mesh: mesh.clone(),
+            notices,
+            clock: self.clock,
+            log: self.log.clone(),
+            metrics: self.metrics.clone(),
+        };
+        let started = self.kernel.start(configuration::NAME, options).await?;
+        Ok(started)
+    }
+
     /// Starts the services that follow the operators and the registry.
     async fn start_watches(
         &mut self,
         registry: Relayed<P::Directory>,
         broker: &ActorRef<Broker>,
-        rollouts: watch::Sender<BTreeMap<String, Rollout>>,
+        orders: Orders,
     ) -> Result<()> {
         let orders = source_watch::Options {
             name: OPERATOR,
             source: self.platform.operator(),
-            sink: Orders {
-                broker: broker.clone(),
-                catalog: Arc::<Catalog>::default(),
-                rollouts,
-                log: self.log.clone(),
-            },
+            sink: orders,
             log: self.log.clone(),
         };
         let entries = source_watch::Options {
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -39,6 +39,10 @@
 #[derive(Clone, Debug)]
 pub struct Leadership(pub Option<Lease>);
 
+/// `InForce` states the version of the configuration that is in force at this daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct InForce(pub u64);
+
 /// `Inspect` requests the [`Fleet`].
 #[derive(Clone, Copy, Debug)]
 pub struct Inspect;
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -4,6 +4,7 @@
 mod messages;
 mod registry;
 mod sightings;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -15,6 +16,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
+use cactusglade_policy::lag::Notice;
 use cactusglade_policy::relay;
 use cactusglade_policy::roster::Announcement;
 use cactusglade_policy::roster::Consumption;
@@ -47,6 +49,7 @@
 pub use members::discover;
 pub use messages::Changeset;
 pub use messages::Fleet;
+pub use messages::InForce;
 pub use messages::Inspect;
 pub use messages::Leadership;
 pub use messages::Progress;
@@ -88,6 +91,8 @@
     pub progress: watch::Sender<Progress>,
     /// Receives the changes of the registry that the zone's relay forwards.
     pub entries: mpsc::Sender<Entries>,
+    /// Publishes the newest version of the configuration that other daemons state to be in force.
+    pub notices: watch::Sender<Option<Notice>>,
     /// Empty ledger of request counts.
     pub ledger: Ledger,
     /// Monotonic clock of the daemon.
@@ -121,6 +126,11 @@
     /// State of the registry as the zone's relay reports it.
     progress: watch::Sender<Progress>,
     entries: mpsc::Sender<Entries>,
+    /// Version of the configuration that is in force at this daemon.
+    in_force: u64,
+    /// Newest version that other daemons state to be in force.
+    newest: Option<Notice>,
+    notices: watch::Sender<Option<Notice>>,
     /// What the relay has still to pass on of the sightings of upstreams.
     exchange: Exchange,
     reachable: u64,
@@ -197,6 +207,9 @@
             self.publish_progress(Watermark::default());
         }
         self.send_heartbeat(now).await;
+        if self.sequence % HEARTBEATS_PER_BROADCAST == 1 {
+            self.send_version(now).await;
+        }
         if self.roster.is_relay(now) {
             self.send_summaries(now).await;
         }
@@ -233,6 +246,10 @@
                 self.receive_sightings(now, sightings).await;
                 return;
             }
+            Datagram::Version(version) => {
+                self.receive_version(now, version).await;
+                return;
+            }
         };
         if !added.quota_used.is_empty() {
             let _ = self.broker.tell(broker::Charge(added.quota_used)).await;
@@ -338,6 +355,9 @@
             registry: relay::Progress::default(),
             progress: options.progress,
             entries: options.entries,
+            in_force: 0,
+            newest: None,
+            notices: options.notices,
             exchange: Exchange::default(),
             reachable: 0,
             daemons: 0,
--- a/cactusglade-daemon/src/edge/mod.rs
+++ b/cactusglade-daemon/src/edge/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod boot;
 pub mod broker;
+pub mod configuration;
 pub mod duty;
 pub mod front;
 pub mod measure;
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -5,11 +5,8 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::Arc;
 use std::time::Duration;
 
-use cactusglade_core::catalog::Catalog;
-use cactusglade_core::catalog::Draft;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::port::Error;
@@ -25,9 +22,13 @@
 use slog::warn;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
+use crate::edge::configuration;
+use crate::edge::configuration::Configuration;
+use crate::edge::configuration::Origin;
 
 pub use relayed::Relayed;
 
@@ -51,10 +52,21 @@
 /// within which a change must be in force.
 const BATCH_PAUSE: Duration = Duration::from_millis(400);
 
+/// `Receipt` describes an answer of a source.
+#[derive(Clone, Copy, Debug)]
+pub struct Receipt {
+    /// Whether the answer has all items of the source and not only changes.
+    pub is_all: bool,
+    /// Revision of the source after the items.
+    pub revision: Revision,
+    /// Time from the call to its answer.
+    pub held: Millis,
+}
+
 /// `Sink` receives the items of a source.
 pub trait Sink<T>: Send + 'static {
-    /// Applies items; `is_all` says that these are all items of the source and not only changes.
-    fn apply(&mut self, items: Vec<T>, is_all: bool) -> impl Future<Output = ()> + Send;
+    /// Applies the items of an answer.
+    fn apply(&mut self, items: Vec<T>, receipt: Receipt) -> impl Future<Output = ()> + Send;
 
     /// Notes that the source became unreachable, or reachable again.
     fn set_unreachable(&mut self, is_unreachable: bool) -> impl Future<Output = ()> + Send;
@@ -123,8 +135,9 @@
     /// changes since the last revision.
     async fn run(&mut self) {
         loop {
+            let called = Instant::now();
             match self.options.source.read().await {
-                Ok(update) => self.receive(update, true).await,
+                Ok(update) => self.receive(update, true, called).await,
                 Err(error) => {
                     self.record_error(&error).await;
                     continue;
@@ -136,10 +149,11 @@
 
     /// Makes one call for changes; returns whether the store still has the changes asked for.
     async fn poll(&mut self) -> bool {
+        let called = Instant::now();
         match self.options.source.watch(self.revision, MAX_WAIT).await {
             Ok(update) => {
                 let is_change = !update.items.is_empty();
-                self.receive(update, false).await;
+                self.receive(update, false, called).await;
                 if is_change {
                     tokio::time::sleep(BATCH_PAUSE).await;
                 }
@@ -154,8 +168,8 @@
         true
     }
 
-    /// Applies an answer of the source, and notes that the source is reachable.
-    async fn receive(&mut self, update: Update<S::Item>, is_all: bool) {
+    /// Applies the answer to a call, and notes that the source is reachable.
+    async fn receive(&mut self, update: Update<S::Item>, is_all: bool, called: Instant) {
         self.retry_pause = MIN_RETRY_PAUSE;
         if self.is_unreachable {
             self.is_unreachable = false;
@@ -176,7 +190,13 @@
         }
         self.revision = update.revision;
         if is_all || !update.items.is_empty() {
-            self.options.sink.apply(update.items, is_all).await;
+            let held = u64::try_from(called.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let receipt = Receipt {
+                is_all,
+                revision: self.revision,
+                held: Millis(held),
+            };
+            self.options.sink.apply(update.items, receipt).await;
         }
     }
 
@@ -202,21 +222,29 @@
 /// `Orders` applies the operators' orders.
 #[derive(Debug)]
 pub struct Orders {
-    /// Broker, which applies the configuration.
+    /// Owner of the configuration.
+    pub configuration: ActorRef<Configuration>,
+    /// Broker, which excludes versions from requests.
     pub broker: ActorRef<Broker>,
-    /// Newest valid catalog.
-    pub catalog: Arc<Catalog>,
     /// Publishes the rollouts that operators have ordered, by service.
     pub rollouts: watch::Sender<BTreeMap<String, Rollout>>,
-    /// Log of the daemon.
-    pub log: Logger,
 }
 
 impl Sink<Order> for Orders {
-    async fn apply(&mut self, items: Vec<Order>, _: bool) {
+    async fn apply(&mut self, items: Vec<Order>, receipt: Receipt) {
         for order in items {
             match order {
-                Order::Configure(draft) => self.configure(*draft).await,
+                Order::Configure(draft) => {
+                    let configure = configuration::Configure {
+                        draft: *draft,
+                        origin: Origin::Store {
+                            revision: receipt.revision.0,
+                            held: receipt.held,
+                        },
+                    };
+                    // Fails only while the daemon stops.
+                    let _ = self.configuration.tell(configure).await;
+                }
                 Order::Rollout(rollout) => self.withhold(rollout).await,
                 Order::Withdrawn(service) => self.release(service).await,
             }
@@ -227,25 +255,6 @@
 }
 
 impl Orders {
-    /// Applies a configuration that is newer and valid.
-    async fn configure(&mut self, draft: Draft) {
-        let version = draft.version;
-        if version <= self.catalog.version {
-            return;
-        }
-        match Catalog::try_new(draft, &self.catalog) {
-            Ok(catalog) => {
-                self.catalog = Arc::new(catalog);
-                // Fails only while the daemon stops.
-                let _ = self.broker.tell(broker::Adopt(self.catalog.clone())).await;
-            }
-            Err(reason) => {
-                warn!(self.log, "configuration_refused"; "version" => version,
-                    "in_force" => self.catalog.version, "reason" => %reason);
-            }
-        }
-    }
-
     /// Excludes the version that a rollout leads to from requests; the holder of the duties rolls
     /// the rollout back.
     async fn withhold(&mut self, rollout: Rollout) {
@@ -280,9 +289,13 @@
 }
 
 impl Sink<Change> for Entries {
-    async fn apply(&mut self, changes: Vec<Change>, is_all: bool) {
+    async fn apply(&mut self, changes: Vec<Change>, receipt: Receipt) {
+        let apply = broker::Apply {
+            changes,
+            is_all: receipt.is_all,
+        };
         // Fails only while the daemon stops.
-        let _ = self.broker.tell(broker::Apply { changes, is_all }).await;
+        let _ = self.broker.tell(apply).await;
     }
 
     async fn set_unreachable(&mut self, is_unreachable: bool) {
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -61,6 +61,8 @@
     pub failed_fetches: IntCounter,
     /// Active generation.
     pub generation: IntGauge,
+    /// Times at which another daemon stated a newer configuration than this one has.
+    pub behind: IntCounter,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -117,6 +119,10 @@
             failed_fetches: counter("cactusglade_failed_fetches_total", "Fetches that failed")?,
             refused_sets: counter("cactusglade_refused_sets_total", "Object sets refused")?,
             generation: gauge("cactusglade_generation", "Generation in force")?,
+            behind: counter(
+                "cactusglade_configuration_behind_total",
+                "Times at which another daemon had a newer configuration",
+            )?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`quota`], [`roster`] and [`usage`]; the dispatch for the daemon's own gate, together with
+//! [`lag`], [`quota`], [`roster`] and [`usage`]; the dispatch for the daemon's own gate, together with
 //! [`choice`], [`fair`], [`gossip`], [`ledger`], [`limit`], [`pool`], [`prefix`], [`rollout`] and
 //! [`stream`]. Both sides use [`lease`] and [`retry`].
 
@@ -19,6 +19,7 @@
 pub mod dispatch;
 pub mod fair;
 pub mod gossip;
+pub mod lag;
 pub mod lease;
 pub mod ledger;
 pub mod limit;
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -149,6 +149,17 @@
     }
 }
 
+/// `Version` states the newest configuration that is known to be in force at a daemon.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Version {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Address of the daemon that has it in force.
+    pub holder: SocketAddr,
+    /// Milliseconds since that daemon stated so.
+    pub age_ms: u64,
+}
+
 /// `Datagram` is one message between daemons.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -162,6 +173,8 @@
     Entries(Entries),
     /// Sent between daemons of one zone, and between relays.
     Sightings(Sightings),
+    /// Sent to the relay of the zone, by which it is passed on to the zone and to other relays.
+    Version(Version),
 }
 
 impl Datagram {
