Fetch a newer configuration from another daemon where the store refuses this one

Callers saw: at daemons that the store refused, withdrawn keys accepted, new keys answered 401 and added routes 404 for as long as the refusal lasted, while the daemon next to them had the right configuration.

Cause: the store was the only way to the configuration, and a daemon could not tell a configuration that does not change from one that it is not told of. Class: one path to a state that others nearby hold, and no sign of being behind.

Change: policy::lag. A daemon that has been behind what others state for half a second fetches the configuration from the daemon that stated it; versions still only rise. A daemon that reads the changes from the store fetches none, also in a storm.

a_daemon_that_the_store_refuses_gets_the_configuration_from_another failed before: 'refused: 200 with the withdrawn key north-key, 404 on the added route'.

--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -5,6 +5,9 @@
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::arena;
 use crate::arena::Table;
 use crate::units::Millis;
@@ -26,7 +29,7 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// `Semantics` says how often a request of a route may run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Semantics {
     /// The request may run any number of times.
     Idempotent,
@@ -53,7 +56,7 @@
 }
 
 /// `Limits` bound what callers may send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Limits {
     /// Longest head of a request in bytes.
     pub header_bytes: usize,
@@ -77,7 +80,7 @@
 }
 
 /// `Scale` bounds how many upstreams of a service are ordered.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Scale {
     /// Minimum of upstreams in a zone.
     pub min: u64,
@@ -93,7 +96,7 @@
 }
 
 /// `Service` is a kind of upstream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Service {
     /// Name.
     pub name: String,
@@ -104,7 +107,7 @@
 }
 
 /// `Quota` limits the use of an organisation over all daemons.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Quota {
     /// Rate in units a second.
     pub rate: f64,
@@ -117,7 +120,7 @@
 }
 
 /// `Organisation` is a group of callers with one priority and one quota.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Organisation {
     /// Name.
     pub name: String,
@@ -128,7 +131,7 @@
 }
 
 /// `Route` says how requests for a path prefix of a host are handled.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Name.
     pub name: String,
@@ -146,12 +149,13 @@
     pub max_attempts: u64,
     /// Whether requests need no API key.
     pub is_public: bool,
-    /// Services with their weights in the traffic split.
+    /// Services with their weights in the traffic split; keys are not passed between processes.
+    #[serde(skip)]
     pub split: Vec<(arena::Service, u64)>,
 }
 
 /// `Draft` is a configuration as read, with references by name.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Draft {
     /// Version of the configuration, greater with each change.
     pub version: u64,
@@ -166,7 +170,7 @@
 }
 
 /// `Rule` is a route as read, with the path that it matches.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Rule {
     /// Path that the route matches.
     pub path: Path,
@@ -177,7 +181,7 @@
 }
 
 /// `Path` is a path prefix of a host, which a route matches.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Path {
     /// Host name.
     pub host: String,
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -233,15 +233,7 @@
             reason,
         })?;
         let mesh = self.kernel.start::<Mesh>(mesh::NAME, mesh).await?;
-        let own = (settings.peers, settings.zone.clone());
-        let (store, name) = (self.platform.store(), settings.name.clone());
-        tokio::spawn(mesh::discover(
-            store,
-            mesh.clone(),
-            name,
-            own,
-            self.log.clone(),
-        ));
+        self.start_discovery(&mesh);
         let registry = Relayed {
             source: self.platform.directory(),
             progress: relay_progress,
@@ -256,10 +248,19 @@
             broker: broker.clone(),
             rollouts,
         };
-        self.start_watches(registry, broker, orders).await?;
+        self.start_watches(orders, registry, broker).await?;
         Ok(mesh)
     }
 
+    /// Starts the task that finds the other daemons through the store.
+    fn start_discovery(&self, mesh: &ActorRef<Mesh>) {
+        let settings = self.settings;
+        let own = (settings.peers, settings.zone.clone());
+        let (store, name) = (self.platform.store(), settings.name.clone());
+        let discover = mesh::discover(store, mesh.clone(), name, own, self.log.clone());
+        tokio::spawn(discover);
+    }
+
     /// Starts the service that owns the configuration.
     async fn start_configuration(
         &mut self,
@@ -271,6 +272,7 @@
             broker: broker.clone(),
             mesh: mesh.clone(),
             notices,
+            listener: listen(self.settings.peers)?,
             clock: self.clock,
             log: self.log.clone(),
             metrics: self.metrics.clone(),
@@ -282,9 +284,9 @@
     /// Starts the services that follow the operators and the registry.
     async fn start_watches(
         &mut self,
+        orders: Orders,
         registry: Relayed<P::Directory>,
         broker: &ActorRef<Broker>,
-        orders: Orders,
     ) -> Result<()> {
         let orders = source_watch::Options {
             name: OPERATOR,
--- a/cactusglade-wire/src/lib.rs
+++ b/cactusglade-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! specifies all of them.
 
 pub mod caller;
+pub mod configuration;
 pub mod engine;
 pub mod event;
 pub mod gossip;
