Do not take the silence of the store for an unchanged configuration

Callers saw: after the store had taken a daemon's call for changes and lost it, that daemon went on with withdrawn keys and without added routes for up to 26.5 s, although the store answered new calls.

Cause: the orders are followed by one call that the store may hold for 25 s, and only its timeout ended it: keep-alive probes are answered by the connection, not by the call. Class: a lost answer that looks like the absence of news.

Change: the relay of a zone, and a daemon that hears of none, make calls of 0.9 s; the others make theirs again when they learn that they have missed a change, or that there is no relay. That is one call a second and zone more.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -53,6 +53,7 @@
 use crate::edge::watch::OPERATOR;
 use crate::edge::watch::Orders;
 use crate::edge::watch::Relayed;
+use crate::edge::watch::Supervised;
 use crate::edge::watch::Watch;
 use crate::metrics::Metrics;
 
@@ -234,6 +235,13 @@
         })?;
         let mesh = self.kernel.start::<Mesh>(mesh::NAME, mesh).await?;
         self.start_discovery(&mesh);
+        let (missed, gaps) = watch::channel(0);
+        let operators = Supervised {
+            source: self.platform.operator(),
+            progress: relay_progress.clone(),
+            missed: gaps,
+            log: self.log.clone(),
+        };
         let registry = Relayed {
             source: self.platform.directory(),
             progress: relay_progress,
@@ -242,13 +250,16 @@
             has_read_store: false,
             parts: Vec::new(),
         };
-        let configuration = self.start_configuration(broker, &mesh, stated).await?;
+        let configuration = self
+            .start_configuration(broker, &mesh, stated, missed)
+            .await?;
         let orders = Orders {
             configuration,
             broker: broker.clone(),
             rollouts,
         };
-        self.start_watches(orders, registry, broker).await?;
+        self.start_watches(operators, orders, registry, broker)
+            .await?;
         Ok(mesh)
     }
 
@@ -267,12 +278,14 @@
         broker: &ActorRef<Broker>,
         mesh: &ActorRef<Mesh>,
         notices: watch::Receiver<Option<Notice>>,
+        missed: watch::Sender<u64>,
     ) -> Result<ActorRef<Configuration>> {
         let options = configuration::Options {
             broker: broker.clone(),
             mesh: mesh.clone(),
             notices,
             listener: listen(self.settings.peers)?,
+            missed,
             clock: self.clock,
             log: self.log.clone(),
             metrics: self.metrics.clone(),
@@ -284,13 +297,14 @@
     /// Starts the services that follow the operators and the registry.
     async fn start_watches(
         &mut self,
+        operators: Supervised<P::Operator>,
         orders: Orders,
         registry: Relayed<P::Directory>,
         broker: &ActorRef<Broker>,
     ) -> Result<()> {
         let orders = source_watch::Options {
             name: OPERATOR,
-            source: self.platform.operator(),
+            source: operators,
             sink: orders,
             log: self.log.clone(),
         };
@@ -303,7 +317,7 @@
             log: self.log.clone(),
         };
         self.kernel
-            .start::<Watch<P::Operator, Orders>>(OPERATOR, orders)
+            .start::<Watch<Supervised<P::Operator>, Orders>>(OPERATOR, orders)
             .await?;
         self.kernel
             .start::<Watch<Relayed<P::Directory>, Entries>>(DIRECTORY, entries)
--- a/cactusglade-daemon/src/edge/configuration/mod.rs
+++ b/cactusglade-daemon/src/edge/configuration/mod.rs
@@ -50,6 +50,8 @@
     pub notices: watch::Receiver<Option<Notice>>,
     /// Socket at which other daemons fetch the configuration.
     pub listener: std::net::TcpListener,
+    /// Publishes the newest version that the store should have told this daemon and has not.
+    pub missed: watch::Sender<u64>,
     /// Monotonic clock of the daemon.
     pub clock: Clock,
     /// Log of the daemon.
@@ -66,6 +68,7 @@
     catalog: Arc<Catalog>,
     /// Configuration in force as read, for other daemons.
     in_force: watch::Sender<Option<Arc<Draft>>>,
+    missed: watch::Sender<u64>,
     lag: Lag,
     clock: Clock,
     log: Logger,
@@ -126,6 +129,7 @@
             mesh: options.mesh,
             catalog: Arc::default(),
             in_force,
+            missed: options.missed,
             lag: Lag::default(),
             clock: options.clock,
             log: options.log,
@@ -195,6 +199,9 @@
             Ok(catalog) => {
                 self.catalog = Arc::new(catalog);
                 self.lag.adopt(self.clock.now(), version);
+                if matches!(configure.origin, Origin::Peer(_)) {
+                    self.missed.send_replace(version);
+                }
                 self.in_force.send_replace(Some(Arc::new(configure.draft)));
                 // Both fail only while the daemon stops.
                 let _ = self.broker.tell(broker::Adopt(self.catalog.clone())).await;
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -1,6 +1,7 @@
 //! Services that follow the operators' orders and the registry of upstreams in the store.
 
 mod relayed;
+mod supervised;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -31,6 +32,7 @@
 use crate::edge::configuration::Origin;
 
 pub use relayed::Relayed;
+pub use supervised::Supervised;
 
 /// Name of the service that follows the operators.
 pub const OPERATOR: &str = "operator";
