Log whether a sending ended with its connection, and the shared parts of its prompt

The logs did not tell a crashed upstream from a silent one, nor what the requests that were lost in a crash had in common. The way in which an attempt failed is now passed on with its outcome. No decision depends on it yet.

--- a/cactusglade-core/src/call/mod.rs
+++ b/cactusglade-core/src/call/mod.rs
@@ -29,6 +29,19 @@
         let shared = self.parts.len().checked_sub(2)?;
         self.parts.get(shared).map(|part| part.id)
     }
+
+    /// Returns the sections that other requests may share: all but the last.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the identifiers of the shared sections in hexadecimal, for the log.
+    #[must_use]
+    pub fn shared_ids(&self) -> String {
+        let ids = self.shared().iter().map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
 }
 
 /// `Call` is the head of a request, one attempt of its caller.
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -21,6 +21,7 @@
 use super::entry::Buffered;
 use super::entry::Entry;
 use super::sending;
+use super::sending::Fault;
 use super::sending::Reservation;
 use super::sending::Started;
 
@@ -79,7 +80,7 @@
             let until = self.answer_deadline();
             match sending::send(&self.entry, placement, last_event, until).await {
                 Ok(started) => return Ok(started),
-                Err((outcome, reservation)) => self.handle_failure(outcome, reservation)?,
+                Err((fault, reservation)) => self.handle_failure(fault, reservation)?,
             }
         }
     }
@@ -89,20 +90,16 @@
     /// # Errors
     ///
     /// Returns how the exchange ends where the request is not sent again.
-    pub fn handle_failure(
-        &mut self,
-        outcome: Outcome,
-        reservation: Reservation,
-    ) -> Result<(), Ending> {
-        let next = self.attempt.record_failure(outcome);
+    pub fn handle_failure(&mut self, fault: Fault, reservation: Reservation) -> Result<(), Ending> {
+        let next = self.attempt.record_failure(fault.outcome);
         let is_expired = self.entry.context.clock.now() >= self.entry.deadline;
         let next = match next {
             Next::Give(_) if is_expired => self.attempt.give_up(Kind::DeadlineExceeded),
             next => next,
         };
-        self.log_failure(outcome, next, &reservation.name);
+        self.log_failure(fault, next, &reservation);
         self.tried.push(reservation.upstream());
-        reservation.fail(outcome);
+        reservation.fail(fault);
         match next {
             Next::Again => Ok(()),
             next => Err(Ending {
@@ -113,15 +110,18 @@
     }
 
     /// Logs and counts an attempt that failed.
-    fn log_failure(&self, outcome: Outcome, next: Next, upstream: &str) {
+    fn log_failure(&self, fault: Fault, next: Next, reservation: &Reservation) {
         let metrics = &self.entry.context.metrics;
         metrics
             .failed_sendings
-            .with_label_values(&[label(outcome)])
+            .with_label_values(&[label(fault.outcome)])
             .inc();
+        let prompt = self.entry.prompt.as_ref().filter(|_| fault.is_cut);
+        let parts = prompt.map(|prompt| prompt.shared_ids());
         info!(self.entry.context.log, "sending_failed"; "id" => &self.entry.call.id,
-            "upstream" => upstream, "outcome" => ?outcome, "next" => ?next,
-            "sent" => self.attempt.sent());
+            "upstream" => &reservation.name, "outcome" => ?fault.outcome, "next" => ?next,
+            "sent" => self.attempt.sent(), "cut" => fault.is_cut, "events" => reservation.events,
+            "parts" => parts);
     }
 
     /// Returns the error answer to the caller where no upstream answered, and refunds the request.
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -8,6 +8,7 @@
 use cactusglade_wire::port;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
@@ -20,6 +21,7 @@
 use super::entry::Entry;
 use super::exchange::Ending;
 use super::exchange::Exchange;
+use super::sending::Fault;
 use super::sending::Started;
 
 /// Longest answer that is buffered, in bytes. Answers of plain services have some kilobytes, and a
@@ -65,10 +67,17 @@
     reservation.begin(organisation).await;
     let deadline = entry.context.clock.instant(entry.deadline);
     let body = tokio::time::timeout_at(deadline, Limited::new(body, MAX_ANSWER_BYTES).collect());
-    let Ok(Ok(body)) = body.await else {
-        return Err(exchange.handle_failure(Outcome::Lost, reservation).err());
+    let body = match body.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        failed => {
+            let is_cut = matches!(&failed, Ok(Err(error)) if !error.is::<LengthLimitError>());
+            let fault = Fault {
+                outcome: Outcome::Lost,
+                is_cut,
+            };
+            return Err(exchange.handle_failure(fault, reservation).err());
+        }
     };
-    let body = body.to_bytes();
     let Some(says_not_run) = classify_failure(head.status) else {
         reservation.succeed();
         entry.record_first_byte();
@@ -78,7 +87,7 @@
     let outcome = Outcome::Failed {
         is_promise: says_not_run,
     };
-    match exchange.handle_failure(outcome, reservation) {
+    match exchange.handle_failure(Fault::new(outcome), reservation) {
         Ok(()) => Err(None),
         Err(ending) if ending.next == Next::Pass => {
             entry.record_failure("upstream_failed", exchange.attempt.sent());
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -32,6 +32,34 @@
 /// retransmitted after 200 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// `Fault` is the way in which an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// What it says about the request.
+    pub outcome: Outcome,
+    /// Whether the upstream's connection ended while the upstream had the request, as it does when
+    /// the upstream's process ends.
+    pub is_cut: bool,
+}
+
+impl Fault {
+    /// Returns the fault of an attempt whose connection did not end.
+    pub const fn new(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            is_cut: false,
+        }
+    }
+
+    /// Returns the fault of an attempt that ended with the upstream's connection.
+    pub const fn cut(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            is_cut: true,
+        }
+    }
+}
+
 /// `Started` is an answer whose head has been received.
 #[derive(Debug)]
 pub struct Started {
@@ -112,10 +140,10 @@
         self.release(Some(true), false, connection);
     }
 
-    /// Releases the place after an attempt that failed with this outcome.
-    pub fn fail(mut self, outcome: Outcome) {
+    /// Releases the place after an attempt that failed.
+    pub fn fail(mut self, fault: Fault) {
         let connection = self.connection.take();
-        match outcome {
+        match fault.outcome {
             Outcome::Unrun => self.release(None, false, connection),
             Outcome::Failed { .. } => self.release(Some(false), false, connection),
             Outcome::Misdirected | Outcome::Unsent | Outcome::Lost | Outcome::Broken => {
@@ -166,24 +194,26 @@
     placement: Placement,
     last_event: Option<u64>,
     until: Millis,
-) -> Result<Started, (Outcome, Reservation)> {
+) -> Result<Started, (Fault, Reservation)> {
+    let unsent = Fault::new(Outcome::Unsent);
     let (mut reservation, address) = Reservation::new(entry, placement);
     let mut connection = match reservation.connection.take() {
         Some(connection) => connection,
         None => match Connection::try_new(address, CONNECT_TIMEOUT).await {
             Ok(connection) => connection,
-            Err(_) => return Err((Outcome::Unsent, reservation)),
+            Err(_) => return Err((unsent, reservation)),
         },
     };
     let Some(request) = upstream_request(entry, &reservation.name, last_event) else {
-        return Err((Outcome::Unsent, reservation));
+        return Err((unsent, reservation));
     };
     let until = entry.context.clock.instant(until);
     let answered = tokio::time::timeout_at(until, connection.send(request));
     let response = match answered.await {
         Ok(Ok(response)) => response,
-        Ok(Err(link::Error::NotSent)) => return Err((Outcome::Unsent, reservation)),
-        Ok(Err(_)) | Err(_) => return Err((Outcome::Lost, reservation)),
+        Ok(Err(link::Error::NotSent)) => return Err((unsent, reservation)),
+        Ok(Err(_)) => return Err((Fault::cut(Outcome::Lost), reservation)),
+        Err(_) => return Err((Fault::new(Outcome::Lost), reservation)),
     };
     reservation.connection = Some(connection);
     read_head(entry, reservation, response).await
@@ -194,7 +224,7 @@
     entry: &Entry<F>,
     mut reservation: Reservation,
     response: Response<Incoming>,
-) -> Result<Started, (Outcome, Reservation)> {
+) -> Result<Started, (Fault, Reservation)> {
     let (parts, body) = response.into_parts();
     let reply = entry.context.codec.decode_reply(&parts);
     reservation.keep_alive = reply.keep_alive;
@@ -203,7 +233,7 @@
     if is_mismatch || (reply.id.is_none() && !reply.is_not_executed) {
         entry.context.metrics.mismatches.inc();
         reservation.connection = None;
-        return Err((Outcome::Lost, reservation));
+        return Err((Fault::new(Outcome::Lost), reservation));
     }
     if let Some(load) = reply.load {
         let observe = broker::Observe {
@@ -214,12 +244,12 @@
     }
     if reply.is_misdirected {
         reservation.connection = None;
-        return Err((Outcome::Misdirected, reservation));
+        return Err((Fault::new(Outcome::Misdirected), reservation));
     }
     if reply.is_not_executed {
         // The body of the refusal is not read, so the connection can't be reused.
         reservation.connection = None;
-        return Err((Outcome::Unrun, reservation));
+        return Err((Fault::new(Outcome::Unrun), reservation));
     }
     Ok(Started {
         head: parts,
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -23,6 +23,7 @@
 use super::exchange::Ending;
 use super::exchange::Exchange;
 use super::plain;
+use super::sending::Fault;
 use super::sending::Reservation;
 use super::sending::Started;
 
@@ -149,25 +150,26 @@
                     self.finish();
                     return Ok(None);
                 }
-                Err(outcome) => self.resume(outcome).await?,
+                Err(fault) => self.resume(fault).await?,
             }
         }
     }
 
     /// Reads one frame of the body and returns the complete events that it ends.
-    async fn read_frame(&mut self) -> Result<Option<Bytes>, Outcome> {
+    async fn read_frame(&mut self) -> Result<Option<Bytes>, Fault> {
+        let broken = Fault::new(Outcome::Broken);
         let deadline = self.exchange.entry.context.clock.instant(self.event_due);
         let Ok(frame) = tokio::time::timeout_at(deadline, self.body.frame()).await else {
-            return Err(Outcome::Broken);
+            return Err(broken);
         };
         match frame {
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
-                self.splitter.push(&data).map_err(|_| Outcome::Broken)?;
-                self.pop_events()
+                self.splitter.push(&data).map_err(|_| broken)?;
+                self.pop_events().map_err(Fault::new)
             }
-            Some(Err(_)) => Err(Outcome::Broken),
-            None if self.splitter.has_partial() => Err(Outcome::Broken),
+            Some(Err(_)) => Err(Fault::cut(Outcome::Broken)),
+            None if self.splitter.has_partial() => Err(Fault::cut(Outcome::Broken)),
             None => Ok(None),
         }
     }
@@ -238,12 +240,11 @@
         self.exchange.entry.record("ok", sent);
     }
 
-    /// Resumes the stream at another upstream after an attempt that failed with this outcome.
-    async fn resume(&mut self, outcome: Outcome) -> Result<(), Ending> {
-        let mut outcome = outcome;
+    /// Resumes the stream at another upstream after an attempt that failed.
+    async fn resume(&mut self, mut fault: Fault) -> Result<(), Ending> {
         loop {
             if let Some(reservation) = self.reservation.take() {
-                self.exchange.handle_failure(outcome, reservation)?;
+                self.exchange.handle_failure(fault, reservation)?;
             }
             let started = self.exchange.send(self.cursor).await?;
             self.reservation = Some(started.reservation);
@@ -253,7 +254,7 @@
                 self.splitter = Splitter::default();
                 return Ok(());
             }
-            outcome = Outcome::Failed { is_promise: false };
+            fault = Fault::new(Outcome::Failed { is_promise: false });
         }
     }
 }
