Hold the parts of prompts that crash the upstreams which answer them

Callers saw: requests with one part crashed upstream after upstream for as long as they came.

Cause: nothing connected a crash with what caused it. A daemon took the lost request for bad luck and sent it to the next upstream, its caller did so again, and no daemon saw enough of the crashes to tell. Class: retries of a request that is itself the fault.

Change: policy::quarantine. Daemons share which requests were cut within their first events and which parts of prompts were answered. A part that three crashes have in common and no answered request has is held: requests with it are refused at once, as not run, for a minute, then longer. Parts that can't be told apart are held together only, and an answer that goes on for 0.3 s ends the hold of its parts everywhere.

Tried and replaced: holding the single part with the most crashes. Six daemons of seven held the part that came with the deadly one in every request, and 15 sound requests were refused; two parts at a time led to the part that both go with. Both are tests now.

--- a/cactusglade-core/src/errors/mod.rs
+++ b/cactusglade-core/src/errors/mod.rs
@@ -66,6 +66,8 @@
     StoreUnavailable,
     /// Work may have been accepted, but the platform's answer was lost.
     Unsettled,
+    /// A part of the prompt crashes the upstreams that answer it.
+    Quarantined,
     /// The deadline expired before the request was sent to an upstream.
     Expired,
     /// Every upstream that was tried refused the request without running it.
@@ -109,7 +111,7 @@
 
 impl Kind {
     /// All kinds, in the order of the table in `docs/INTERFACES.md`.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::BadRequest,
         Self::Unauthenticated,
         Self::UnknownWork,
@@ -126,6 +128,7 @@
         Self::NoUpstream,
         Self::StoreUnavailable,
         Self::Unsettled,
+        Self::Quarantined,
         Self::Expired,
         Self::UpstreamRefused,
         Self::UpstreamLost,
@@ -172,6 +175,7 @@
             Self::NoUpstream => answer(503, "no_upstream", Ran::No, RETRY_AFTER_LONG),
             Self::StoreUnavailable => answer(503, "store_unavailable", Ran::No, RETRY_AFTER_LONG),
             Self::Unsettled => answer(503, "unsettled", Ran::Maybe, None),
+            Self::Quarantined => answer(503, "quarantined", Ran::No, RETRY_AFTER_LONG),
             Self::Expired => answer(504, "expired", Ran::No, RETRY_AFTER_SHORT),
             Self::UpstreamRefused => answer(502, "upstream_refused", Ran::No, RETRY_AFTER_SHORT),
             Self::UpstreamLost => answer(502, "upstream_lost", Ran::Maybe, None),
--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::units::Millis;
+
 /// `Phase` says whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Phase {
@@ -81,3 +83,52 @@
         self.lost_by = later.lost_by.or(self.lost_by);
     }
 }
+
+/// `Suspicion` is what a daemon shares about parts of prompts that may crash upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Suspicion {
+    /// A request was cut as its answer began.
+    Cut {
+        /// Identifiers of the shared parts of its prompt.
+        parts: Vec<u64>,
+        /// Hash of the name of the upstream.
+        upstream: u32,
+        /// Milliseconds since then.
+        age_ms: u64,
+    },
+    /// A request with the part was answered.
+    Answered {
+        /// Identifier of the part.
+        part: u64,
+        /// Milliseconds since the answer began.
+        age_ms: u64,
+    },
+    /// Requests that have all of the parts are refused.
+    Held {
+        /// Identifiers of the parts.
+        parts: Vec<u64>,
+        /// Milliseconds since a request with the parts was last cut.
+        age_ms: u64,
+        /// Milliseconds for which they are still refused.
+        left_ms: u64,
+        /// Length of the whole time in milliseconds.
+        period_ms: u64,
+    },
+}
+
+impl Suspicion {
+    /// Returns the same statement some time later.
+    #[must_use]
+    pub fn aged(mut self, span: Millis) -> Self {
+        match &mut self {
+            Self::Cut { age_ms, .. } | Self::Answered { age_ms, .. } => *age_ms += span.0,
+            Self::Held {
+                age_ms, left_ms, ..
+            } => {
+                *age_ms += span.0;
+                *left_ms = left_ms.saturating_sub(span.0);
+            }
+        }
+        self
+    }
+}
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -10,6 +10,7 @@
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Sighting;
+use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::link::Connection;
@@ -18,6 +19,8 @@
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::broker::Report;
 use cactusglade_policy::capacity::Zone;
+use cactusglade_policy::quarantine;
+use cactusglade_policy::quarantine::Judgement;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Counts;
 use cactusglade_wire::port::Load;
@@ -25,6 +28,7 @@
 use kameo::message::Context;
 use kameo::message::Message;
 use slog::info;
+use slog::warn;
 
 use super::Broker;
 use super::idle::Idle;
@@ -87,16 +91,29 @@
 pub struct Ended {
     /// Grant under which the request was sent.
     pub grant: Grant,
-    /// Whether the upstream had begun to answer.
-    pub has_begun: bool,
     /// Number of events of the answer that were forwarded to the caller.
     pub events: u64,
+    /// When the upstream began to answer.
+    pub began: Option<Millis>,
+    /// Whether the upstream's connection ended while the upstream had the request.
+    pub is_cut: bool,
+    /// Prompt of a model request.
+    pub prompt: Option<Arc<Prompt>>,
     /// Result of the attempt, by which the upstream is rated.
     pub report: Report,
     /// Connection, where it can be reused, with the idle timeout announced by the upstream.
     pub connection: Option<(Connection, Option<Millis>)>,
 }
 
+/// `Proved` reports that an answer has gone on for long enough to prove that the prompt is sound.
+#[derive(Clone, Debug)]
+pub struct Proved {
+    /// Prompt of the request.
+    pub prompt: Arc<Prompt>,
+    /// When the upstream began to answer.
+    pub began: Millis,
+}
+
 /// `Observe` reports the load that an upstream stated in an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Observe {
@@ -163,6 +180,10 @@
 #[derive(Clone, Debug)]
 pub struct Learn(pub Vec<Sighting>);
 
+/// `Heed` passes on what other daemons know of parts of prompts that may crash upstreams.
+#[derive(Clone, Debug)]
+pub struct Heed(pub Vec<Suspicion>);
+
 /// `Survey` requests the [`Inventory`].
 #[derive(Clone, Copy, Debug)]
 pub struct Survey;
@@ -178,7 +199,10 @@
 
 /// `Meter` requests the [`Statistics`].
 #[derive(Clone, Copy, Debug)]
-pub struct Meter;
+pub struct Meter {
+    /// Whether the parts of prompts that are held are to be stated again.
+    pub restates_holds: bool,
+}
 
 /// `Statistics` is the usage at this daemon since it started.
 #[derive(Clone, Debug, Default, Reply)]
@@ -191,6 +215,8 @@
     pub counts: BTreeMap<u64, Counts>,
     /// What this daemon has seen of upstreams since the last call.
     pub sightings: Vec<Sighting>,
+    /// What this daemon has found out about parts of prompts since the last call.
+    pub suspicions: Vec<Suspicion>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -202,6 +228,7 @@
 
     async fn handle(&mut self, place: Place, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let now = self.clock.now();
+        self.check_prompt(now, &place)?;
         self.charge(now, &place)?;
         let query = policy::Query {
             route: place.route,
@@ -229,6 +256,31 @@
     }
 }
 
+impl Message<Proved> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, proved: Proved, _: &mut Context<Self, ()>) {
+        let (now, shared) = (self.clock.now(), proved.prompt.shared());
+        let released = self
+            .policy
+            .quarantine
+            .record_answer(now, proved.began, shared);
+        self.log_judgements(&released);
+    }
+}
+
+impl Message<Heed> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, heed: Heed, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        for suspicion in &heed.0 {
+            let judgements = self.policy.quarantine.learn(now, suspicion);
+            self.log_judgements(&judgements);
+        }
+    }
+}
+
 impl Message<Observe> for Broker {
     type Reply = ();
 
@@ -275,7 +327,7 @@
     async fn handle(&mut self, ended: Ended, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         let key = ended.grant.upstream;
-        if !ended.has_begun {
+        if ended.began.is_none() {
             self.policy.finish_prefill(&ended.grant);
         }
         self.add_work(
@@ -285,6 +337,7 @@
         if self.policy.finish(now, key, &ended.report, rand::random()) {
             self.log_doubt(key);
         }
+        self.record_evidence(now, &ended);
         let is_available = self
             .policy
             .upstream(key)
@@ -411,8 +464,14 @@
 impl Message<Meter> for Broker {
     type Reply = Statistics;
 
-    async fn handle(&mut self, _: Meter, _: &mut Context<Self, Statistics>) -> Statistics {
+    async fn handle(&mut self, meter: Meter, _: &mut Context<Self, Statistics>) -> Statistics {
+        let now = self.clock.now();
+        let judgements = self.policy.quarantine.judge(now);
+        self.log_judgements(&judgements);
+        let quarantine = &mut self.policy.quarantine;
+        let suspicions = quarantine.take_unshared(now, meter.restates_holds);
         Statistics {
+            suspicions,
             quota_used: self.quota_used.clone(),
             work: self.work.clone(),
             counts: self.windows.counts().clone(),
@@ -455,6 +514,52 @@
         Ok(())
     }
 
+    /// Refuses a request with a part of the prompt that crashes upstreams.
+    fn check_prompt(&mut self, now: Millis, place: &Place) -> Result<(), Refused> {
+        let shared = place.prompt.as_deref().map_or(&[][..], Prompt::shared);
+        match self.policy.quarantine.held_until(now, shared) {
+            Some(until) => Err(Refused {
+                kind: Kind::Quarantined,
+                retry_after: Some(until - now),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    /// Records what the end of an attempt says about its prompt.
+    fn record_evidence(&mut self, now: Millis, ended: &Ended) {
+        let Some(prompt) = &ended.prompt else { return };
+        if ended.is_cut && ended.events <= quarantine::MAX_EVENTS {
+            self.policy.record_cut(now, ended.grant.upstream, prompt);
+        }
+        if let Some(began) = ended.began.filter(|_| ended.report.is_good == Some(true)) {
+            let shared = prompt.shared();
+            let released = self.policy.quarantine.record_answer(now, began, shared);
+            self.log_judgements(&released);
+        }
+    }
+
+    /// Logs and counts parts of prompts that are held or released.
+    fn log_judgements(&self, judgements: &[Judgement]) {
+        for judgement in judgements {
+            match judgement {
+                Judgement::Held {
+                    parts,
+                    incidents,
+                    until,
+                } => {
+                    let parts = parts.iter().map(|part| format!("{part:x}"));
+                    warn!(self.log, "parts_held"; "parts" => parts.collect::<Vec<_>>().join(","),
+                        "incidents" => incidents, "for_ms" => (*until - self.clock.now()).0);
+                    self.metrics.held_parts.inc();
+                }
+                Judgement::Released { part } => {
+                    info!(self.log, "part_released"; "part" => format!("{part:x}"));
+                }
+            }
+        }
+    }
+
     /// Logs that losses of two daemons have taken an upstream out.
     fn log_doubt(&self, key: arena::Upstream) {
         if let Some(upstream) = self.policy.upstream(key) {
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -201,8 +201,11 @@
             next: self.attempt.give_up(kind),
             retry_after,
         };
+        let prompt = self.entry.prompt.as_ref();
+        let parts = prompt.filter(|_| kind == Kind::Quarantined);
         info!(self.entry.context.log, "not_placed"; "id" => &self.entry.call.id,
-            "kind" => ?kind, "next" => ?ending.next, "tried" => self.tried.len());
+            "kind" => ?kind, "next" => ?ending.next, "tried" => self.tried.len(),
+            "parts" => parts.map(|prompt| prompt.shared_ids()));
         ending
     }
 
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -1,9 +1,11 @@
 //! One attempt to send a request to one upstream, up to the head of the answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cactusglade_core::arena;
+use cactusglade_core::call::Prompt;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock::Clock;
 use cactusglade_link::link;
@@ -11,6 +13,7 @@
 use cactusglade_policy::attempt::Outcome;
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::broker::Report;
+use cactusglade_policy::quarantine::PROOF_TIME;
 use cactusglade_wire::port;
 use cactusglade_wire::port::Forwarding;
 use http_body_util::Full;
@@ -25,6 +28,7 @@
 use crate::edge::broker::Broker;
 use crate::edge::broker::Ended;
 use crate::edge::broker::Placement;
+use crate::edge::broker::Proved;
 
 use super::entry::Entry;
 
@@ -86,8 +90,12 @@
     latency: Option<Millis>,
     keep_alive: Option<Millis>,
     closes: bool,
-    has_begun: bool,
+    /// When the upstream began to answer.
+    began: Option<Millis>,
+    has_proved: bool,
     has_ended: bool,
+    /// Prompt of a model request.
+    prompt: Option<Arc<Prompt>>,
     /// Number of events of the answer that were forwarded to the caller.
     pub events: u64,
 }
@@ -105,8 +113,10 @@
             latency: None,
             keep_alive: None,
             closes: false,
-            has_begun: false,
+            began: None,
+            has_proved: false,
             has_ended: false,
+            prompt: entry.prompt.clone(),
             events: 0,
         };
         (reservation, placement.address)
@@ -117,13 +127,16 @@
         self.grant.upstream
     }
 
-    /// Reports to the broker that the upstream has begun to answer, once for each attempt.
+    /// Reports to the broker that the upstream has begun to answer, once for each attempt, and later
+    /// that the answer goes on.
     pub async fn begin(&mut self, organisation: Option<arena::Organisation>) {
-        if self.has_begun {
+        let now = self.clock.now();
+        if self.began.is_some() {
+            self.prove(now).await;
             return;
         }
-        self.has_begun = true;
-        let latency = self.clock.now() - self.sent_at;
+        self.began = Some(now);
+        let latency = now - self.sent_at;
         self.latency = Some(latency);
         let begun = Begun {
             grant: self.grant,
@@ -134,31 +147,51 @@
         let _ = self.broker.tell(begun).await;
     }
 
+    /// Reports once that the answer has gone on for [`PROOF_TIME`].
+    async fn prove(&mut self, now: Millis) {
+        let began = self.began.filter(|began| now - *began >= PROOF_TIME);
+        let prompt = self.prompt.as_ref().filter(|_| !self.has_proved);
+        if let (Some(began), Some(prompt)) = (began, prompt) {
+            let prompt = prompt.clone();
+            self.has_proved = true;
+            // Fails only while the daemon stops.
+            let _ = self.broker.tell(Proved { prompt, began }).await;
+        }
+    }
+
     /// Releases the place after a complete answer, and returns the connection for reuse.
     pub fn succeed(mut self) {
         let connection = self.connection.take().filter(|_| !self.closes);
-        self.release(Some(true), false, connection);
+        self.release(Some(true), None, connection);
     }
 
     /// Releases the place after an attempt that failed.
     pub fn fail(mut self, fault: Fault) {
         let connection = self.connection.take();
-        match fault.outcome {
-            Outcome::Unrun => self.release(None, false, connection),
-            Outcome::Failed { .. } => self.release(Some(false), false, connection),
-            Outcome::Misdirected | Outcome::Unsent | Outcome::Lost | Outcome::Broken => {
-                self.release(Some(false), true, None);
-            }
-        }
+        let is_good = (fault.outcome != Outcome::Unrun).then_some(false);
+        let connection = match fault.outcome {
+            Outcome::Unrun | Outcome::Failed { .. } => connection,
+            Outcome::Misdirected | Outcome::Unsent | Outcome::Lost | Outcome::Broken => None,
+        };
+        self.release(is_good, Some(fault), connection);
     }
 
     /// Reports the end of the attempt to the broker.
-    fn release(&mut self, is_good: Option<bool>, is_lost: bool, connection: Option<Connection>) {
+    fn release(
+        &mut self,
+        is_good: Option<bool>,
+        fault: Option<Fault>,
+        connection: Option<Connection>,
+    ) {
         self.has_ended = true;
+        let is_lost = fault
+            .is_some_and(|fault| !matches!(fault.outcome, Outcome::Unrun | Outcome::Failed { .. }));
         let ended = Ended {
             grant: self.grant,
-            has_begun: self.has_begun,
             events: self.events,
+            began: self.began,
+            is_cut: fault.is_some_and(|fault| fault.is_cut),
+            prompt: self.prompt.take(),
             report: Report {
                 is_good,
                 is_lost,
@@ -178,7 +211,7 @@
     fn drop(&mut self) {
         if !self.has_ended {
             self.connection = None;
-            self.release(None, false, None);
+            self.release(None, None, None);
         }
     }
 }
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -4,6 +4,7 @@
 mod messages;
 mod registry;
 mod sightings;
+mod suspicions;
 mod versions;
 
 use std::collections::BTreeMap;
@@ -58,6 +59,7 @@
 use messages::Members;
 use messages::ReadsMembers;
 use sightings::Exchange;
+use suspicions::Backlog;
 
 /// Name of the service.
 pub const NAME: &str = "mesh";
@@ -133,6 +135,8 @@
     notices: watch::Sender<Option<Notice>>,
     /// What the relay has still to pass on of the sightings of upstreams.
     exchange: Exchange,
+    /// What the relay has still to pass on about parts of prompts.
+    backlog: Backlog,
     reachable: u64,
     daemons: u64,
 }
@@ -189,7 +193,10 @@
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, u32>) -> u32 {
         let now = self.clock.now();
         // The broker stops after this service, so the call succeeds.
-        let statistics = self.broker.ask(broker::Meter).await.unwrap_or_default();
+        let meter = broker::Meter {
+            restates_holds: self.sequence.is_multiple_of(HEARTBEATS_PER_BROADCAST),
+        };
+        let statistics = self.broker.ask(meter).await.unwrap_or_default();
         self.own_totals = Consumption {
             quota_used: statistics.quota_used,
             work: statistics.work,
@@ -202,6 +209,7 @@
         self.sequence += 1;
         self.roster.expire(now);
         self.send_sightings(now, &statistics.sightings).await;
+        self.send_suspicions(now, &statistics.suspicions).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -246,6 +254,10 @@
                 self.receive_sightings(now, sightings).await;
                 return;
             }
+            Datagram::Suspicions(suspicions) => {
+                self.receive_suspicions(now, suspicions).await;
+                return;
+            }
             Datagram::Version(version) => {
                 self.receive_version(now, version).await;
                 return;
@@ -359,6 +371,7 @@
             newest: None,
             notices: options.notices,
             exchange: Exchange::default(),
+            backlog: Backlog::default(),
             reachable: 0,
             daemons: 0,
         };
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -49,6 +49,8 @@
     pub goals: IntCounterVec,
     /// Durations of calls to the platform in seconds, by call and result.
     pub platform_calls: HistogramVec,
+    /// Parts of prompts found to crash upstreams, each time that one is held.
+    pub held_parts: IntCounter,
     /// Streams moved away from an upstream that shuts down.
     pub moves: IntCounter,
     /// Answers from upstreams that belonged to another attempt.
@@ -107,6 +109,10 @@
             goals: goals(&registry)?,
             platform_calls: platform_calls(&registry)?,
             retries: counter("cactusglade_retries_total", "Attempts beyond the first")?,
+            held_parts: counter(
+                "cactusglade_held_parts_total",
+                "Parts of prompts found to crash upstreams",
+            )?,
             moves: counter(
                 "cactusglade_moves_total",
                 "Streams moved off leaving upstreams",
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -24,6 +24,7 @@
 use crate::affinity;
 use crate::budget;
 use crate::budget::Budget;
+use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
 
@@ -117,6 +118,8 @@
     upstream_hashes: BTreeMap<u32, arena::Upstream>,
     /// What this daemon has seen of upstreams since it last shared it.
     sightings: BTreeMap<u32, Sighting>,
+    /// Parts of prompts that crash upstreams.
+    pub quarantine: Quarantine,
     /// Hash of this daemon's name.
     own: u32,
     budgets: BTreeMap<arena::Service, Budget>,
@@ -147,6 +150,7 @@
             services: BTreeMap::new(),
             upstream_hashes: BTreeMap::new(),
             sightings: BTreeMap::new(),
+            quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             withheld: BTreeMap::new(),
@@ -402,6 +406,14 @@
         }
     }
 
+    /// Records that an upstream's connection was cut as it began to answer a request.
+    pub fn record_cut(&mut self, now: Millis, key: arena::Upstream, prompt: &Prompt) {
+        if let Some(upstream) = self.upstreams.get(key) {
+            let hash = affinity::short_hash(&upstream.instance.name);
+            self.quarantine.record_cut(now, hash, prompt.shared());
+        }
+    }
+
     /// Records the end of an attempt; `draw` from 0 to 1 is the jitter of the backoff. Returns
     /// whether its loss takes the upstream out.
     pub fn finish(
--- /dev/null
+++ b/cactusglade-policy/tests/quarantine.rs
@@ -0,0 +1,267 @@
+//! Guards against prompts that crash upstream after upstream, and against sound requests refused for
+//! them.
+
+use cactusglade_core::call::Part;
+use cactusglade_core::fleet::Suspicion;
+use cactusglade_core::units::Millis;
+use cactusglade_policy::quarantine::Judgement;
+use cactusglade_policy::quarantine::PROOF_TIME;
+use cactusglade_policy::quarantine::Quarantine;
+
+const COMMON: u64 = 1;
+const SIBLING: u64 = 2;
+const DEADLY: u64 = 3;
+/// Time after the fifth crash from which hardly any request with the part may reach an upstream.
+const CONTACT_TIME: Millis = Millis(3_000);
+/// Interval between two heartbeats, with which evidence is shared.
+const HEARTBEAT: Millis = Millis(100);
+/// Number of daemons.
+const DAEMONS: usize = 7;
+
+fn parts(ids: &[u64]) -> Vec<Part> {
+    let part = |id: &u64| Part {
+        id: *id,
+        tokens: 100,
+    };
+    ids.iter().map(part).collect()
+}
+
+/// Daemons that exchange what they know with each heartbeat.
+struct Fleet {
+    daemons: Vec<Quarantine>,
+    now: Millis,
+    judgements: Vec<Judgement>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            daemons: vec![Quarantine::default(); DAEMONS],
+            now: Millis(100_000),
+            judgements: Vec::new(),
+        }
+    }
+
+    /// Lets time pass, heartbeat by heartbeat.
+    fn pass(&mut self, span: Millis) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + HEARTBEAT;
+            for sender in 0..DAEMONS {
+                let judged = self.daemons[sender].judge(self.now);
+                self.judgements.extend(judged);
+                let restates = self.now.0.is_multiple_of(1_000);
+                let shared = self.daemons[sender].take_unshared(self.now, restates);
+                for (receiver, daemon) in self.daemons.iter_mut().enumerate() {
+                    for suspicion in shared.iter().filter(|_| receiver != sender) {
+                        let learned = daemon.learn(self.now, suspicion);
+                        self.judgements.extend(learned);
+                    }
+                }
+            }
+        }
+    }
+
+    fn cut(&mut self, daemon: usize, upstream: u32, ids: &[u64]) {
+        let now = self.now;
+        self.daemons[daemon % DAEMONS].record_cut(now, upstream, &parts(ids));
+    }
+
+    /// A request that began [`PROOF_TIME`] ago is still answered.
+    fn answer(&mut self, daemon: usize, ids: &[u64]) {
+        let began = self.now - PROOF_TIME;
+        let answering = &mut self.daemons[daemon % DAEMONS];
+        let judged = answering.record_answer(self.now, began, &parts(ids));
+        self.judgements.extend(judged);
+    }
+
+    /// Returns the number of daemons that refuse requests with these parts.
+    fn refusing(&self, ids: &[u64]) -> usize {
+        let refuses = |one: &&Quarantine| one.held_until(self.now, &parts(ids)).is_some();
+        self.daemons.iter().filter(refuses).count()
+    }
+}
+
+/// Crashes by the deadly part, each seen by another daemon, beside sound requests of its siblings.
+fn crash(fleet: &mut Fleet, number: u32) {
+    let daemon = number as usize;
+    fleet.cut(daemon, number, &[COMMON, SIBLING, DEADLY]);
+    fleet.cut(daemon + 1, number, &[COMMON]);
+    fleet.cut(daemon + 2, number, &[COMMON, SIBLING]);
+}
+
+#[test]
+fn a_part_that_crashes_upstreams_is_refused_by_all_daemons_within_five_crashes() {
+    for pause in [200, 400, 800, 2_000] {
+        let mut fleet = Fleet::new();
+        fleet.answer(3, &[COMMON, SIBLING]);
+        for number in 0..5 {
+            crash(&mut fleet, number);
+            fleet.pass(Millis(pause));
+            fleet.answer(4, &[COMMON]);
+        }
+        fleet.pass(CONTACT_TIME);
+        assert_eq!(fleet.refusing(&[9, DEADLY]), DAEMONS, "pause {pause} ms");
+        assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0, "pause {pause} ms");
+    }
+}
+
+#[test]
+fn two_parts_that_crash_upstreams_at_a_time_are_both_found() {
+    let mut fleet = Fleet::new();
+    fleet.answer(3, &[COMMON, SIBLING]);
+    for number in 0..5 {
+        crash(&mut fleet, number);
+        fleet.cut(number as usize + 3, 100 + number, &[COMMON, 77]);
+        fleet.pass(Millis(350));
+        crash(&mut fleet, 50 + number);
+        fleet.pass(Millis(250));
+        fleet.cut(number as usize, 200 + number, &[COMMON, 77]);
+        fleet.pass(Millis(300));
+        fleet.answer(4, &[COMMON]);
+    }
+    fleet.pass(CONTACT_TIME);
+    assert_eq!(fleet.refusing(&[DEADLY]), DAEMONS);
+    assert_eq!(fleet.refusing(&[77]), DAEMONS);
+    assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0);
+}
+
+/// All requests with the deadly part have another one in common, which no request had before.
+#[test]
+fn a_part_that_comes_with_the_deadly_one_stays_in_use() {
+    let mut fleet = Fleet::new();
+    for number in 0..5 {
+        fleet.cut(number as usize, number, &[COMMON, SIBLING, DEADLY]);
+        fleet.cut(number as usize + 1, number, &[COMMON]);
+        fleet.pass(Millis(400));
+        fleet.answer(4, &[COMMON]);
+    }
+    fleet.pass(CONTACT_TIME);
+    assert_eq!(fleet.refusing(&[COMMON, SIBLING, DEADLY]), DAEMONS);
+    assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0, "sound requests");
+    // Once the sibling is answered, the deadly part is refused whatever it comes with.
+    fleet.answer(2, &[COMMON, SIBLING]);
+    fleet.pass(Millis(300));
+    assert_eq!(fleet.refusing(&[COMMON, DEADLY]), DAEMONS);
+    assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0, "sound requests");
+}
+
+/// The deadly part comes with another one at first, and alone then.
+#[test]
+fn a_part_that_crashes_upstreams_alone_is_told_from_the_one_that_it_came_with() {
+    let mut fleet = Fleet::new();
+    for number in 0..3 {
+        fleet.cut(number as usize, number, &[SIBLING, DEADLY]);
+        fleet.pass(Millis(400));
+    }
+    fleet.cut(3, 3, &[DEADLY]);
+    fleet.pass(Millis(600));
+    assert_eq!(fleet.refusing(&[DEADLY]), DAEMONS);
+    assert_eq!(fleet.refusing(&[SIBLING]), 0);
+}
+
+/// Hosts fail together: many upstreams crash at once, with requests of all kinds at them.
+#[test]
+fn upstreams_that_crash_together_have_no_part_refused() {
+    let mut fleet = Fleet::new();
+    for round in 0..2 {
+        for upstream in 0..12 {
+            let own = u64::from(upstream) % 3;
+            fleet.cut(
+                upstream as usize,
+                round * 100 + upstream,
+                &[COMMON, 10 + own],
+            );
+        }
+        fleet.pass(CONTACT_TIME);
+    }
+    assert_eq!(fleet.judgements, []);
+}
+
+/// Upstreams crash one after another for reasons of their own, while requests go on.
+#[test]
+fn parts_that_are_answered_between_crashes_are_not_refused() {
+    let mut fleet = Fleet::new();
+    for number in 0..40 {
+        fleet.cut(number as usize, number, &[COMMON, SIBLING]);
+        fleet.pass(Millis(500));
+        fleet.answer(number as usize + 1, &[COMMON, SIBLING]);
+    }
+    assert_eq!(fleet.judgements, []);
+}
+
+#[test]
+fn a_daemon_that_starts_learns_what_is_held() {
+    let mut fleet = Fleet::new();
+    for number in 0..5 {
+        crash(&mut fleet, number);
+        fleet.pass(Millis(400));
+        fleet.answer(4, &[COMMON, SIBLING]);
+    }
+    fleet.daemons[2] = Quarantine::default();
+    fleet.pass(Millis(1_100));
+    assert_eq!(fleet.refusing(&[DEADLY]), DAEMONS);
+}
+
+#[test]
+fn a_part_is_tried_again_and_held_for_longer_after_one_more_crash() {
+    let mut fleet = Fleet::new();
+    for number in 0..5 {
+        crash(&mut fleet, number);
+        fleet.pass(Millis(400));
+        fleet.answer(4, &[COMMON, SIBLING]);
+    }
+    let held = fleet.daemons[0].held_until(fleet.now, &parts(&[DEADLY]));
+    let first = held.expect("the part is held") - fleet.now;
+    fleet.pass(first + CONTACT_TIME);
+    assert_eq!(fleet.refusing(&[DEADLY]), 0, "sent again");
+    fleet.cut(0, 500, &[COMMON, DEADLY]);
+    fleet.pass(Millis(500));
+    assert_eq!(fleet.refusing(&[DEADLY]), DAEMONS);
+    let held = fleet.daemons[3].held_until(fleet.now, &parts(&[DEADLY]));
+    assert!(held.expect("the part is held") - fleet.now > first);
+}
+
+#[test]
+fn a_part_that_is_answered_after_all_is_released_everywhere() {
+    let mut fleet = Fleet::new();
+    for number in 0..3 {
+        fleet.cut(number, 10 + u32::try_from(number).unwrap_or(0), &[SIBLING]);
+        fleet.pass(Millis(500));
+    }
+    fleet.pass(Millis(500));
+    assert_eq!(fleet.refusing(&[SIBLING]), DAEMONS);
+    fleet.pass(PROOF_TIME);
+    fleet.answer(5, &[COMMON, SIBLING]);
+    fleet.pass(Millis(200));
+    assert_eq!(fleet.refusing(&[SIBLING]), 0);
+}
+
+/// A statement may arrive late or twice, and any process may send datagrams.
+#[test]
+fn statements_out_of_order_refuse_no_sound_part_and_stay_bounded() {
+    let mut one = Quarantine::default();
+    let now = Millis(50_000);
+    one.record_answer(now, now, &parts(&[SIBLING]));
+    for upstream in 0..20 {
+        let late = Suspicion::Cut {
+            parts: vec![SIBLING],
+            upstream,
+            age_ms: 1_000 * u64::from(upstream),
+        };
+        one.learn(now, &late);
+    }
+    for part in 100..200 {
+        let held = Suspicion::Held {
+            parts: vec![part],
+            age_ms: 0,
+            left_ms: 60_000,
+            period_ms: 60_000,
+        };
+        one.learn(now, &held);
+    }
+    one.judge(now + CONTACT_TIME);
+    assert_eq!(one.held_until(now, &parts(&[SIBLING])), None);
+    let held = (100..200).filter(|part| one.held_until(now, &parts(&[*part])).is_some());
+    assert!(held.count() <= 16);
+}
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -10,6 +10,7 @@
 use bincode::Options;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Sighting;
+use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::row::Lease;
 use serde::Deserialize;
 use serde::Serialize;
@@ -149,6 +150,34 @@
     }
 }
 
+/// `Suspicions` is what the daemons of one zone know of parts of prompts that may crash upstreams
+/// and have not reported yet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspicions {
+    /// Name of the zone.
+    pub zone: String,
+    /// Whether the relay of another zone forwards them to its own zone.
+    pub is_forwarded: bool,
+    /// Statements, in the order in which they were made.
+    pub entries: Vec<Suspicion>,
+}
+
+/// Suspicions in one datagram, each at most two hundred bytes long.
+const SUSPICIONS_PER_PART: usize = 6;
+
+impl Suspicions {
+    /// Splits statements into parts that each fit a datagram.
+    #[must_use]
+    pub fn split(zone: &str, is_forwarded: bool, entries: &[Suspicion]) -> Vec<Self> {
+        let parts = entries.chunks(SUSPICIONS_PER_PART).map(|entries| Self {
+            zone: zone.to_owned(),
+            is_forwarded,
+            entries: entries.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Version` states the newest configuration that is known to be in force at a daemon.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Version {
@@ -175,6 +204,8 @@
     Sightings(Sightings),
     /// Sent to the relay of the zone, by which it is passed on to the zone and to other relays.
     Version(Version),
+    /// Sent between daemons of one zone, and between relays.
+    Suspicions(Suspicions),
 }
 
 impl Datagram {
