Send no further request to an upstream that says it is leaving

The users' new rule: an upstream that leaves says so in all its answers. The daemon ignored it and went on until the registry said so, which with the store away may take as long as the outage, or for ever with an upstream that never registers its leaving. The answer now sets the same permanent mark as the registry does.

The two flags of an answer that proves that a request did not run become one field.

--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -123,6 +123,10 @@
     pub load: Load,
 }
 
+/// `Retire` reports that an upstream stated in an answer that it is leaving.
+#[derive(Clone, Copy, Debug)]
+pub struct Retire(pub arena::Upstream);
+
 /// `Refund` returns the quota units charged for a request that did not run.
 #[derive(Clone, Debug)]
 pub struct Refund {
@@ -294,6 +298,16 @@
     }
 }
 
+impl Message<Retire> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, retire: Retire, _: &mut Context<Self, ()>) {
+        if self.policy.mark_leaving(self.clock.now(), retire.0) {
+            self.retire(&[retire.0]);
+        }
+    }
+}
+
 impl Message<Refund> for Broker {
     type Reply = ();
 
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -45,6 +45,7 @@
 pub use messages::Refund;
 pub use messages::Refused;
 pub use messages::Resize;
+pub use messages::Retire;
 pub use messages::Survey;
 pub use messages::Sweep;
 pub use messages::Withhold;
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -16,6 +16,7 @@
 use cactusglade_policy::quarantine::PROOF_TIME;
 use cactusglade_wire::port;
 use cactusglade_wire::port::Forwarding;
+use cactusglade_wire::port::Rejection;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -263,7 +264,7 @@
     reservation.keep_alive = reply.keep_alive;
     reservation.closes = reply.closes;
     let is_mismatch = reply.id.as_ref().is_some_and(|id| *id != entry.call.id);
-    if is_mismatch || (reply.id.is_none() && !reply.is_not_executed) {
+    if is_mismatch || (reply.id.is_none() && reply.rejection.is_none()) {
         entry.context.metrics.mismatches.inc();
         reservation.connection = None;
         return Err((Fault::new(Outcome::Lost), reservation));
@@ -275,11 +276,15 @@
         };
         let _ = reservation.broker.tell(observe).await;
     }
-    if reply.is_misdirected {
+    if reply.rejection == Some(Rejection::Misdirected) {
         reservation.connection = None;
         return Err((Fault::new(Outcome::Misdirected), reservation));
     }
-    if reply.is_not_executed {
+    if reply.is_leaving {
+        let retire = broker::Retire(reservation.grant.upstream);
+        let _ = reservation.broker.tell(retire).await;
+    }
+    if reply.rejection == Some(Rejection::Refused) {
         // The body of the refusal is not read, so the connection can't be reused.
         reservation.connection = None;
         return Err((Fault::new(Outcome::Unrun), reservation));
--- a/cactusglade-wire/src/port/codec.rs
+++ b/cactusglade-wire/src/port/codec.rs
@@ -40,6 +40,15 @@
     pub slots: u64,
 }
 
+/// `Rejection` says why an upstream did not run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rejection {
+    /// The upstream that the request was for refused it.
+    Refused,
+    /// The request reached another upstream than the one it was for.
+    Misdirected,
+}
+
 /// `Reply` is the head of an upstream's answer, independent of its encoding.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Reply {
@@ -47,16 +56,16 @@
     pub status: u16,
     /// Identifier of the attempt that it answers, if it has one.
     pub id: Option<String>,
-    /// Whether the answer states that the request did not run.
-    pub is_not_executed: bool,
-    /// Whether the request reached another upstream than the one it was for.
-    pub is_misdirected: bool,
+    /// How the answer states that the request did not run, if it does.
+    pub rejection: Option<Rejection>,
     /// Load of the upstream, if the answer reports it.
     pub load: Option<Load>,
     /// Time for which the upstream keeps an idle connection open, if the answer states it.
     pub keep_alive: Option<Millis>,
     /// Whether the upstream closes the connection after the answer.
     pub closes: bool,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// `Refusal` is an error answer of the daemon itself.
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -17,6 +17,7 @@
 pub use codec::Forwarding;
 pub use codec::Load;
 pub use codec::Refusal;
+pub use codec::Rejection;
 pub use codec::Reply;
 
 /// Error of a call, by what it says about the effect of the call.
