Spare an upstream that asks for it

The users' new rule: an upstream that refuses a request with 503 and Retry-After wants nothing from that daemon for so long. The daemon ignored the time and sent the next request.

The policy's refusal to place a request now says when the caller may return.

--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -127,6 +127,15 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Retire(pub arena::Upstream);
 
+/// `Spare` reports that an upstream wants no requests from this daemon for some time.
+#[derive(Clone, Copy, Debug)]
+pub struct Spare {
+    /// Key of the upstream.
+    pub upstream: arena::Upstream,
+    /// The time, from now on.
+    pub span: Millis,
+}
+
 /// `Refund` returns the quota units charged for a request that did not run.
 #[derive(Clone, Debug)]
 pub struct Refund {
@@ -241,9 +250,9 @@
             is_retry: place.is_retry,
             draw: rand::random(),
         };
-        let grant = self.policy.place(now, &query).map_err(|kind| Refused {
-            kind,
-            retry_after: kind.answer().retry_after,
+        let grant = self.policy.place(now, &query).map_err(|denied| Refused {
+            kind: denied.kind,
+            retry_after: denied.retry_after,
         })?;
         self.add_work(&grant, self.policy.prefill_ms(&grant));
         let upstream = self.policy.upstream(grant.upstream).ok_or(Refused {
@@ -308,6 +317,19 @@
     }
 }
 
+impl Message<Spare> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, spare: Spare, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.policy.spare(now, spare.upstream, spare.span);
+        if let Some(upstream) = self.policy.upstream(spare.upstream) {
+            info!(self.log, "upstream_spared"; "upstream" => &upstream.instance.name,
+                "service" => &upstream.instance.service, "for_ms" => spare.span.0);
+        }
+    }
+}
+
 impl Message<Refund> for Broker {
     type Reply = ();
 
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -46,6 +46,7 @@
 pub use messages::Refused;
 pub use messages::Resize;
 pub use messages::Retire;
+pub use messages::Spare;
 pub use messages::Survey;
 pub use messages::Sweep;
 pub use messages::Withhold;
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -280,6 +280,13 @@
         reservation.connection = None;
         return Err((Fault::new(Outcome::Misdirected), reservation));
     }
+    if let Some(span) = reply.retry_after {
+        let spare = broker::Spare {
+            upstream: reservation.grant.upstream,
+            span,
+        };
+        let _ = reservation.broker.tell(spare).await;
+    }
     if reply.is_leaving {
         let retire = broker::Retire(reservation.grant.upstream);
         let _ = reservation.broker.tell(retire).await;
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -95,6 +95,24 @@
     pub basis: Basis,
 }
 
+/// `Denied` says why a request can't be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Denied {
+    /// Kind of the error.
+    pub kind: Kind,
+    /// Time after which a retry by the caller may succeed, where it is known.
+    pub retry_after: Option<Millis>,
+}
+
+impl From<Kind> for Denied {
+    fn from(kind: Kind) -> Self {
+        Self {
+            kind,
+            retry_after: kind.answer().retry_after,
+        }
+    }
+}
+
 /// `Report` is the result of an attempt as evidence on its upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
@@ -223,8 +241,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the kind of error if no upstream is available or the retry budget is used up.
-    pub fn place(&mut self, now: Millis, query: &Query<'_>) -> Result<Grant, Kind> {
+    /// Returns why the request can't be sent now: no upstream is available, all that are want no
+    /// requests for some time, or the retry budget is used up.
+    pub fn place(&mut self, now: Millis, query: &Query<'_>) -> Result<Grant, Denied> {
         let catalog = self.catalog.clone();
         let route = catalog.routes.get(query.route).ok_or(Kind::UnknownRoute)?;
         let service = pick_service(&route.split, query.draw).ok_or(Kind::NoUpstream)?;
@@ -232,12 +251,12 @@
         let (candidates, usable) = self.candidates(now, &target.name, query);
         let index = self.strategy.choose(&candidates, query.draw);
         let candidate = index.map(|index| candidates[index]);
-        let candidate = candidate.ok_or(Kind::NoUpstream)?;
+        let candidate = candidate.ok_or_else(|| self.denied(now, &target.name, query))?;
         let (bounds, daemons) = (self.options.retries, self.daemons);
         let budget = self.budgets.entry(service).or_default();
         if query.is_retry {
             if !budget.try_retry(now, &bounds, daemons) {
-                return Err(Kind::Overloaded);
+                return Err(Kind::Overloaded.into());
             }
         } else {
             budget.record_request(now, &bounds);
@@ -245,6 +264,22 @@
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
+    /// Returns why no upstream of a service can be sent a request.
+    fn denied(&self, now: Millis, service: &str, query: &Query<'_>) -> Denied {
+        let keys = self.services.get(service).into_iter().flatten();
+        let untried = keys.filter(|key| !query.tried.contains(key));
+        let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
+        let available = upstreams.filter(|one| one.is_available(now));
+        // Those that are available are spared, or one of them would have been chosen.
+        match available.map(|one| one.spared_until).min() {
+            Some(until) => Denied {
+                kind: Kind::Overloaded,
+                retry_after: Some(until - now),
+            },
+            None => Kind::NoUpstream.into(),
+        }
+    }
+
     fn grant(
         &mut self,
         now: Millis,
@@ -307,7 +342,8 @@
         let keys = self.services.get(service).map(Vec::as_slice);
         let available = |key: &arena::Upstream| {
             let upstream = self.upstreams.get(*key)?;
-            let is_eligible = upstream.is_available(now) && !query.tried.contains(key);
+            let is_open = upstream.is_available(now) && now >= upstream.spared_until;
+            let is_eligible = is_open && !query.tried.contains(key);
             is_eligible.then_some((*key, upstream))
         };
         let available = keys.unwrap_or_default().iter().filter_map(available);
@@ -444,6 +480,13 @@
         is_out
     }
 
+    /// Sends an upstream no requests for some time, as it has asked.
+    pub fn spare(&mut self, now: Millis, key: arena::Upstream, span: Millis) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.spared_until = upstream.spared_until.max(now + span);
+        }
+    }
+
     /// Marks an upstream as leaving and returns whether it was not marked before.
     pub fn mark_leaving(&mut self, now: Millis, key: arena::Upstream) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -38,6 +38,8 @@
     pub leaving: Option<Millis>,
     /// When the upstream counts as removed, unless its entry is renewed before.
     pub removal: Option<Millis>,
+    /// Until when the upstream wants no requests from this daemon.
+    pub spared_until: Millis,
     /// Backoff after failures.
     pub backoff: Backoff,
     /// Prompt parts that the upstream has recently read.
@@ -67,6 +69,7 @@
             instance,
             leaving: None,
             removal: None,
+            spared_until: Millis(0),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -136,7 +136,8 @@
             is_retry: false,
             draw: 0.5,
         };
-        let grant = self.broker.place(Millis(at), &query)?;
+        let placed = self.broker.place(Millis(at), &query);
+        let grant = placed.map_err(|denied| denied.kind)?;
         let upstream = self
             .broker
             .upstream(grant.upstream)
--- a/cactusglade-wire/src/port/codec.rs
+++ b/cactusglade-wire/src/port/codec.rs
@@ -66,6 +66,8 @@
     pub closes: bool,
     /// Whether the upstream states that it is leaving.
     pub is_leaving: bool,
+    /// Time for which an upstream that refused the request wants no further one from this daemon.
+    pub retry_after: Option<Millis>,
 }
 
 /// `Refusal` is an error answer of the daemon itself.
