Believe a refusal that names no attempt on new connections only

Cause: a refusal without the attempt's id counted as an answer to the request that the connection had last carried. An upstream that writes an earlier one once more is then believed. Class: a proof that is not tied to what it is to prove.

Change: on a kept connection, such a refusal leaves open whether the request ran. On a new one there is no earlier request. Refusals of other attempts were rejected before; the product's own interfaces demand the id, which is new for each sending.

an_earlier_refusal_on_a_kept_connection_says_nothing_about_the_next_request failed before.

--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -231,6 +231,7 @@
 ) -> Result<Started, (Fault, Reservation)> {
     let unsent = Fault::new(Outcome::Unsent);
     let (mut reservation, address) = Reservation::new(entry, placement);
+    let is_kept = reservation.connection.is_some();
     let mut connection = match reservation.connection.take() {
         Some(connection) => connection,
         None => match Connection::try_new(address, CONNECT_TIMEOUT).await {
@@ -250,21 +251,28 @@
         Err(_) => return Err((Fault::new(Outcome::Lost), reservation)),
     };
     reservation.connection = Some(connection);
-    read_head(entry, reservation, response).await
+    read_head(entry, reservation, response, is_kept).await
 }
 
 /// Decodes the head of an answer, and rejects an answer that doesn't belong to the request.
+///
+/// A refusal that names no attempt is believed only on a new connection: on a kept one it may
+/// repeat the answer to an earlier request.
 async fn read_head<F: port::Codec>(
     entry: &Entry<F>,
     mut reservation: Reservation,
     response: Response<Incoming>,
+    is_kept: bool,
 ) -> Result<Started, (Fault, Reservation)> {
     let (parts, body) = response.into_parts();
     let reply = entry.context.codec.decode_reply(&parts);
     reservation.keep_alive = reply.keep_alive;
     reservation.closes = reply.closes;
-    let is_mismatch = reply.id.as_ref().is_some_and(|id| *id != entry.call.id);
-    if is_mismatch || (reply.id.is_none() && reply.rejection.is_none()) {
+    let is_ours = match &reply.id {
+        Some(id) => *id == entry.call.id,
+        None => reply.rejection.is_some() && !is_kept,
+    };
+    if !is_ours {
         entry.context.metrics.mismatches.inc();
         reservation.connection = None;
         return Err((Fault::new(Outcome::Lost), reservation));
