Take text that is no event for a broken stream

Cause: a stream was split at empty lines and whatever stood between two was an event. In an answer that ends with its connection nothing else sets an error apart. Class: bytes that are passed on by their position and not by what they are.

Change: each line of an event must be a comment or a known field, and in a stream whose events are numbered one with data must have a number; anything else is a broken stream, which is resumed elsewhere or aborted. The codec names the fields beyond the standard.

the_text_of_an_error_in_a_stream_does_not_reach_the_caller failed before: the caller got the head of the error and a complete end.

--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -108,10 +108,10 @@
         Self {
             event_due: exchange.answer_deadline(),
             cursor: exchange.entry.call.last_event,
+            splitter: Splitter::new(exchange.entry.context.codec.event_fields()),
             exchange,
             body: started.body,
             reservation: Some(started.reservation),
-            splitter: Splitter::default(),
             fault: None,
             is_counted: false,
             has_ended: false,
@@ -192,7 +192,7 @@
 
     /// Appends the complete events that were received and not yet forwarded.
     fn pop_events(&mut self, bytes: &mut BytesMut) -> Result<(), Outcome> {
-        while let Some(event) = self.splitter.pop() {
+        while let Some(event) = self.splitter.pop().map_err(|_| Outcome::Broken)? {
             if self.is_new(&event)? {
                 self.event_due = self.next_event_due();
                 self.cursor = event.id.or(self.cursor);
@@ -209,11 +209,13 @@
     ///
     /// # Errors
     ///
-    /// Fails where events between it and the last one are missing.
+    /// Fails where events between it and the last one are missing, or where it has data and no
+    /// number although the stream's events are numbered.
     fn is_new(&self, event: &Event) -> Result<bool, Outcome> {
         match (event.id, self.cursor) {
             (Some(id), Some(cursor)) if id <= cursor => Ok(false),
             (Some(id), Some(cursor)) if id > cursor + 1 => Err(Outcome::Broken),
+            (None, Some(_)) if event.has_data => Err(Outcome::Broken),
             _ => Ok(true),
         }
     }
@@ -266,7 +268,8 @@
             if started.head.status.is_success() {
                 self.event_due = self.exchange.answer_deadline();
                 self.body = started.body;
-                self.splitter = Splitter::default();
+                let fields = self.exchange.entry.context.codec.event_fields();
+                self.splitter = Splitter::new(fields);
                 return Ok(());
             }
             fault = Fault::new(Outcome::Failed { is_promise: false });
--- a/cactusglade-wire/src/port/codec.rs
+++ b/cactusglade-wire/src/port/codec.rs
@@ -98,6 +98,11 @@
     /// Decodes the head of an upstream's answer.
     fn decode_reply(&self, head: &response::Parts) -> Reply;
 
+    /// Returns the fields that events of a stream may have beside the standard ones.
+    fn event_fields(&self) -> &'static [&'static str] {
+        &[]
+    }
+
     /// Returns the headers of an upstream's answer that are passed to the caller.
     fn response_headers(&self, head: &response::Parts) -> HeaderMap;
 
