Withhold a version from requests that have tried all other upstreams

Callers would have seen answers of a version that had been taken back (EXPOSURE), where a request had been to each other upstream, or where those had all asked to be spared.

Cause: a version was withheld only while an upstream of another version was open to the request in question, and not while one served. Class: a guard that depends on the state of one request.

--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -226,6 +226,16 @@
         };
     }
 
+    /// Returns the version of a service that gets no requests, if another version serves.
+    #[must_use]
+    pub fn withheld_version(&self, now: Millis, service: &str) -> Option<&str> {
+        let withheld = self.withheld.get(service)?;
+        let keys = self.services.get(service).into_iter().flatten();
+        let mut upstreams = keys.filter_map(|key| self.upstreams.get(*key));
+        let serves = |one: &Upstream| one.is_available(now) && one.instance.version != *withheld;
+        upstreams.any(serves).then_some(withheld.as_str())
+    }
+
     /// Returns the state of an upstream.
     #[must_use]
     pub fn upstream(&self, key: arena::Upstream) -> Option<&Upstream> {
@@ -269,7 +279,10 @@
         let keys = self.services.get(service).into_iter().flatten();
         let untried = keys.filter(|key| !query.tried.contains(key));
         let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
-        let available = upstreams.filter(|one| one.is_available(now));
+        let withheld = self.withheld_version(now, service);
+        let available = upstreams.filter(|one| {
+            one.is_available(now) && withheld.is_none_or(|version| one.instance.version != version)
+        });
         // Those that are available are spared, or one of them would have been chosen.
         match available.map(|one| one.spared_until).min() {
             Some(until) => Denied {
@@ -340,20 +353,16 @@
     /// Upstreams that are doubted count only if there is no other.
     fn candidates(&self, now: Millis, service: &str, query: &Query<'_>) -> (Vec<Candidate>, usize) {
         let keys = self.services.get(service).map(Vec::as_slice);
+        let withheld = self.withheld_version(now, service);
         let available = |key: &arena::Upstream| {
             let upstream = self.upstreams.get(*key)?;
             let is_open = upstream.is_available(now) && now >= upstream.spared_until;
-            let is_eligible = is_open && !query.tried.contains(key);
+            let is_allowed = withheld.is_none_or(|version| upstream.instance.version != version);
+            let is_eligible = is_open && is_allowed && !query.tried.contains(key);
             is_eligible.then_some((*key, upstream))
         };
         let available = keys.unwrap_or_default().iter().filter_map(available);
         let mut available = available.collect::<Vec<_>>();
-        if let Some(withheld) = self.withheld.get(service) {
-            let allowed = |(_, upstream): &(_, &Upstream)| upstream.instance.version != *withheld;
-            if available.iter().any(allowed) {
-                available.retain(allowed);
-            }
-        }
         let session = query.prompt.and_then(Prompt::session);
         let preferred = session.and_then(|session| {
             let weight = |upstream: &Upstream| affinity::weight(session, upstream.hash);
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -255,6 +255,27 @@
     assert!(!fixture.broker.adopt(Millis(1), catalog()));
 }
 
+/// Requests went to the version of a rollout that was rolled back where all other upstreams were
+/// tried already, or wanted no requests for a while.
+#[test]
+fn a_withheld_version_gets_no_requests_while_another_serves() {
+    let mut fixture = set_up(&["x"]);
+    let mut next = instance("y", 1, Phase::Ready);
+    next.version = "v2".to_owned();
+    let broker = &mut fixture.broker;
+    broker.apply(Millis(10), [Change::Put(Box::new(next))]);
+    broker.withhold("pool", Some("v2".to_owned()));
+    let x = fixture.key("x");
+    assert_eq!(fixture.place(10, &[]), Ok("x".to_owned()));
+    assert_eq!(fixture.place(10, &[x]), Err(Kind::NoUpstream));
+    fixture.broker.spare(Millis(10), x, Millis(2_000));
+    assert_eq!(fixture.place(20, &[]), Err(Kind::Overloaded));
+    fixture
+        .broker
+        .apply(Millis(30), [put("x", 1, Phase::Leaving)]);
+    assert_eq!(fixture.place(40, &[]), Ok("y".to_owned()));
+}
+
 #[test]
 fn a_delayed_removal_ends_within_the_time_of_a_leaving_upstream() {
     let mut fixture = set_up(&["x"]);
