Order no capacity until the upstreams of a withheld version have left

Callers saw: some three seconds after a roll-out had been taken back, 30 of the 38 upstreams that served left at once, and for five seconds most answers were late.

Cause: upstreams of the withheld version counted as capacity. Their leaving looked like a reclaim, the plan replaced reclaimable upstreams by others, and its orders for fewer reclaimable ones, which the provider counts over all versions, removed those that served. Class: a count of what exists taken for a count of what can be used.

Change: such upstreams are counted apart, and while there are any, for 20 s at most, a service gets no orders. nothing_is_ordered_until_the_upstreams_of_a_withheld_version_ have_left fails without the wait.

--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -479,10 +479,14 @@
         for (_, upstream) in upstreams.filter(|(_, one)| one.is_available(now)) {
             let instance = &upstream.instance;
             let service = instance.service.clone();
+            let withheld = self.policy.withheld_version(now, &service);
+            let is_withheld = withheld.is_some_and(|version| instance.version == version);
             *inventory.delays.entry(service.clone()).or_default() += upstream.delay(now);
             let zones = inventory.available.entry(service).or_default();
             let zone = zones.entry(instance.zone.clone()).or_default();
-            if instance.reclaimable {
+            if is_withheld {
+                zone.withheld += 1;
+            } else if instance.reclaimable {
                 zone.reclaimable += 1;
             } else {
                 zone.on_demand += 1;
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -36,6 +36,9 @@
 const MIN_NEED: f64 = 3.0;
 /// Time beyond the boot time after which an unfulfilled order is repeated.
 const REORDER_DELAY: Millis = Millis(1_000);
+/// Longest time for which orders wait until the upstreams of a withheld version have left. The
+/// provider removes them some seconds after a rollout was rolled back.
+const MAX_HOLD: Millis = Millis(20_000);
 /// Maximum relative decrease of the need per second, so that a lull doesn't remove the capacity for
 /// the next wave.
 const MAX_DECREASE_PER_S: f64 = 0.05;
@@ -63,6 +66,8 @@
     pub on_demand: u64,
     /// Number of reclaimable upstreams.
     pub reclaimable: u64,
+    /// Number of upstreams of a version that gets no requests; the others don't include them.
+    pub withheld: u64,
 }
 
 /// `Order` sets the number of upstreams of one kind in one zone.
@@ -95,6 +100,8 @@
     reclaimed: Option<Millis>,
     /// Number of reclaimable upstreams at the last call.
     reclaimable: u64,
+    /// Since when there have been upstreams of a withheld version.
+    held: Option<Millis>,
     ordered: BTreeMap<(String, bool), Ordered>,
 }
 
@@ -153,6 +160,9 @@
         {
             return Vec::new();
         }
+        if self.is_held(now, zones) {
+            return Vec::new();
+        }
         self.detect_reclaim(now, zones);
         let targets = self.targets(now, scale, zones);
         let reorder_after = scale.boot_time + REORDER_DELAY;
@@ -181,6 +191,19 @@
         orders
     }
 
+    /// Returns whether orders wait until the upstreams of a withheld version have left.
+    ///
+    /// An order counts the upstreams of all versions, and one for fewer than there are removes those
+    /// that serve.
+    fn is_held(&mut self, now: Millis, zones: &BTreeMap<String, Zone>) -> bool {
+        if zones.values().all(|zone| zone.withheld == 0) {
+            self.held = None;
+            return false;
+        }
+        let since = *self.held.get_or_insert(now);
+        now - since < MAX_HOLD
+    }
+
     /// Detects that reclaimable upstreams are gone without an order to remove them.
     fn detect_reclaim(&mut self, now: Millis, zones: &BTreeMap<String, Zone>) {
         let count = zones.values().map(|zone| zone.reclaimable).sum();
@@ -234,6 +257,7 @@
                 Zone {
                     on_demand,
                     reclaimable,
+                    withheld: 0,
                 },
             )
         });
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -32,6 +32,7 @@
     let zone = Zone {
         on_demand,
         reclaimable,
+        withheld: 0,
     };
     ZONES
         .iter()
@@ -101,6 +102,7 @@
     let zone = Zone {
         on_demand: 1,
         reclaimable: 15,
+        withheld: 0,
     };
     let mut existing = names.map(|name| (name.to_owned(), zone));
     let mut scale = scale();
@@ -153,6 +155,41 @@
     assert!(left >= needed.floor(), "{left} of {needed}");
 }
 
+/// The upstreams of a version that was rolled back left, which looked like a reclaim; the orders
+/// after it removed three in four of the upstreams that served.
+#[test]
+fn nothing_is_ordered_until_the_upstreams_of_a_withheld_version_have_left() {
+    let mut existing = zones(1, 2);
+    let mut plan = observed_plan(&existing);
+    let orders = plan.orders(Millis(3_200), &scale(), &existing);
+    carry_out(&mut existing, &orders);
+    for (at, withheld) in [(4_000, 2), (5_000, 5), (6_000, 4), (6_500, 1)] {
+        for zone in existing.values_mut() {
+            zone.withheld = withheld;
+        }
+        let at = Millis(at);
+        plan.measure(at, 5.0, &existing);
+        assert_eq!(plan.orders(at, &scale(), &existing), Vec::new());
+    }
+    for zone in existing.values_mut() {
+        zone.withheld = 0;
+    }
+    assert_ne!(plan.orders(Millis(7_000), &scale(), &existing), Vec::new());
+}
+
+/// Upstreams of a withheld version that stay do not keep a service from growing.
+#[test]
+fn orders_wait_for_a_withheld_version_for_a_limited_time() {
+    let mut existing = zones(1, 2);
+    let mut plan = observed_plan(&existing);
+    let orders = plan.orders(Millis(3_200), &scale(), &existing);
+    carry_out(&mut existing, &orders);
+    existing.get_mut("a").expect("the zone is known").withheld = 1;
+    plan.measure(Millis(4_000), 5.0, &existing);
+    assert_eq!(plan.orders(Millis(4_000), &scale(), &existing), Vec::new());
+    assert_ne!(plan.orders(Millis(24_000), &scale(), &existing), Vec::new());
+}
+
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 struct Step {
     busy: u8,
