--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -85,7 +85,13 @@
             let delay = inventory.delays.get(&service.name).copied();
             let pressure = capacity::pressure(delay.unwrap_or_default());
             load.measure(now, total, pressure, &zones);
+            let was_held = load.plan.is_held();
             let due = load.plan.orders(now, scale, &zones);
+            if load.plan.is_held() && !was_held {
+                let withheld = zones.values().map(|zone| zone.withheld).sum::<u64>();
+                info!(self.log, "capacity_held"; "service" => &service.name,
+                    "withheld" => withheld);
+            }
             orders.extend(due.into_iter().map(|order| port::Capacity {
                 service: service.name.clone(),
                 zone: order.zone,
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -142,6 +142,12 @@
         self.need
     }
 
+    /// Returns whether orders wait until the upstreams of a withheld version have left.
+    #[must_use]
+    pub const fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Discards the record of an order whose delivery is unknown, so that it is repeated.
     pub fn forget_order(&mut self, zone: &str, reclaimable: bool) {
         self.ordered.remove(&(zone.to_owned(), reclaimable));
@@ -160,7 +166,7 @@
         {
             return Vec::new();
         }
-        if self.is_held(now, zones) {
+        if self.hold(now, zones) {
             return Vec::new();
         }
         self.detect_reclaim(now, zones);
@@ -191,11 +197,11 @@
         orders
     }
 
-    /// Returns whether orders wait until the upstreams of a withheld version have left.
+    /// Holds orders until the upstreams of a withheld version have left; returns whether it does.
     ///
     /// An order counts the upstreams of all versions, and one for fewer than there are removes those
     /// that serve.
-    fn is_held(&mut self, now: Millis, zones: &BTreeMap<String, Zone>) -> bool {
+    fn hold(&mut self, now: Millis, zones: &BTreeMap<String, Zone>) -> bool {
         if zones.values().all(|zone| zone.withheld == 0) {
             self.held = None;
             return false;
