--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -1,5 +1,6 @@
 //! Service that owns the choice of upstreams, the quotas, and the idle connections to upstreams.
 
+mod evidence;
 mod idle;
 mod messages;
 
@@ -28,12 +29,13 @@
 
 use idle::Idle;
 
+pub use evidence::Heed;
+pub use evidence::Proved;
 pub use messages::Adopt;
 pub use messages::Apply;
 pub use messages::Begun;
 pub use messages::Charge;
 pub use messages::Ended;
-pub use messages::Heed;
 pub use messages::Inventory;
 pub use messages::Learn;
 pub use messages::Meter;
@@ -41,7 +43,6 @@
 pub use messages::Outage;
 pub use messages::Place;
 pub use messages::Placement;
-pub use messages::Proved;
 pub use messages::Refund;
 pub use messages::Refused;
 pub use messages::Resize;
