--- a/cactusglade-cli/tests/support/daemon.rs
+++ b/cactusglade-cli/tests/support/daemon.rs
@@ -104,7 +104,15 @@
     pub async fn status(&self) -> serde_json::Value {
         let client = Client::new(self.operators, CALL_TIMEOUT);
         let answer = client.call("GET", "/status", Vec::new()).await;
-        serde_json::from_slice(&answer.expect("the daemon answers").body).expect("the body is JSON")
+        // The state tells a daemon that has ended from one that does not accept the connection.
+        let answer = answer.unwrap_or_else(|error| {
+            let state = self.process.state();
+            panic!(
+                "{} does not answer: {error:?}; process state {state}",
+                self.name
+            )
+        });
+        serde_json::from_slice(&answer.body).expect("the body is JSON")
     }
 
     /// Returns the sum of all metrics whose name begins with `name`, over all labels.
--- a/cactusglade-standin/src/process/mod.rs
+++ b/cactusglade-standin/src/process/mod.rs
@@ -158,17 +158,31 @@
     pub fn cpu_seconds(&self) -> f64 {
         // USER_HZ, the unit of times in /proc, is 100 per second on Linux.
         const TICKS_PER_SECOND: f64 = 100.0;
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
-        let stat = stat.expect("the process has an entry in /proc");
-        let fields = stat
-            .rsplit(')')
-            .next()
-            .expect("the stat line contains the process name");
-        let fields = fields.split_whitespace().collect::<Vec<_>>();
+        let fields = self.stat_fields();
         let ticks = |index: usize| fields[index].parse::<f64>().expect("the field is a number");
-        // The fields utime and stime, counted from the one after the process name.
+        // The fields utime and stime.
         (ticks(11) + ticks(12)) / TICKS_PER_SECOND
     }
+
+    /// Returns the state of the process as the system shows it: `T` while it is suspended, `Z` once
+    /// it has ended, another letter while it runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended and been waited for.
+    #[must_use]
+    pub fn state(&self) -> String {
+        self.stat_fields().swap_remove(0)
+    }
+
+    /// Returns the fields after the process name, from the state on.
+    fn stat_fields(&self) -> Vec<String> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
+        let stat = stat.expect("the process has an entry in /proc");
+        let fields = stat.rsplit(')').next();
+        let fields = fields.expect("the stat line contains the process name");
+        fields.split_whitespace().map(str::to_owned).collect()
+    }
 }
 
 impl Drop for Process {
