Return no units for a request that was refused for its prompt's parts

What callers saw: nothing yet. Found by reading: a request whose parts are held is refused before it is charged to the quota of its organisation, but the exchange took each first attempt for charged and returned its units. An organisation whose requests are refused in that way was admitted beyond its quota, and others paid for it (QUOTA).

Evidence: platform/tests/poison.rs, refused_parts_return_no_units_to_the_quota: a used-up quota admits again after four refused requests (200 where 429 is expected); failed before the change.

Change: whether an attempt was charged follows from the broker's reply.

--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -131,15 +131,14 @@
             // The upstream's error answer was not kept, or part of the answer was already sent.
             Next::Again | Next::Pass | Next::Abort => Kind::UpstreamLost,
         };
-        self.refund(kind);
+        self.refund();
         self.entry
             .refuse(kind, ending.retry_after, self.attempt.sent())
     }
 
     /// Refunds the organisation's quota units where the request did not run.
-    fn refund(&self, kind: Kind) {
-        let was_charged = self.is_charged && kind != Kind::LimitExceeded;
-        if !was_charged || self.attempt.may_have_run() {
+    fn refund(&self) {
+        if !self.is_charged || self.attempt.may_have_run() {
             return;
         }
         let refund = Refund {
@@ -170,8 +169,9 @@
                 .catalog_route()
                 .is_some_and(|route| route.semantics.is_retryable()),
         };
-        self.is_charged = true;
-        match entry.context.broker.ask(place).await {
+        let placed = entry.context.broker.ask(place).await;
+        self.is_charged |= was_charged(&placed);
+        match placed {
             Ok(placement) => {
                 self.log_placement(&placement);
                 Ok(placement)
@@ -226,6 +226,16 @@
     }
 }
 
+/// Returns whether the broker has charged a first attempt to the quota of the organisation. It checks
+/// the parts of the prompt before, and whether the quota is used up.
+const fn was_charged<M>(placed: &Result<Placement, SendError<M, Refused>>) -> bool {
+    let kind = match placed {
+        Err(SendError::HandlerError(refused)) => refused.kind,
+        _ => return true,
+    };
+    !matches!(kind, Kind::Quarantined | Kind::LimitExceeded)
+}
+
 /// Returns the label of an attempt's outcome in the metrics.
 const fn label(outcome: Outcome) -> &'static str {
     match outcome {
