Try one request of the fleet when a hold ends

Cause: a hold ended for all daemons at once, and each of them sent what came until it had heard of another crash.

That the evidence had become too old was ruled out: one more crash renewed the hold at once.

Change: a daemon with a request whose hold is over claims the trial, tells the others, and sends the request a second later unless another claim goes before its own; all other requests are refused until the outcome is known. Holds are restated to daemons that start also when they are over, and the oldest of them makes room for new ones.

--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -111,9 +111,20 @@
         age_ms: u64,
         /// Milliseconds for which they are still refused.
         left_ms: u64,
+        /// Milliseconds since that was over.
+        over_ms: u64,
         /// Length of the whole time in milliseconds.
         period_ms: u64,
     },
+    /// A daemon is about to send a request that has all of the parts, although they were held.
+    Claimed {
+        /// Identifiers of the parts.
+        parts: Vec<u64>,
+        /// Rank of the claim: the lowest one goes before the others.
+        rank: u64,
+        /// Milliseconds since it was made.
+        age_ms: u64,
+    },
 }
 
 impl Suspicion {
@@ -121,11 +132,17 @@
     #[must_use]
     pub fn aged(mut self, span: Millis) -> Self {
         match &mut self {
-            Self::Cut { age_ms, .. } | Self::Answered { age_ms, .. } => *age_ms += span.0,
+            Self::Cut { age_ms, .. }
+            | Self::Answered { age_ms, .. }
+            | Self::Claimed { age_ms, .. } => *age_ms += span.0,
             Self::Held {
-                age_ms, left_ms, ..
+                age_ms,
+                left_ms,
+                over_ms,
+                ..
             } => {
                 *age_ms += span.0;
+                *over_ms += span.0.saturating_sub(*left_ms);
                 *left_ms = left_ms.saturating_sub(span.0);
             }
         }
--- a/cactusglade-daemon/src/edge/broker/evidence.rs
+++ b/cactusglade-daemon/src/edge/broker/evidence.rs
@@ -8,6 +8,7 @@
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::quarantine;
+use cactusglade_policy::quarantine::Admission;
 use cactusglade_policy::quarantine::Judgement;
 use kameo::message::Context;
 use kameo::message::Message;
@@ -61,12 +62,23 @@
     /// Refuses a request with a part of the prompt that crashes upstreams.
     pub(super) fn check_prompt(&mut self, now: Millis, place: &Place) -> Result<(), Refused> {
         let shared = place.prompt.as_deref().map_or(&[][..], Prompt::shared);
-        match self.policy.quarantine.held_until(now, shared) {
-            Some(until) => Err(Refused {
-                kind: Kind::Quarantined,
-                retry_after: Some(until - now),
+        let admission = self.policy.quarantine.admit(now, shared, rand::random());
+        let refused = |until: Millis| Refused {
+            retry_after: Some(until - now),
+            ..Kind::Quarantined.into()
+        };
+        match admission {
+            Admission::Open => Ok(()),
+            Admission::Trial => {
+                let ids = place.prompt.as_deref().map(Prompt::shared_ids);
+                info!(self.log, "parts_tried"; "parts" => ids);
+                Ok(())
+            }
+            Admission::Wait(until) => Err(Refused {
+                trial: Some(until),
+                ..refused(until)
             }),
-            None => Ok(()),
+            Admission::Refused(until) => Err(refused(until)),
         }
     }
 
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -70,6 +70,19 @@
     pub kind: Kind,
     /// Time after which a retry by the caller may succeed.
     pub retry_after: Option<Millis>,
+    /// When the request may be sent to see whether the parts of its prompt still crash upstreams,
+    /// if it is placed again then.
+    pub trial: Option<Millis>,
+}
+
+impl From<Kind> for Refused {
+    fn from(kind: Kind) -> Self {
+        Self {
+            kind,
+            retry_after: kind.answer().retry_after,
+            trial: None,
+        }
+    }
 }
 
 /// `Begun` reports that an upstream has begun to answer.
@@ -235,14 +248,12 @@
             draw: rand::random(),
         };
         let grant = self.policy.place(now, &query).map_err(|denied| Refused {
-            kind: denied.kind,
             retry_after: denied.retry_after,
+            ..denied.kind.into()
         })?;
         self.add_work(&grant, self.policy.prefill_ms(&grant));
-        let upstream = self.policy.upstream(grant.upstream).ok_or(Refused {
-            kind: Kind::NoUpstream,
-            retry_after: None,
-        })?;
+        let upstream = self.policy.upstream(grant.upstream);
+        let upstream = upstream.ok_or(Refused::from(Kind::NoUpstream))?;
         let (address, name) = (upstream.instance.address, upstream.instance.name.clone());
         Ok(Placement {
             grant,
@@ -503,8 +514,8 @@
             .policy
             .charge(now, organisation, units, place.prompt.is_none());
         charged.map_err(|wait| Refused {
-            kind: Kind::LimitExceeded,
             retry_after: Some(wait),
+            ..Kind::LimitExceeded.into()
         })?;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         if let Some(object) = self.policy.catalog().organisations.get(organisation) {
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -152,11 +152,32 @@
         });
     }
 
-    /// Asks the broker for an upstream.
+    /// Asks the broker for an upstream, and once more where the request has to wait for the trial of
+    /// its prompt.
     async fn place(&mut self) -> Result<Placement, Ending> {
+        let placed = match self.try_place().await {
+            Err(Refused {
+                trial: Some(at), ..
+            }) if at < self.entry.deadline => {
+                info!(self.entry.context.log, "trial_claimed"; "id" => &self.entry.call.id);
+                tokio::time::sleep_until(self.entry.context.clock.instant(at)).await;
+                self.try_place().await
+            }
+            placed => placed,
+        };
+        match placed {
+            Ok(placement) => {
+                self.log_placement(&placement);
+                Ok(placement)
+            }
+            Err(refused) => Err(self.give_up(refused.kind, refused.retry_after)),
+        }
+    }
+
+    async fn try_place(&mut self) -> Result<Placement, Refused> {
         let entry = &self.entry;
         if entry.context.clock.now() >= entry.deadline {
-            return Err(self.give_up(Kind::Expired, None));
+            return Err(Kind::Expired.into());
         }
         let place = Place {
             route: entry.route,
@@ -169,19 +190,14 @@
                 .catalog_route()
                 .is_some_and(|route| route.semantics.is_retryable()),
         };
-        let placed = entry.context.broker.ask(place).await;
-        self.is_charged |= was_charged(&placed);
-        match placed {
-            Ok(placement) => {
-                self.log_placement(&placement);
-                Ok(placement)
-            }
-            Err(SendError::HandlerError(Refused { kind, retry_after })) => {
-                Err(self.give_up(kind, retry_after))
-            }
+        let placed = match entry.context.broker.ask(place).await {
+            Ok(placement) => Ok(placement),
+            Err(SendError::HandlerError(refused)) => Err(refused),
             // The broker has stopped, so the daemon is stopping.
-            Err(_) => Err(self.give_up(Kind::Draining, None)),
-        }
+            Err(_) => Err(Kind::Draining.into()),
+        };
+        self.is_charged |= was_charged(&placed);
+        placed
     }
 
     /// Logs the choice of an upstream.
@@ -228,12 +244,14 @@
 
 /// Returns whether the broker has charged a first attempt to the quota of the organisation. It checks
 /// the parts of the prompt before, and whether the quota is used up.
-const fn was_charged<M>(placed: &Result<Placement, SendError<M, Refused>>) -> bool {
-    let kind = match placed {
-        Err(SendError::HandlerError(refused)) => refused.kind,
-        _ => return true,
-    };
-    !matches!(kind, Kind::Quarantined | Kind::LimitExceeded)
+const fn was_charged(placed: &Result<Placement, Refused>) -> bool {
+    match placed {
+        Ok(_) => true,
+        Err(refused) => !matches!(
+            refused.kind,
+            Kind::Quarantined | Kind::LimitExceeded | Kind::Expired | Kind::Draining
+        ),
+    }
 }
 
 /// Returns the label of an attempt's outcome in the metrics.
--- a/cactusglade-policy/src/quarantine/hold.rs
+++ b/cactusglade-policy/src/quarantine/hold.rs
@@ -6,8 +6,11 @@
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
 
-/// Time for which requests are refused first. Then they are sent again, and one more crash has them
-/// refused for twice as long.
+use super::trial::Admission;
+use super::trial::Trial;
+
+/// Time for which requests are refused first. Then one is sent, and one more crash has them refused
+/// for twice as long.
 const FIRST_PERIOD: Millis = Millis(60_000);
 /// Longest time for which requests are refused.
 const MAX_PERIOD: Millis = Millis(960_000);
@@ -25,6 +28,8 @@
     pub period: Millis,
     /// When a request with these parts was last cut.
     pub last_cut: Millis,
+    /// What happens once the hold is over.
+    pub trial: Trial,
 }
 
 impl Hold {
@@ -35,13 +40,29 @@
             until: now + FIRST_PERIOD,
             period: FIRST_PERIOD,
             last_cut,
+            trial: Trial::default(),
         }
     }
 
-    /// Returns whether the hold applies to a request with these shared parts.
-    pub fn applies(&self, now: Millis, shared: &[Part]) -> bool {
+    /// Returns whether a request with these shared parts has all parts of the hold.
+    pub fn applies(&self, shared: &[Part]) -> bool {
         let has = |id: &u64| shared.iter().any(|part| part.id == *id);
-        now < self.until && self.parts.iter().all(has)
+        self.parts.iter().all(has)
+    }
+
+    /// Returns what happens to a request with all parts of the hold.
+    pub fn admission(&self, now: Millis) -> Admission {
+        if now < self.until {
+            Admission::Refused(self.until)
+        } else {
+            self.trial.admission(now)
+        }
+    }
+
+    /// Returns whether the hold is about the same requests as these parts, as far as daemons can
+    /// tell the parts apart.
+    pub fn concerns(&self, parts: &BTreeSet<u64>) -> bool {
+        self.parts.is_subset(parts) || self.parts.is_superset(parts)
     }
 
     /// Records another cut; a hold that was over begins again and lasts twice as long. Returns
@@ -53,6 +74,7 @@
         }
         self.period = Millis(self.period.0 * 2).min(MAX_PERIOD);
         self.until = cut + self.period;
+        self.trial = Trial::default();
         true
     }
 
@@ -67,7 +89,18 @@
             parts: self.parts.iter().copied().collect(),
             age_ms: (now - self.last_cut).0,
             left_ms: (self.until - now).0,
+            over_ms: (now - self.until).0,
             period_ms: self.period.0,
         }
     }
+
+    /// Returns the statement of this daemon's claim to the trial, if it has made one.
+    pub fn claim_statement(&self, now: Millis) -> Option<Suspicion> {
+        let (rank, age) = self.trial.claimed(now)?;
+        Some(Suspicion::Claimed {
+            parts: self.parts.iter().copied().collect(),
+            rank,
+            age_ms: age.0,
+        })
+    }
 }
--- a/cactusglade-policy/src/quarantine/mod.rs
+++ b/cactusglade-policy/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 
 mod evidence;
 mod hold;
+mod trial;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -19,6 +20,9 @@
 use evidence::Incident;
 use evidence::Request;
 use hold::Hold;
+use trial::Trial;
+
+pub use trial::Admission;
 
 /// Number of incidents that a part must have in common to be held: the part that causes them
 /// reaches it within seconds, a sound one is answered between two of them.
@@ -91,11 +95,37 @@
 }
 
 impl Quarantine {
-    /// Returns the time until which requests with these shared parts are refused.
-    #[must_use]
-    pub fn held_until(&self, now: Millis, shared: &[Part]) -> Option<Millis> {
-        let holds = self.holds.iter().filter(|hold| hold.applies(now, shared));
-        holds.map(|hold| hold.until).max()
+    /// Decides what happens to a request with these shared parts; `draw` orders it among those that
+    /// other daemons might send as a trial at the same time.
+    pub fn admit(&mut self, now: Millis, shared: &[Part], draw: u64) -> Admission {
+        let holds = self.holds.iter_mut().filter(|hold| hold.applies(shared));
+        let mut holds = holds.collect::<Vec<_>>();
+        let admissions = holds.iter().map(|hold| hold.admission(now));
+        let (mut refused, mut waits) = (None, None);
+        for admission in admissions {
+            match admission {
+                Admission::Refused(until) => refused = refused.max(Some(until)),
+                Admission::Wait(until) => waits = waits.max(Some(until)),
+                Admission::Open | Admission::Trial => {}
+            }
+        }
+        if let Some(until) = refused {
+            return Admission::Refused(until);
+        }
+        if let Some(until) = waits {
+            let unclaimed = |hold: &&mut Hold| hold.trial.claimed(now).is_none();
+            for hold in holds.into_iter().filter(unclaimed) {
+                hold.trial.claim(now, draw);
+            }
+            return Admission::Wait(until);
+        }
+        if holds.is_empty() {
+            return Admission::Open;
+        }
+        for hold in &mut holds {
+            hold.trial.begin(now);
+        }
+        Admission::Trial
     }
 
     /// Records that the connection of an upstream was cut while it began to answer a request with
@@ -141,6 +171,7 @@
                 parts,
                 age_ms,
                 left_ms,
+                over_ms,
                 period_ms,
             } => {
                 let last_cut = now - Millis(*age_ms);
@@ -150,12 +181,24 @@
                 };
                 let hold = Hold {
                     parts: parts.iter().filter(is_open).copied().collect(),
-                    until: now + Millis(*left_ms),
+                    until: now + Millis(*left_ms) - Millis(*over_ms),
                     period: Millis(*period_ms),
                     last_cut,
+                    trial: Trial::default(),
                 };
                 judgements.extend(self.take_over(now, hold));
             }
+            Suspicion::Claimed {
+                parts,
+                rank,
+                age_ms,
+            } => {
+                let parts = parts.iter().copied().collect();
+                let holds = self.holds.iter_mut().filter(|hold| hold.concerns(&parts));
+                for hold in holds {
+                    hold.trial.record_claim(now, *rank, now - Millis(*age_ms));
+                }
+            }
         }
         judgements
     }
@@ -175,7 +218,7 @@
             }
         }
         self.narrow();
-        while self.holds.len() < MAX_HOLDS
+        while self.make_room(now)
             && let Some(suspect) = self.prime_suspect(now)
         {
             let hold = Hold::new(now, suspect.common, suspect.last_cut);
@@ -185,15 +228,16 @@
         judgements
     }
 
-    /// Returns the evidence that was not shared yet, and with `restates` what is held, for daemons
-    /// that have started since.
+    /// Returns the evidence that was not shared yet and the claims to trials, and with `restates`
+    /// what is held, for daemons that have started since.
     pub fn take_unshared(&mut self, now: Millis, restates: bool) -> Vec<Suspicion> {
         let unshared = std::mem::take(&mut self.unshared).into_iter();
         let unshared = unshared.map(|(suspicion, at)| suspicion.aged(now - at));
         let mut statements = unshared.collect::<Vec<_>>();
+        let claims = self.holds.iter();
+        statements.extend(claims.filter_map(|hold| hold.claim_statement(now)));
         if restates {
-            let holds = self.holds.iter().filter(|hold| now < hold.until);
-            statements.extend(holds.map(|hold| hold.statement(now)));
+            statements.extend(self.holds.iter().map(|hold| hold.statement(now)));
         }
         statements
     }
@@ -327,14 +371,17 @@
         was_suspect
     }
 
-    /// Takes over a hold that another daemon states, unless requests are refused by it already.
+    /// Takes over a hold that another daemon states, unless it is known here or was forgotten.
     fn take_over(&mut self, now: Millis, stated: Hold) -> Option<Judgement> {
-        let refuses = |known: &Hold| now < known.until && known.parts.is_subset(&stated.parts);
-        if stated.parts.is_empty() || now >= stated.until || self.holds.iter().any(refuses) {
+        let is_over = now >= stated.until;
+        let includes =
+            |known: &Hold| (is_over || now < known.until) && known.parts.is_subset(&stated.parts);
+        let is_known = self.holds.iter().any(includes);
+        if stated.parts.is_empty() || is_known || stated.is_forgotten(now) {
             return None;
         }
         self.holds.retain(|known| known.parts != stated.parts);
-        if self.holds.len() >= MAX_HOLDS {
+        if !self.make_room(now) {
             return None;
         }
         let count = |one: &&Incident| one.cut_at(&stated.parts).is_some();
@@ -344,6 +391,19 @@
         Some(judgement)
     }
 
+    /// Drops the hold that has been over for longest where there are too many; returns whether there
+    /// is room for another.
+    fn make_room(&mut self, now: Millis) -> bool {
+        if self.holds.len() == MAX_HOLDS {
+            let over = self.holds.iter().filter(|hold| now >= hold.until);
+            let Some(first) = over.map(|hold| hold.until).min() else {
+                return false;
+            };
+            self.holds.retain(|hold| hold.until != first);
+        }
+        true
+    }
+
     /// Drops old evidence, and holds that ended long ago.
     fn forget(&mut self, now: Millis) {
         self.incidents
