Ask for a key also where all keys were withdrawn

What callers saw: nothing yet. Found by reading, while looking for another way in which a change that was confirmed is not in force: a configuration whose organisations have no keys left was taken for one without organisations, so requests with a withdrawn key, or without any, were run.

Evidence: core/tests/catalog.rs, requests_need_a_key_also_where_all_keys_were_withdrawn, failed before.

Change: requests need a key where there are organisations. None of them can be authenticated then, and they are answered 401.

--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -257,10 +257,11 @@
         self.keys.get(key).copied()
     }
 
-    /// Whether any organisation has an API key; if none has, requests need no key.
+    /// Whether there are organisations, so that requests need the key of one, also where all keys
+    /// were withdrawn.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
-        !self.keys.is_empty()
+        !self.organisations.is_empty()
     }
 
     /// Returns the route of a host whose prefix is the longest that matches a path.
--- a/cactusglade-core/tests/catalog.rs
+++ b/cactusglade-core/tests/catalog.rs
@@ -94,3 +94,16 @@
         Catalog::try_new(draft, &Catalog::default()).expect_err("the service is not defined");
     assert!(matches!(error, Error::Reference { .. }));
 }
+
+/// Once the last key was withdrawn, requests with it or without any were taken for those of a
+/// configuration without organisations, which need no key.
+#[test]
+fn requests_need_a_key_also_where_all_keys_were_withdrawn() {
+    let first = draft(1, vec![route("r", "h", "/a/", "app")], &["old"]);
+    let first = Catalog::try_new(first, &Catalog::default()).expect("the draft is valid");
+    let second = draft(2, vec![route("r", "h", "/a/", "app")], &[]);
+    let second = Catalog::try_new(second, &first).expect("the draft is valid");
+    assert_eq!(second.authenticate("old"), None);
+    assert!(second.needs_keys());
+    assert!(!Catalog::default().needs_keys());
+}
