Tell parts apart in the quarantine's test by more than the order of their identifiers

The mechanism "indistinguishable-parts-are-held-together" removed, the test still passed: of two parts that nothing tells apart the one with the greater identifier is taken first, and that was the deadly one. The test now has both orders.

--- a/cactusglade-policy/tests/quarantine.rs
+++ b/cactusglade-policy/tests/quarantine.rs
@@ -165,24 +165,27 @@
     assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0);
 }
 
-/// All requests with the deadly part have another one in common, which no request had before.
+/// All requests with the deadly part have another one in common, which no request had before. Nothing
+/// but the order of their identifiers tells the two apart.
 #[test]
 fn a_part_that_comes_with_the_deadly_one_stays_in_use() {
-    let mut fleet = Fleet::new();
-    for number in 0..5 {
-        fleet.cut(number as usize, number, &[COMMON, SIBLING, DEADLY]);
-        fleet.cut(number as usize + 1, number, &[COMMON]);
-        fleet.pass(Millis(400));
-        fleet.answer(4, &[COMMON]);
+    for sibling in [SIBLING, DEADLY + 1] {
+        let mut fleet = Fleet::new();
+        for number in 0..5 {
+            fleet.cut(number as usize, number, &[COMMON, sibling, DEADLY]);
+            fleet.cut(number as usize + 1, number, &[COMMON]);
+            fleet.pass(Millis(400));
+            fleet.answer(4, &[COMMON]);
+        }
+        fleet.pass(CONTACT_TIME);
+        assert_eq!(fleet.refusing(&[COMMON, sibling, DEADLY]), DAEMONS);
+        assert_eq!(fleet.refusing(&[COMMON, sibling]), 0, "sound requests");
+        // Once the sibling is answered, the deadly part is refused whatever it comes with.
+        fleet.answer(2, &[COMMON, sibling]);
+        fleet.pass(Millis(300));
+        assert_eq!(fleet.refusing(&[COMMON, DEADLY]), DAEMONS);
+        assert_eq!(fleet.refusing(&[COMMON, sibling]), 0, "sound requests");
     }
-    fleet.pass(CONTACT_TIME);
-    assert_eq!(fleet.refusing(&[COMMON, SIBLING, DEADLY]), DAEMONS);
-    assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0, "sound requests");
-    // Once the sibling is answered, the deadly part is refused whatever it comes with.
-    fleet.answer(2, &[COMMON, SIBLING]);
-    fleet.pass(Millis(300));
-    assert_eq!(fleet.refusing(&[COMMON, DEADLY]), DAEMONS);
-    assert_eq!(fleet.refusing(&[COMMON, SIBLING]), 0, "sound requests");
 }
 
 /// The deadly part comes with another one at first, and alone then.
