--- a/cactusglade-policy/tests/quarantine.rs
+++ b/cactusglade-policy/tests/quarantine.rs
@@ -202,6 +202,31 @@
     assert_eq!(fleet.refusing(&[SIBLING]), 0);
 }
 
+/// A daemon that was frozen hears of all crashes at once, so that a part which was answered before
+/// them is in as many as the deadly one.
+#[test]
+fn a_part_that_was_never_answered_is_held_rather_than_one_that_was() {
+    const ANSWERED: u64 = DEADLY + 1;
+    let mut one = Quarantine::default();
+    let now = Millis(50_000);
+    one.record_answer(
+        now - Millis(20_000),
+        now - Millis(20_000),
+        &parts(&[ANSWERED]),
+    );
+    for upstream in 1..=6 {
+        let cut = Suspicion::Cut {
+            parts: vec![ANSWERED, DEADLY],
+            upstream,
+            age_ms: 1_000 * u64::from(upstream),
+        };
+        one.learn(now, &cut);
+    }
+    one.judge(now);
+    assert!(held_until(&one, now, &[DEADLY]).is_some());
+    assert_eq!(held_until(&one, now, &[ANSWERED]), None);
+}
+
 /// Hosts fail together: many upstreams crash at once, with requests of all kinds at them.
 #[test]
 fn upstreams_that_crash_together_have_no_part_refused() {
