Log the limits that upstreams state, and tell other daemons

A daemon now decodes it (a value that is no decimal number changes nothing, of several the lowest counts), keeps it from callers, logs each change with its source, and states it to the others with its age. An answer without a limit ends it only if its request was sent after the limit was last stated, since answers on different connections overtake each other.

What a misdirected answer states, load included, is about another upstream and is no longer recorded.

--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::units::Millis;
+use crate::units::Rate;
 
 /// `Phase` says whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -84,6 +85,27 @@
     }
 }
 
+/// `Limit` is what a daemon shares about the requests that an upstream takes from all daemons
+/// together.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Limit {
+    /// Hash of the upstream's name.
+    pub upstream: u32,
+    /// Requests that it takes, `None` if it states no limit.
+    pub rate: Option<Rate>,
+    /// Milliseconds since this is known to have held.
+    pub age_ms: u64,
+}
+
+impl Limit {
+    /// Returns the same statement some time later.
+    #[must_use]
+    pub const fn aged(mut self, span: Millis) -> Self {
+        self.age_ms += span.0;
+        self
+    }
+}
+
 /// `Suspicion` is what a daemon shares about parts of prompts that may crash upstreams.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Suspicion {
--- a/cactusglade-core/src/units/mod.rs
+++ b/cactusglade-core/src/units/mod.rs
@@ -37,6 +37,20 @@
     }
 }
 
+/// `Rate` is a number of requests per thousand seconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Rate(pub u64);
+
+impl Rate {
+    /// Returns the number of requests per second.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+}
+
 /// `Generation` is the number of a published object set; a daemon only accepts a greater one.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -9,6 +9,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
@@ -21,7 +22,6 @@
 use cactusglade_policy::capacity::Zone;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Counts;
-use cactusglade_wire::port::Load;
 use kameo::Reply;
 use kameo::message::Context;
 use kameo::message::Message;
@@ -115,15 +115,6 @@
     pub connection: Option<(Connection, Option<Millis>)>,
 }
 
-/// `Observe` reports the load that an upstream stated in an answer.
-#[derive(Clone, Copy, Debug)]
-pub struct Observe {
-    /// Key of the upstream.
-    pub upstream: arena::Upstream,
-    /// Load as stated.
-    pub load: Load,
-}
-
 /// `Retire` reports that an upstream stated in an answer that it is leaving.
 #[derive(Clone, Copy, Debug)]
 pub struct Retire(pub arena::Upstream);
@@ -227,6 +218,8 @@
     pub sightings: Vec<Sighting>,
     /// What this daemon has found out about parts of prompts since the last call.
     pub suspicions: Vec<Suspicion>,
+    /// Limits of upstreams that other daemons are to be told.
+    pub limits: Vec<Limit>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -264,19 +257,6 @@
     }
 }
 
-impl Message<Observe> for Broker {
-    type Reply = ();
-
-    async fn handle(&mut self, observe: Observe, _: &mut Context<Self, ()>) {
-        let Load {
-            running, waiting, ..
-        } = observe.load;
-        let now = self.clock.now();
-        self.policy
-            .record_load(now, observe.upstream, running, waiting);
-    }
-}
-
 impl Message<Retire> for Broker {
     type Reply = ();
 
@@ -486,6 +466,7 @@
             work: self.work.clone(),
             counts: self.windows.counts().clone(),
             sightings: self.policy.take_sightings(),
+            limits: self.policy.take_limits(now),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -3,6 +3,7 @@
 mod evidence;
 mod idle;
 mod messages;
+mod statements;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -39,7 +40,6 @@
 pub use messages::Inventory;
 pub use messages::Learn;
 pub use messages::Meter;
-pub use messages::Observe;
 pub use messages::Outage;
 pub use messages::Place;
 pub use messages::Placement;
@@ -51,6 +51,8 @@
 pub use messages::Survey;
 pub use messages::Sweep;
 pub use messages::Withhold;
+pub use statements::Limited;
+pub use statements::Observe;
 
 /// Name of the service.
 pub const NAME: &str = "broker";
--- /dev/null
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -0,0 +1,79 @@
+//! What upstreams state in the heads of their answers: load and limits.
+
+use cactusglade_core::arena;
+use cactusglade_core::fleet;
+use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
+use cactusglade_policy::throttle::Statement;
+use cactusglade_wire::port::Limit;
+use cactusglade_wire::port::Load;
+use kameo::message::Context;
+use kameo::message::Message;
+use slog::info;
+
+use super::Broker;
+
+/// `Observe` reports what an upstream stated in the head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Observe {
+    /// Key of the upstream.
+    pub upstream: arena::Upstream,
+    /// Load as stated.
+    pub load: Option<Load>,
+    /// Limit as stated.
+    pub limit: Limit,
+    /// When the request was sent.
+    pub sent_at: Millis,
+}
+
+/// `Limited` passes on what other daemons know of the limits that upstreams state.
+#[derive(Clone, Debug)]
+pub struct Limited(pub Vec<fleet::Limit>);
+
+impl Message<Observe> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, observe: Observe, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        if let Some(load) = observe.load {
+            self.policy
+                .record_load(now, observe.upstream, load.running, load.waiting);
+        }
+        let (rate, at) = match observe.limit {
+            Limit::None => (None, observe.sent_at),
+            Limit::Rate(rate) => (Some(rate), now),
+            Limit::Unreadable => {
+                self.log_limit(observe.upstream, "unreadable");
+                return;
+            }
+        };
+        let statement = Statement { rate, at };
+        if self.policy.record_limit(observe.upstream, statement) {
+            self.log_limit(observe.upstream, "answer");
+        }
+    }
+}
+
+impl Message<Limited> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, limited: Limited, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        for limit in &limited.0 {
+            if let Some(key) = self.policy.learn_limit(now, limit) {
+                self.log_limit(key, "daemon");
+            }
+        }
+    }
+}
+
+impl Broker {
+    /// Logs the limit of an upstream after a change, and where this daemon learnt of it.
+    fn log_limit(&self, key: arena::Upstream, from: &str) {
+        if let Some(upstream) = self.policy.upstream(key) {
+            let rate = upstream.throttle.rate().map(Rate::per_second);
+            info!(self.log, "upstream_limited"; "upstream" => &upstream.instance.name,
+                "service" => &upstream.instance.service, "per_s" => rate, "from" => from);
+        }
+    }
+}
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -6,6 +6,7 @@
 use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
 use cactusglade_policy::attempt::Attempt;
 use cactusglade_policy::attempt::Next;
 use cactusglade_policy::attempt::Outcome;
@@ -206,7 +207,9 @@
         let age = basis.load_age.map(|age| age.0);
         info!(self.entry.context.log, "placed"; "id" => &self.entry.call.id,
             "upstream" => &placement.name, "candidates" => basis.candidates,
-            "load" => basis.load, "load_age_ms" => age, "uncached" => placement.grant.uncached,
+            "load" => basis.load, "load_age_ms" => age,
+            "limit_per_s" => basis.limit.map(Rate::per_second),
+            "uncached" => placement.grant.uncached,
             "kept_connection" => placement.connection.is_some(), "sent" => self.attempt.sent(),
             "version" => self.entry.catalog.version);
     }
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -277,17 +277,18 @@
         reservation.connection = None;
         return Err((Fault::new(Outcome::Lost), reservation));
     }
-    if let Some(load) = reply.load {
-        let observe = broker::Observe {
-            upstream: reservation.grant.upstream,
-            load,
-        };
-        let _ = reservation.broker.tell(observe).await;
-    }
     if reply.rejection == Some(Rejection::Misdirected) {
+        // What it states is about another upstream.
         reservation.connection = None;
         return Err((Fault::new(Outcome::Misdirected), reservation));
     }
+    let observe = broker::Observe {
+        upstream: reservation.grant.upstream,
+        load: reply.load,
+        limit: reply.limit,
+        sent_at: reservation.sent_at,
+    };
+    let _ = reservation.broker.tell(observe).await;
     if let Some(span) = reply.retry_after {
         let spare = broker::Spare {
             upstream: reservation.grant.upstream,
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -4,7 +4,7 @@
 mod messages;
 mod registry;
 mod sightings;
-mod suspicions;
+mod statements;
 mod versions;
 
 use std::collections::BTreeMap;
@@ -13,6 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusglade_core::fleet::Limit;
+use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
@@ -59,7 +61,7 @@
 use messages::Members;
 use messages::ReadsMembers;
 use sightings::Exchange;
-use suspicions::Backlog;
+use statements::Backlog;
 
 /// Name of the service.
 pub const NAME: &str = "mesh";
@@ -136,7 +138,9 @@
     /// What the relay has still to pass on of the sightings of upstreams.
     exchange: Exchange,
     /// What the relay has still to pass on about parts of prompts.
-    backlog: Backlog,
+    suspicions: Backlog<Suspicion>,
+    /// What the relay has still to pass on about limits of upstreams.
+    limits: Backlog<Limit>,
     reachable: u64,
     daemons: u64,
 }
@@ -209,7 +213,8 @@
         self.sequence += 1;
         self.roster.expire(now);
         self.send_sightings(now, &statistics.sightings).await;
-        self.send_suspicions(now, &statistics.suspicions).await;
+        self.send_statements(now, &statistics.suspicions).await;
+        self.send_statements(now, &statistics.limits).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -258,6 +263,10 @@
                 self.receive_suspicions(now, suspicions).await;
                 return;
             }
+            Datagram::Limits(limits) => {
+                self.receive_limits(now, limits).await;
+                return;
+            }
             Datagram::Version(version) => {
                 self.receive_version(now, version).await;
                 return;
@@ -371,7 +380,8 @@
             newest: None,
             notices: options.notices,
             exchange: Exchange::default(),
-            backlog: Backlog::default(),
+            suspicions: Backlog::default(),
+            limits: Backlog::default(),
             reachable: 0,
             daemons: 0,
         };
--- /dev/null
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -0,0 +1,157 @@
+//! Statements of daemons that are as old as they say: sent to the zone, and passed on between zones by
+//! the relays.
+
+use cactusglade_core::fleet::Limit;
+use cactusglade_core::fleet::Suspicion;
+use cactusglade_core::units::Millis;
+use cactusglade_wire::gossip::Datagram;
+use cactusglade_wire::gossip::Limits;
+use cactusglade_wire::gossip::Suspicions;
+
+use super::Mesh;
+use crate::edge::broker;
+
+/// Maximum number of statements of one type that the relay keeps until its next heartbeat. More are
+/// dropped; what still holds is stated again.
+const MAX_STATEMENTS: usize = 2_000;
+
+/// `Statement` is something that daemons tell each other, with its age.
+pub(super) trait Statement: Clone {
+    /// Returns the same statement some time later.
+    fn aged(self, span: Millis) -> Self;
+
+    /// Encodes statements in datagrams that each fit the size limit.
+    fn encode(zone: &str, is_forwarded: bool, statements: &[Self]) -> Vec<Datagram>;
+
+    /// Returns what the relay has still to pass on.
+    fn backlog(mesh: &mut Mesh) -> &mut Backlog<Self>;
+}
+
+impl Statement for Suspicion {
+    fn aged(self, span: Millis) -> Self {
+        self.aged(span)
+    }
+
+    fn encode(zone: &str, is_forwarded: bool, statements: &[Self]) -> Vec<Datagram> {
+        let parts = Suspicions::split(zone, is_forwarded, statements);
+        parts.into_iter().map(Datagram::Suspicions).collect()
+    }
+
+    fn backlog(mesh: &mut Mesh) -> &mut Backlog<Self> {
+        &mut mesh.suspicions
+    }
+}
+
+impl Statement for Limit {
+    fn aged(self, span: Millis) -> Self {
+        self.aged(span)
+    }
+
+    fn encode(zone: &str, is_forwarded: bool, statements: &[Self]) -> Vec<Datagram> {
+        let parts = Limits::split(zone, is_forwarded, statements);
+        parts.into_iter().map(Datagram::Limits).collect()
+    }
+
+    fn backlog(mesh: &mut Mesh) -> &mut Backlog<Self> {
+        &mut mesh.limits
+    }
+}
+
+/// `Backlog` keeps statements, with the time of their receipt, until the next heartbeat.
+#[derive(Debug)]
+pub struct Backlog<T> {
+    /// Of the relay's own zone, for the other zones.
+    outbound: Vec<(T, Millis)>,
+    /// Of the other zones, for the relay's own zone.
+    inbound: Vec<(T, Millis)>,
+}
+
+impl<T> Default for Backlog<T> {
+    fn default() -> Self {
+        Self {
+            outbound: Vec::new(),
+            inbound: Vec::new(),
+        }
+    }
+}
+
+impl<T: Statement> Backlog<T> {
+    fn add(&mut self, now: Millis, is_own_zone: bool, statements: &[T]) {
+        let target = if is_own_zone {
+            &mut self.outbound
+        } else {
+            &mut self.inbound
+        };
+        let room = MAX_STATEMENTS.saturating_sub(target.len());
+        target.extend(statements.iter().take(room).map(|one| (one.clone(), now)));
+    }
+}
+
+/// Takes the statements, each as old as it is now.
+fn take<T: Statement>(statements: &mut Vec<(T, Millis)>, now: Millis) -> Vec<T> {
+    let statements = statements.drain(..);
+    statements.map(|(one, at)| one.aged(now - at)).collect()
+}
+
+impl Mesh {
+    /// Sends what this daemon knows to its zone; the relay also passes on what its zone knows to
+    /// the other relays, and what those have sent to its zone.
+    pub(super) async fn send_statements<T: Statement>(&mut self, now: Millis, own: &[T]) {
+        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
+        for part in T::encode(&self.zone, false, own) {
+            self.send(&part, neighbours.iter().copied()).await;
+        }
+        let backlog = T::backlog(self);
+        let mut outbound = take(&mut backlog.outbound, now);
+        let inbound = take(&mut backlog.inbound, now);
+        if !self.roster.is_relay(now) {
+            return;
+        }
+        outbound.extend_from_slice(own);
+        let relays = self.roster.relays(now);
+        for part in T::encode(&self.zone, false, &outbound) {
+            self.send(&part, relays.iter().copied()).await;
+        }
+        for part in T::encode(&self.zone, true, &inbound) {
+            self.send(&part, neighbours.iter().copied()).await;
+        }
+    }
+
+    /// Keeps statements for the relay to pass on.
+    fn keep_statements<T: Statement>(
+        &mut self,
+        now: Millis,
+        zone: &str,
+        is_forwarded: bool,
+        statements: &[T],
+    ) {
+        if self.roster.is_relay(now) && !is_forwarded {
+            let is_own_zone = zone == self.zone;
+            T::backlog(self).add(now, is_own_zone, statements);
+        }
+    }
+
+    /// Passes what others know of parts of prompts on to the broker, and keeps it for the relay.
+    pub(super) async fn receive_suspicions(&mut self, now: Millis, received: Suspicions) {
+        let Suspicions {
+            zone,
+            is_forwarded,
+            entries,
+        } = received;
+        self.keep_statements(now, &zone, is_forwarded, &entries);
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(broker::Heed(entries)).await;
+    }
+
+    /// Passes what others know of upstreams' limits on to the broker, and keeps it for the relay.
+    pub(super) async fn receive_limits(&mut self, now: Millis, received: Limits) {
+        let Limits {
+            zone,
+            is_forwarded,
+            entries,
+        } = received;
+        self.keep_statements(now, &zone, is_forwarded, &entries);
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(broker::Limited(entries)).await;
+    }
+}
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -3,6 +3,7 @@
 //! The broker has no queue: engines order their waiting requests by priority, so a request is sent
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
+mod limits;
 mod quotas;
 mod registry;
 mod sample;
@@ -11,6 +12,7 @@
 mod upstream;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cactusglade_core::arena;
@@ -20,6 +22,7 @@
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
 
 use crate::affinity;
 use crate::budget;
@@ -80,6 +83,8 @@
     pub load: u64,
     /// Time since the upstream last reported its load, `None` if it never did.
     pub load_age: Option<Millis>,
+    /// Limit that the upstream has stated.
+    pub limit: Option<Rate>,
 }
 
 /// `Grant` assigns an upstream to a request for one attempt.
@@ -136,6 +141,8 @@
     upstream_hashes: BTreeMap<u32, arena::Upstream>,
     /// What this daemon has seen of upstreams since it last shared it.
     sightings: BTreeMap<u32, Sighting>,
+    /// Upstreams whose limits other daemons are to be told.
+    unshared_limits: BTreeSet<arena::Upstream>,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
     /// Hash of this daemon's name.
@@ -168,6 +175,7 @@
             services: BTreeMap::new(),
             upstream_hashes: BTreeMap::new(),
             sightings: BTreeMap::new(),
+            unshared_limits: BTreeSet::new(),
             quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
@@ -308,6 +316,7 @@
             candidates,
             load,
             load_age: chosen.and_then(|upstream| upstream.load_age(now)),
+            limit: chosen.and_then(|upstream| upstream.throttle.rate()),
         };
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.in_flight += 1;
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -6,6 +6,7 @@
 use crate::affinity;
 use crate::affinity::Cache;
 use crate::retry::Backoff;
+use crate::throttle::Throttle;
 
 /// Half-life of the load reported by an upstream, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 1_000.0;
@@ -40,6 +41,8 @@
     pub removal: Option<Millis>,
     /// Until when the upstream wants no requests from this daemon.
     pub spared_until: Millis,
+    /// Limit that the upstream has stated, and this daemon's share of it.
+    pub throttle: Throttle,
     /// Backoff after failures.
     pub backoff: Backoff,
     /// Prompt parts that the upstream has recently read.
@@ -70,6 +73,7 @@
             leaving: None,
             removal: None,
             spared_until: Millis(0),
+            throttle: Throttle::default(),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,9 +6,9 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`lag`], [`quarantine`], [`quota`], [`roster`] and [`usage`]; the dispatch for the daemon's own gate, together with
-//! [`choice`], [`fair`], [`gossip`], [`ledger`], [`limit`], [`pool`], [`prefix`], [`rollout`] and
-//! [`stream`]. Both sides use [`lease`] and [`retry`].
+//! [`lag`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`] and [`usage`]; the
+//! dispatch for the daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
+//! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
 pub mod affinity;
 pub mod attempt;
@@ -32,4 +32,5 @@
 pub mod rollout;
 pub mod roster;
 pub mod stream;
+pub mod throttle;
 pub mod usage;
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -9,6 +9,7 @@
 
 use bincode::Options;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::row::Lease;
@@ -178,6 +179,33 @@
     }
 }
 
+/// `Limits` is what the daemons of one zone know of the limits that upstreams state.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Limits {
+    /// Name of the zone.
+    pub zone: String,
+    /// Whether the relay of another zone forwards them to its own zone.
+    pub is_forwarded: bool,
+    /// Statements, in the order in which they were made.
+    pub entries: Vec<Limit>,
+}
+
+/// Limits in one datagram, each at most twenty-four bytes long.
+const LIMITS_PER_PART: usize = 50;
+
+impl Limits {
+    /// Splits statements into parts that each fit a datagram.
+    #[must_use]
+    pub fn split(zone: &str, is_forwarded: bool, entries: &[Limit]) -> Vec<Self> {
+        let parts = entries.chunks(LIMITS_PER_PART).map(|entries| Self {
+            zone: zone.to_owned(),
+            is_forwarded,
+            entries: entries.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Version` states the newest configuration that is known to be in force at a daemon.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Version {
@@ -206,6 +234,8 @@
     Version(Version),
     /// Sent between daemons of one zone, and between relays.
     Suspicions(Suspicions),
+    /// Sent between daemons of one zone, and between relays.
+    Limits(Limits),
 }
 
 impl Datagram {
--- a/cactusglade-wire/src/port/codec.rs
+++ b/cactusglade-wire/src/port/codec.rs
@@ -4,6 +4,7 @@
 use cactusglade_core::call::Call;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::http::request;
@@ -40,6 +41,18 @@
     pub slots: u64,
 }
 
+/// `Limit` is what an answer says of the requests that its upstream takes from all daemons together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Limit {
+    /// It states no limit.
+    #[default]
+    None,
+    /// It takes this many.
+    Rate(Rate),
+    /// It states a limit that can't be decoded, so that a known one neither changes nor ends.
+    Unreadable,
+}
+
 /// `Rejection` says why an upstream did not run a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Rejection {
@@ -60,6 +73,8 @@
     pub rejection: Option<Rejection>,
     /// Load of the upstream, if the answer reports it.
     pub load: Option<Load>,
+    /// Limit of the requests that the upstream takes.
+    pub limit: Limit,
     /// Time for which the upstream keeps an idle connection open, if the answer states it.
     pub keep_alive: Option<Millis>,
     /// Whether the upstream closes the connection after the answer.
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -15,6 +15,7 @@
 pub use codec::Codec;
 pub use codec::Decode;
 pub use codec::Forwarding;
+pub use codec::Limit;
 pub use codec::Load;
 pub use codec::Refusal;
 pub use codec::Rejection;
