Divide the limit that an upstream states among all daemons

Callers saw little; upstreams in need got up to three times what they had said they take.

Cause: nothing read the limit, and no daemon alone can keep to it, since it is one for all of them. Evidence: with the limits in the logs, every daemon knew a limit 0.12 s after the first answer that stated it, and sent on.

Change: policy::throttle divides the rate into slots. Every daemon computes its own ones from the zones and their sizes, which all know, and the daemons that it reaches in its own zone. A slot begins empty and saves up one request, so the sum has a bound that needs no message in time. Refused callers return in turn.

--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -53,6 +53,7 @@
 pub use messages::Withhold;
 pub use statements::Limited;
 pub use statements::Observe;
+pub use statements::Rearrange;
 
 /// Name of the service.
 pub const NAME: &str = "broker";
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -4,6 +4,7 @@
 use cactusglade_core::fleet;
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
+use cactusglade_policy::throttle::Layout;
 use cactusglade_policy::throttle::Statement;
 use cactusglade_wire::port::Limit;
 use cactusglade_wire::port::Load;
@@ -30,6 +31,10 @@
 #[derive(Clone, Debug)]
 pub struct Limited(pub Vec<fleet::Limit>);
 
+/// `Rearrange` sets the daemons among which the limits of upstreams are divided.
+#[derive(Clone, Debug)]
+pub struct Rearrange(pub Layout);
+
 impl Message<Observe> for Broker {
     type Reply = ();
 
@@ -48,7 +53,7 @@
             }
         };
         let statement = Statement { rate, at };
-        if self.policy.record_limit(observe.upstream, statement) {
+        if self.policy.record_limit(now, observe.upstream, statement) {
             self.log_limit(observe.upstream, "answer");
         }
     }
@@ -67,6 +72,14 @@
     }
 }
 
+impl Message<Rearrange> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, rearrange: Rearrange, _: &mut Context<Self, ()>) {
+        self.policy.rearrange(self.clock.now(), rearrange.0);
+    }
+}
+
 impl Broker {
     /// Logs the limit of an upstream after a change, and where this daemon learnt of it.
     fn log_limit(&self, key: arena::Upstream, from: &str) {
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -100,9 +100,14 @@
 }
 
 impl Mesh {
-    /// Notifies the broker when the number of daemons, or of those whose heartbeats arrive,
-    /// changes.
+    /// Notifies the broker when daemons come, leave or lose touch.
     pub(super) async fn report_fleet(&mut self, now: Millis) {
+        let layout = self.roster.layout(now);
+        if self.layout.as_ref() != Some(&layout) {
+            self.layout = Some(layout.clone());
+            // Fails only while the daemon stops.
+            let _ = self.broker.tell(broker::Rearrange(layout)).await;
+        }
         let reachable = self.roster.reachable(now);
         // Before the first heartbeat of another daemon, the fleet is as large as the list says.
         let daemons = match self.roster.count() {
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -26,6 +26,7 @@
 use cactusglade_policy::roster::Roster;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::roster::Zone;
+use cactusglade_policy::throttle::Layout;
 use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Entries;
@@ -141,6 +142,8 @@
     suspicions: Backlog<Suspicion>,
     /// What the relay has still to pass on about limits of upstreams.
     limits: Backlog<Limit>,
+    /// Daemons among which limits are divided, as last reported to the broker.
+    layout: Option<Layout>,
     reachable: u64,
     daemons: u64,
 }
@@ -382,6 +385,7 @@
             exchange: Exchange::default(),
             suspicions: Backlog::default(),
             limits: Backlog::default(),
+            layout: None,
             reachable: 0,
             daemons: 0,
         };
--- a/cactusglade-policy/src/broker/limits.rs
+++ b/cactusglade-policy/src/broker/limits.rs
@@ -1,21 +1,34 @@
 //! Limits that upstreams state: recorded from answers and from what other daemons share.
 
 use cactusglade_core::arena;
+use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
 
 use super::Broker;
+use super::Denied;
+use super::Query;
 use super::Strategy;
 use crate::affinity;
+use crate::throttle::Layout;
 use crate::throttle::Statement;
 
 impl<R: Strategy> Broker<R> {
     /// Records what an answer says of its upstream's limit; returns whether the limit changes.
-    pub fn record_limit(&mut self, key: arena::Upstream, statement: Statement) -> bool {
+    pub fn record_limit(
+        &mut self,
+        now: Millis,
+        key: arena::Upstream,
+        statement: Statement,
+    ) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
         let is_change = upstream.throttle.record(statement);
+        if is_change {
+            self.allot(now, key);
+        }
         if is_change || statement.rate.is_some() {
             self.unshared_limits.insert(key);
         }
@@ -34,7 +47,60 @@
         if upstream.throttle.refutes(&statement) {
             self.unshared_limits.insert(key);
         }
-        upstream.throttle.record(statement).then_some(key)
+        let is_change = upstream.throttle.record(statement);
+        if is_change {
+            self.allot(now, key);
+        }
+        is_change.then_some(key)
+    }
+
+    /// Divides the limits anew after daemons came, left, or lost touch.
+    pub fn rearrange(&mut self, now: Millis, layout: Layout) {
+        self.layout = Some(layout);
+        let keys = self.upstreams.iter().map(|(key, _)| key);
+        for key in keys.collect::<Vec<_>>() {
+            self.allot(now, key);
+        }
+    }
+
+    fn allot(&mut self, now: Millis, key: arena::Upstream) {
+        if let (Some(upstream), Some(layout)) = (self.upstreams.get_mut(key), &self.layout) {
+            upstream.throttle.allot(now, upstream.hash, layout);
+        }
+    }
+
+    /// Returns why no upstream of a service can be sent a request, and when to come back.
+    pub(super) fn denied(
+        &mut self,
+        now: Millis,
+        key: arena::Service,
+        service: &str,
+        query: &Query<'_>,
+    ) -> Denied {
+        let keys = self.services.get(service).into_iter().flatten();
+        let untried = keys.filter(|key| !query.tried.contains(key));
+        let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
+        let withheld = self.withheld_version(now, service);
+        let available = upstreams.filter(|one| {
+            one.is_available(now) && withheld.is_none_or(|version| one.instance.version != version)
+        });
+        let available = available.collect::<Vec<_>>();
+        if available.is_empty() {
+            return Kind::NoUpstream.into();
+        }
+        // They take no request now, or one of them would have been chosen.
+        let openings = available.iter().filter_map(|one| {
+            let wait = one.throttle.wait(now)?;
+            Some(one.spared_until.max(now + wait))
+        });
+        let rates = available.iter().filter_map(|one| one.throttle.rate());
+        let rate = rates.map(Rate::per_second).sum::<f64>();
+        let earliest = openings.min().unwrap_or(now);
+        let schedule = self.returns.entry(key).or_default();
+        Denied {
+            kind: Kind::Overloaded,
+            retry_after: Some(schedule.admit(now, earliest, rate / self.daemons) - now),
+        }
     }
 
     /// Returns the limits that other daemons are to be told.
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -30,6 +30,8 @@
 use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
+use crate::throttle::Layout;
+use crate::throttle::Schedule;
 
 pub use strategy::Candidate;
 pub use strategy::Fastest;
@@ -156,6 +158,10 @@
     daemons: f64,
     /// Share of the daemons that this one reaches, itself included.
     reachable_share: f64,
+    /// Daemons among which the limits of upstreams are divided; unknown until the first report.
+    layout: Option<Layout>,
+    /// When callers may return that were refused because no upstream of the service takes more.
+    returns: BTreeMap<arena::Service, Schedule>,
     /// Whether the store is unreachable.
     store_unreachable: bool,
     /// When the store was last reachable again.
@@ -183,6 +189,8 @@
             hashes: BTreeMap::new(),
             daemons: ASSUMED_DAEMONS,
             reachable_share: 1.0 / ASSUMED_DAEMONS,
+            layout: None,
+            returns: BTreeMap::new(),
             store_unreachable: false,
             store_regained: None,
         }
@@ -269,7 +277,9 @@
         let (candidates, usable) = self.candidates(now, &target.name, query);
         let index = self.strategy.choose(&candidates, query.draw);
         let candidate = index.map(|index| candidates[index]);
-        let candidate = candidate.ok_or_else(|| self.denied(now, &target.name, query))?;
+        let Some(candidate) = candidate else {
+            return Err(self.denied(now, service, &target.name, query));
+        };
         let (bounds, daemons) = (self.options.retries, self.daemons);
         let budget = self.budgets.entry(service).or_default();
         if query.is_retry {
@@ -282,25 +292,6 @@
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
-    /// Returns why no upstream of a service can be sent a request.
-    fn denied(&self, now: Millis, service: &str, query: &Query<'_>) -> Denied {
-        let keys = self.services.get(service).into_iter().flatten();
-        let untried = keys.filter(|key| !query.tried.contains(key));
-        let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
-        let withheld = self.withheld_version(now, service);
-        let available = upstreams.filter(|one| {
-            one.is_available(now) && withheld.is_none_or(|version| one.instance.version != version)
-        });
-        // Those that are available are spared, or one of them would have been chosen.
-        match available.map(|one| one.spared_until).min() {
-            Some(until) => Denied {
-                kind: Kind::Overloaded,
-                retry_after: Some(until - now),
-            },
-            None => Kind::NoUpstream.into(),
-        }
-    }
-
     fn grant(
         &mut self,
         now: Millis,
@@ -321,6 +312,7 @@
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.in_flight += 1;
             upstream.backlog += uncached;
+            upstream.throttle.take(now);
             if let Some(prompt) = prompt {
                 upstream.cache.insert(now, &prompt.parts);
             }
@@ -365,7 +357,7 @@
         let withheld = self.withheld_version(now, service);
         let available = |key: &arena::Upstream| {
             let upstream = self.upstreams.get(*key)?;
-            let is_open = upstream.is_available(now) && now >= upstream.spared_until;
+            let is_open = upstream.is_available(now) && upstream.takes_requests(now);
             let is_allowed = withheld.is_none_or(|version| upstream.instance.version != version);
             let is_eligible = is_open && is_allowed && !query.tried.contains(key);
             is_eligible.then_some((*key, upstream))
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -96,6 +96,12 @@
         self.leaving.is_none() && self.removal.is_none_or(|until| now < until)
     }
 
+    /// Returns whether the upstream takes a request of this daemon now.
+    #[must_use]
+    pub fn takes_requests(&self, now: Millis) -> bool {
+        now >= self.spared_until && self.throttle.admits(now)
+    }
+
     /// Records the reported load; requests beyond this daemon's own are those of other daemons.
     #[allow(clippy::cast_precision_loss)]
     pub fn record_load(&mut self, now: Millis, running: u64, waiting: u64) {
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -11,6 +11,8 @@
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
 
+use crate::throttle::Layout;
+
 /// Minimum time without a heartbeat after which a daemon counts as unreachable; until then both
 /// sides of a partition spend the whole of each quota.
 const HEARTBEAT_TIMEOUT: Millis = Millis(500);
@@ -207,12 +209,8 @@
     /// Returns the number of daemons, this one included, without addresses that never answered.
     #[must_use]
     pub fn count(&self) -> u64 {
-        let peers = self
-            .peers
-            .values()
-            .filter(|peer| peer.last_heartbeat.is_some());
         let zones = self.zones.values().map(|zone| zone.daemons);
-        1 + peers.count() as u64 + zones.sum::<u64>()
+        self.count_in_zone() + zones.sum::<u64>()
     }
 
     /// Returns the number of daemons whose addresses and zones are known, this one included.
@@ -238,6 +236,27 @@
         1 + self.reachable_peers(now).count() as u64
     }
 
+    /// Returns what this daemon knows of the fleet, by which limits are divided.
+    #[must_use]
+    pub fn layout(&self, now: Millis) -> Layout {
+        let mut layout = Layout::new(self.own, &self.zone);
+        let zones = self.zones.iter().map(|(name, zone)| (name, zone.daemons));
+        let zones = zones.filter(|(_, daemons)| *daemons > 0);
+        layout
+            .zones
+            .extend(zones.map(|(name, daemons)| (name.clone(), daemons)));
+        layout.zones.insert(self.zone.clone(), self.count_in_zone());
+        layout.neighbours = self.neighbours(now).collect();
+        layout
+    }
+
+    /// Returns the number of daemons in the own zone, this one included, without addresses that
+    /// never answered.
+    fn count_in_zone(&self) -> u64 {
+        let peers = self.peers.values();
+        1 + peers.filter(|peer| peer.last_heartbeat.is_some()).count() as u64
+    }
+
     /// Returns whether this daemon is the relay of its zone.
     #[must_use]
     pub fn is_relay(&self, now: Millis) -> bool {
@@ -313,21 +332,13 @@
         let lease = leases
             .chain(lease)
             .max_by_key(|lease| (lease.epoch, lease.renewal));
-        let peers = self
-            .peers
-            .values()
-            .filter(|peer| peer.last_heartbeat.is_some());
         let summary = Announcement {
             quota_used: totals.quota_used,
             work: totals.work,
             lease,
             ..Announcement::default()
         };
-        (
-            1 + peers.count() as u64,
-            self.reachable_in_zone(now),
-            summary,
-        )
+        (self.count_in_zone(), self.reachable_in_zone(now), summary)
     }
 
     /// Returns the engine time reported by the other daemons of the zone since this one started.
--- a/cactusglade-policy/src/throttle/mod.rs
+++ b/cactusglade-policy/src/throttle/mod.rs
@@ -1,11 +1,28 @@
-//! Knowledge of the rate of requests that an upstream says it takes from all daemons together.
+//! Keeps all daemons together within the rate of requests that an upstream says it takes.
 //!
-//! Daemons share what they hear; each statement has the time for which it speaks, since answers
-//! overtake each other. See `docs/PLATFORM.md`.
+//! The rate is divided into slots, each of which belongs to one daemon. Every daemon computes its own
+//! slots from what all of them know of the fleet, so that the sum of what daemons send does not
+//! depend on how fast they hear of each other. See `docs/PLATFORM.md`.
+
+mod layout;
+mod schedule;
 
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 
+pub use layout::Layout;
+pub use schedule::Schedule;
+
+/// Lowest rate at which an upstream is sent requests, so that the end of a limit of zero is noticed.
+const MIN_RATE: Rate = Rate(200);
+/// Slots of an upstream that takes next to nothing.
+const BASE_SLOTS: u64 = 2;
+/// Further slots for each request per second.
+///
+/// Slots that have saved up one request each send four times the rate and one request per slot
+/// within four seconds. Six times the rate and five requests are tolerated then, which leaves three
+/// for daemons that disagree on who owns a slot.
+const SLOTS_PER_REQUEST: u64 = 2;
 /// Time after which a limit that has not been stated again is repeated to other daemons.
 const REPEAT_INTERVAL: Millis = Millis(3_000);
 
@@ -19,12 +36,25 @@
     pub at: Millis,
 }
 
-/// `Throttle` is one daemon's knowledge of an upstream's limit.
+/// `Throttle` is one daemon's knowledge of an upstream's limit, and its share of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Throttle {
     stated: Statement,
     /// When this daemon last told others.
     shared: Millis,
+    /// Number of requests that the share holds if none is sent.
+    capacity: f64,
+    /// Requests per second of the share.
+    share: f64,
+    /// Requests that may be sent now.
+    level: f64,
+    updated: Millis,
+}
+
+/// Returns the number of slots into which a rate is divided.
+#[must_use]
+pub const fn slots(rate: Rate) -> u64 {
+    BASE_SLOTS.saturating_add(rate.0.saturating_mul(SLOTS_PER_REQUEST) / 1_000)
 }
 
 impl Throttle {
@@ -68,4 +98,60 @@
     pub const fn record_sharing(&mut self, now: Millis) {
         self.shared = now;
     }
+
+    /// Divides the rate in force among the daemons of the fleet; `upstream` is the hash of the
+    /// upstream's name.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn allot(&mut self, now: Millis, upstream: u64, layout: &Layout) {
+        self.refill(now);
+        let Some(rate) = self.stated.rate else {
+            return;
+        };
+        let rate = rate.max(MIN_RATE);
+        let count = slots(rate);
+        let own = layout.share(upstream, count);
+        self.capacity = own.max(0.0);
+        self.share = rate.per_second() * own / count as f64;
+        self.level = self.level.min(self.capacity);
+    }
+
+    /// Returns whether a request may be sent now.
+    #[must_use]
+    pub fn admits(&self, now: Millis) -> bool {
+        self.stated.rate.is_none() || self.level(now) >= 1.0
+    }
+
+    /// Returns the time until a request may be sent; `None` where this daemon owns no slot.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn wait(&self, now: Millis) -> Option<Millis> {
+        if self.admits(now) {
+            return Some(Millis(0));
+        }
+        let missing = 1.0 - self.level(now);
+        (self.capacity >= 1.0).then(|| Millis((missing / self.share * 1_000.0).ceil() as u64))
+    }
+
+    /// Records that a request is sent.
+    pub fn take(&mut self, now: Millis) {
+        self.refill(now);
+        if self.stated.rate.is_some() {
+            self.level = (self.level - 1.0).max(0.0);
+        }
+    }
+
+    fn refill(&mut self, now: Millis) {
+        self.level = if self.stated.rate.is_some() {
+            self.level(now)
+        } else {
+            0.0
+        };
+        self.updated = now;
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn level(&self, now: Millis) -> f64 {
+        let span = (now - self.updated).0 as f64 / 1_000.0;
+        (self.level + span * self.share).min(self.capacity)
+    }
 }
