Order no on-demand upstreams in the places of reclaimable ones that serve

Cause: the need exceeded all that may be ordered (24), so on-demand upstreams were ordered, each in the place of a reclaimable one, which left at once while the new one had four seconds to boot. What was left was busier, so the next round ordered more: 40 orders within four seconds, 22 upstreams removed. Class: a correction that makes worse what it measures.

Change: beyond their base share, on-demand upstreams get the places that reclaimable ones don't fill. The new test fails before with no reclaimable upstream of five left.

--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -253,11 +253,19 @@
         let lasting = reclaimable.iter().sum::<u64>() as f64;
         let base = (self.planned_need * ON_DEMAND_SHARE).max(MIN_ON_DEMAND);
         let on_demand = base.max(self.planned_need - lasting).ceil() as u64;
-        let on_demand_by_zone = distribute(on_demand, scale, zones).into_iter();
+        let wanted = (reclaimable_per_zone as u64).min(scale.max);
+        let base_by_zone = distribute(base.ceil() as u64, scale, zones, |_| scale.max);
+        // Beyond the base, on-demand upstreams don't take the places of reclaimable ones that serve:
+        // these would be gone at once, and their replacements have to boot.
+        let room = |zone: &String| {
+            let serving = zones[zone].reclaimable.min(wanted);
+            (scale.max - serving).max(base_by_zone[zone])
+        };
+        let on_demand_by_zone = distribute(on_demand, scale, zones, room).into_iter();
         let targets = on_demand_by_zone.map(|(zone, on_demand)| {
             let room = scale.max.saturating_sub(on_demand);
             let least = scale.min.saturating_sub(on_demand);
-            let reclaimable = (reclaimable_per_zone as u64).min(room).max(least);
+            let reclaimable = wanted.min(room).max(least);
             (
                 zone,
                 Zone {
@@ -271,8 +279,14 @@
     }
 }
 
-/// Distributes on-demand upstreams over the zones in turn, the cheapest zone first.
-fn distribute(total: u64, scale: &Scale, zones: &BTreeMap<String, Zone>) -> BTreeMap<String, u64> {
+/// Distributes on-demand upstreams over the zones in turn, the cheapest zone first, up to the room in
+/// each.
+fn distribute(
+    total: u64,
+    scale: &Scale,
+    zones: &BTreeMap<String, Zone>,
+    room: impl Fn(&String) -> u64,
+) -> BTreeMap<String, u64> {
     let price = |zone: &String| scale.prices.get(zone).copied().unwrap_or(1.0);
     let mut cheapest_first = zones.keys().collect::<Vec<_>>();
     cheapest_first.sort_by(|a, b| price(a).total_cmp(&price(b)));
@@ -281,11 +295,11 @@
         .map(|zone| (zone.clone(), 0))
         .collect::<BTreeMap<_, _>>();
     let mut remaining = total;
-    while remaining > 0 && counts.values().any(|count| *count < scale.max) {
+    while remaining > 0 && counts.iter().any(|(zone, count)| *count < room(zone)) {
         for zone in &cheapest_first {
             if let Some(count) = counts.get_mut(*zone)
                 && remaining > 0
-                && *count < scale.max
+                && *count < room(zone)
             {
                 *count += 1;
                 remaining -= 1;
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -236,3 +236,26 @@
     assert!((capacity::pressure(300.0) - 1.5).abs() < 1e-9);
     assert!((capacity::pressure(4_000.0) - 2.0).abs() < f64::EPSILON);
 }
+
+/// Under a load beyond all that may be ordered, on-demand upstreams were ordered in the places of
+/// reclaimable ones that served, and most of the service was gone until the new ones had booted.
+#[test]
+fn orders_beyond_the_greatest_number_remove_no_upstream_that_serves() {
+    let mut zones = zones(1, 5);
+    let mut plan = observed_plan(&zones);
+    for second in 4..20 {
+        let now = Millis(second * 1_000);
+        plan.measure(now, 30.0, &zones);
+        let before = zones.clone();
+        let orders = plan.orders(now, &scale(), &zones);
+        carry_out(&mut zones, &orders);
+        for (name, zone) in &zones {
+            let (now, then) = (zone.reclaimable, before[name].reclaimable);
+            let base = zone.on_demand - before[name].on_demand;
+            assert!(
+                now + base >= then && now >= 4,
+                "{name}: {zone:?} after {then}"
+            );
+        }
+    }
+}
