Order more upstreams for the work that limited ones don't take

Callers were refused or waited at the few upstreams without a limit, while the plan counted each limited one as a whole one.

Change: the share of its usual work that an upstream does not take, by its limit and the mean work of an attempt, uses up the surplus of reclaimable upstreams first; beyond it, more are ordered, with the hysteresis of the need.

--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -19,6 +19,7 @@
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::broker::Report;
+use cactusglade_policy::capacity;
 use cactusglade_policy::capacity::Zone;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Counts;
@@ -196,6 +197,8 @@
     pub available: BTreeMap<String, BTreeMap<String, Zone>>,
     /// Mean time that prompts recently waited at these upstreams in milliseconds, by service.
     pub delays: BTreeMap<String, f64>,
+    /// Upstreams' worth of work that limited ones of these don't take, by service.
+    pub impaired: BTreeMap<String, f64>,
 }
 
 /// `Meter` requests the [`Statistics`].
@@ -245,6 +248,7 @@
             ..denied.kind.into()
         })?;
         self.add_work(&grant, self.policy.prefill_ms(&grant));
+        self.count_attempt(&grant);
         let upstream = self.policy.upstream(grant.upstream);
         let upstream = upstream.ok_or(Refused::from(Kind::NoUpstream))?;
         let (address, name) = (upstream.instance.address, upstream.instance.name.clone());
@@ -432,6 +436,10 @@
             let withheld = self.policy.withheld_version(now, &service);
             let is_withheld = withheld.is_some_and(|version| instance.version == version);
             *inventory.delays.entry(service.clone()).or_default() += upstream.delay(now);
+            if let Some(limit) = upstream.throttle.rate() {
+                let impairment = capacity::impairment(limit, self.work_per_attempt(&service));
+                *inventory.impaired.entry(service.clone()).or_default() += impairment;
+            }
             let zones = inventory.available.entry(service).or_default();
             let zone = zones.entry(instance.zone.clone()).or_default();
             if is_withheld {
@@ -520,6 +528,22 @@
         }
     }
 
+    /// Counts an attempt to the grant's service.
+    fn count_attempt(&mut self, grant: &Grant) {
+        if let Some(object) = self.policy.catalog().services.get(grant.service) {
+            add_total(&mut self.sent, &object.name, 1);
+        }
+    }
+
+    /// Returns the mean work of this daemon's attempts to a service, in milliseconds of one
+    /// upstream's time.
+    #[allow(clippy::cast_precision_loss)]
+    fn work_per_attempt(&self, service: &str) -> f64 {
+        let name = affinity::short_hash(service);
+        let total = |totals: &Totals| totals.get(&name).copied().unwrap_or_default() as f64;
+        total(&self.work) / total(&self.sent).max(1.0)
+    }
+
     /// Removes and returns an idle connection that can carry the request.
     fn take_idle(
         &mut self,
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -87,6 +87,8 @@
     quota_used: Totals,
     /// Work sent to each service since the start, in milliseconds of one upstream's time.
     work: Totals,
+    /// Number of attempts sent to each service since the start.
+    sent: Totals,
     idle: BTreeMap<arena::Upstream, Vec<Idle>>,
     catalogs: watch::Sender<Arc<Catalog>>,
     clock: Clock,
@@ -105,6 +107,7 @@
             windows: Windows::new(options.window),
             quota_used: Totals::new(),
             work: Totals::new(),
+            sent: Totals::new(),
             idle: BTreeMap::new(),
             catalogs: options.catalogs,
             clock: options.clock,
--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -85,6 +85,8 @@
             let delay = inventory.delays.get(&service.name).copied();
             let pressure = capacity::pressure(delay.unwrap_or_default());
             load.measure(now, total, pressure, &zones);
+            let impaired = inventory.impaired.get(&service.name).copied();
+            load.plan.set_impaired(impaired.unwrap_or_default());
             let was_held = load.plan.is_held();
             let due = load.plan.orders(now, scale, &zones);
             if load.plan.is_held() && !was_held {
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -9,6 +9,7 @@
 
 use cactusglade_core::catalog::Scale;
 use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
 
 /// Target utilisation of an upstream, low enough that prompts of a burst don't wait for each other.
 const TARGET_UTILISATION: f64 = 0.5;
@@ -59,6 +60,14 @@
     1.0 + ((delay_ms - NO_PRESSURE_DELAY_MS) / range).clamp(0.0, 1.0)
 }
 
+/// Returns the share of an upstream's usual work that it does not take because of its limit, where a
+/// request takes `work_ms` of an upstream's time.
+#[must_use]
+pub fn impairment(limit: Rate, work_ms: f64) -> f64 {
+    let busy = limit.per_second() * work_ms / 1_000.0;
+    1.0 - (busy / TARGET_UTILISATION).min(1.0)
+}
+
 /// `Zone` counts the upstreams of a service in one zone that are not leaving.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Zone {
@@ -93,6 +102,8 @@
     need: f64,
     /// Need on which orders are based; it follows `need` with hysteresis.
     planned_need: f64,
+    /// Upstreams' worth of work that limited upstreams don't take, with the same hysteresis.
+    impaired: f64,
     measured: Option<Millis>,
     /// When upstreams were first seen.
     started: Option<Millis>,
@@ -136,6 +147,13 @@
         }
     }
 
+    /// Records how many upstreams' worth of work the limited ones don't take.
+    pub fn set_impaired(&mut self, impaired: f64) {
+        if impaired > self.impaired || impaired < self.impaired * SCALE_DOWN_RATIO {
+            self.impaired = impaired;
+        }
+    }
+
     /// Returns the number of upstreams that are needed.
     #[must_use]
     pub const fn need(&self) -> f64 {
@@ -239,7 +257,9 @@
         let can_reclaim = scale.spot_price.is_some();
         let reclaimable_per_zone = if can_reclaim {
             let per_need = (1.0 / remaining_zones).max(MIN_RECLAIMABLE_PER_NEED / all_zones);
-            (self.planned_need * per_need).ceil()
+            // What limited upstreams don't take uses up the surplus first.
+            let least = (self.planned_need + self.impaired) / all_zones;
+            (self.planned_need * per_need).max(least).ceil()
         } else {
             0.0
         };
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -7,6 +7,7 @@
 use cactusglade_check::check;
 use cactusglade_core::catalog::Scale;
 use cactusglade_core::units::Millis;
+use cactusglade_core::units::Rate;
 use cactusglade_policy::capacity;
 use cactusglade_policy::capacity::Order;
 use cactusglade_policy::capacity::Plan;
@@ -259,3 +260,27 @@
         }
     }
 }
+
+/// Limited upstreams counted as whole ones, and what they did not take was sent to the few others.
+#[test]
+fn work_that_limited_upstreams_do_not_take_is_ordered_elsewhere() {
+    let impairment = |per_s: u64| capacity::impairment(Rate(per_s * 1_000), 50.0);
+    assert!((impairment(1) - 0.9).abs() < 1e-9);
+    assert!(impairment(10) < 1e-9 && impairment(100) < 1e-9);
+    let mut zones = zones(1, 1);
+    let mut plan = observed_plan(&zones);
+    plan.measure(Millis(4_000), 1.0, &zones);
+    let mut ordered = |at: u64, impaired: f64| {
+        plan.set_impaired(impaired);
+        let orders = plan.orders(Millis(at), &scale(), &zones);
+        carry_out(&mut zones, &orders);
+        let counts = zones.values().map(|zone| zone.reclaimable);
+        counts.sum::<u64>()
+    };
+    let before = ordered(4_000, 0.0);
+    assert_eq!(ordered(4_500, 4.0), before, "the surplus covers it");
+    let limited = ordered(5_000, 12.0);
+    assert!(limited >= before + 4, "{before}, then {limited}");
+    assert_eq!(ordered(5_500, 11.0), limited, "a small change");
+    assert_eq!(ordered(6_000, 0.0), before);
+}
