--- a/cactusglade-daemon/src/edge/configuration/mod.rs
+++ b/cactusglade-daemon/src/edge/configuration/mod.rs
@@ -8,6 +8,7 @@
 
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::catalog::Draft;
+use cactusglade_core::revision::Revision;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::lag::Lag;
@@ -83,7 +84,7 @@
     /// The store, at this revision, by a call that it held for this time.
     Store {
         /// Revision that the store stated.
-        revision: u64,
+        revision: Revision,
         /// Time from the call to its answer.
         held: Millis,
     },
@@ -250,7 +251,7 @@
         match origin {
             Origin::Store { revision, held } => {
                 info!(self.log, "configuration_read"; "version" => version, "from" => "store",
-                    "revision" => revision, "held_ms" => held.0);
+                    "revision" => revision.number, "era" => revision.era, "held_ms" => held.0);
             }
             Origin::Peer(holder) => {
                 info!(self.log, "configuration_read"; "version" => version, "from" => %holder);
--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -125,7 +125,7 @@
         let revision = self
             .row
             .as_ref()
-            .map_or(Revision(0), |(_, revision)| *revision);
+            .map_or(Revision::default(), |(_, revision)| *revision);
         let Ok(value) = serde_json::to_vec(&next) else {
             return;
         };
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -199,7 +199,7 @@
                 Ok(()) => {
                     self.rolled_back.insert(rollout.revision);
                     info!(self.options.log, "rollout_taken_back"; "service" => &rollout.service,
-                        "to" => &rollout.to, "revision" => rollout.revision.0,
+                        "to" => &rollout.to, "revision" => rollout.revision.number,
                         "within_ms" => rollout.time_limit.0);
                 }
                 Err(error) => {
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -187,7 +187,7 @@
             }
         };
         let row = rows.into_iter().find(|row| row.key == SUM_KEY);
-        let revision = row.as_ref().map_or(Revision(0), |row| row.revision);
+        let revision = row.as_ref().map_or(Revision::default(), |row| row.revision);
         let sums = row.and_then(|row| serde_json::from_slice(&row.value).ok());
         let mut sums: BTreeMap<u64, Sums> = sums.unwrap_or_default();
         if let Some(counts) = sums.get(&window) {
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cactusglade_core::fleet::Change;
+use cactusglade_core::revision::Revision;
 use cactusglade_core::row::Lease;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Ledger;
@@ -13,16 +14,16 @@
 pub struct Progress {
     /// Revision up to which the relay has read the entries; `None` while no other daemon relays the
     /// registry to this one, or its state is too old.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
 }
 
 /// `Changeset` reports what this daemon has read of the registry from the store.
 #[derive(Clone, Debug)]
 pub struct Changeset {
     /// Revision to which the changes apply; `None` if all entries were read.
-    pub after: Option<u64>,
+    pub after: Option<Revision>,
     /// Revision after the changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// Changed entries, in order.
     pub changes: Vec<Change>,
 }
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -127,7 +127,7 @@
     const fn new(options: Options<S, K>) -> Self {
         Self {
             options,
-            revision: Revision(0),
+            revision: Revision { number: 0, era: 0 },
             is_unreachable: false,
             retry_pause: MIN_RETRY_PAUSE,
         }
@@ -162,7 +162,7 @@
             }
             Err(Error::Compacted) => {
                 info!(self.options.log, "history_lost"; "source" => self.options.name,
-                    "revision" => self.revision.0);
+                    "revision" => self.revision.number, "era" => self.revision.era);
                 return false;
             }
             Err(error) => self.record_error(&error).await,
@@ -176,17 +176,18 @@
         if self.is_unreachable {
             self.is_unreachable = false;
             info!(self.options.log, "store_regained"; "source" => self.options.name,
-                "revision" => update.revision.0);
+                "revision" => update.revision.number, "era" => update.revision.era);
             self.options.sink.set_unreachable(false).await;
         }
         for entry in &update.unreadable {
             warn!(self.options.log, "entry_unreadable"; "source" => self.options.name,
-                "entry" => entry, "revision" => update.revision.0);
+                "entry" => entry, "revision" => update.revision.number, "era" => update.revision.era);
         }
         // An answer older than the known revision would undo changes applied since.
         if update.revision < self.revision {
             warn!(self.options.log, "answer_outdated"; "source" => self.options.name,
-                "revision" => update.revision.0, "known" => self.revision.0);
+                "revision" => update.revision.number, "era" => update.revision.era,
+                "known" => self.revision.number, "known_era" => self.revision.era);
             self.pause().await;
             return;
         }
@@ -207,7 +208,7 @@
         if !self.is_unreachable {
             self.is_unreachable = true;
             warn!(self.options.log, "store_lost"; "source" => self.options.name,
-                "reason" => %error, "revision" => self.revision.0);
+                "reason" => %error, "revision" => self.revision.number, "era" => self.revision.era);
             self.options.sink.set_unreachable(true).await;
         }
         self.pause().await;
@@ -240,7 +241,7 @@
                     let configure = configuration::Configure {
                         draft: *draft,
                         origin: Origin::Store {
-                            revision: receipt.revision.0,
+                            revision: receipt.revision,
                             held: receipt.held,
                         },
                     };
--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -65,7 +65,7 @@
                 // An empty answer reports that the registry is reachable again, through the relay.
                 return Ok(new_update(after, Vec::new()));
             }
-            let is_behind = relay_revision > after.0;
+            let is_behind = relay_revision > after;
             let pause = if is_behind {
                 FORWARD_TIMEOUT
             } else {
@@ -101,8 +101,8 @@
     /// Reports to the mesh what was read from the store, so that it can forward the changes.
     async fn report(&mut self, after: Option<Revision>, revision: Revision, changes: Vec<Change>) {
         let changeset = mesh::Changeset {
-            after: after.map(|after| after.0),
-            revision: revision.0,
+            after,
+            revision,
             changes,
         };
         // Fails only while the daemon stops.
@@ -111,7 +111,7 @@
 
     /// Adds a part of forwarded changes; returns the changes once all parts have arrived.
     fn reassemble(&mut self, after: Revision, entries: Entries) -> Option<Update<Change>> {
-        if entries.after > after.0 || entries.revision <= after.0 {
+        if entries.after > after || entries.revision <= after {
             return None;
         }
         if self
@@ -121,7 +121,7 @@
         {
             self.parts.clear();
         }
-        let (revision, count) = (Revision(entries.revision), entries.parts);
+        let (revision, count) = (entries.revision, entries.parts);
         self.parts.push(entries);
         if self.parts.len() < count {
             return None;
--- a/cactusglade-daemon/src/edge/watch/supervised.rs
+++ b/cactusglade-daemon/src/edge/watch/supervised.rs
@@ -55,7 +55,7 @@
             tokio::select! {
                 update = self.source.watch(after, wait) => return update,
                 Ok(()) = self.missed.changed() => {
-                    info!(self.log, "held_call_dropped"; "after" => after.0,
+                    info!(self.log, "held_call_dropped"; "after" => %after,
                         "missed" => *self.missed.borrow());
                 }
                 // A call that was made under the supervision of a relay may be lost without it.
--- a/cactusglade-link/src/link/client.rs
+++ b/cactusglade-link/src/link/client.rs
@@ -25,6 +25,8 @@
 pub struct Answer {
     /// HTTP status code.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -122,12 +124,16 @@
             None => Connection::with_keepalive(self.address, self.timeout).await?,
         };
         let response = connection.send(request).await?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES);
         let body = body.collect().await.map_err(|_| Error::Lost)?.to_bytes();
         // Fails only once the pool task has ended, when the connection can't be reused.
         let _ = self.idle.send(Message::Release(connection)).await;
-        Ok(Answer { status, body })
+        Ok(Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
     }
 
     async fn acquire(&self) -> Option<Connection> {
--- a/cactusglade-policy/src/relay/mod.rs
+++ b/cactusglade-policy/src/relay/mod.rs
@@ -4,15 +4,16 @@
 //! the registry advances although no upstream changed. A relay that announced that revision would
 //! make each daemon of its zone look for changes that do not exist.
 
+use cactusglade_core::revision::Revision;
 use cactusglade_core::units::Millis;
 
 /// `Reading` is one read of the registry from the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Reading {
     /// Revision after which the changes were read; `None` if all entries were read.
-    pub after: Option<u64>,
+    pub after: Option<Revision>,
     /// Revision up to which they were read.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the read returned changes.
     pub has_changes: bool,
 }
@@ -21,9 +22,9 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
     /// Revision from which on no change is known.
-    unchanged_since: u64,
+    unchanged_since: Revision,
     /// Revision up to which the last read reached.
-    read_to: u64,
+    read_to: Revision,
     read_at: Option<Millis>,
 }
 
@@ -32,7 +33,7 @@
     ///
     /// That is the revision of the last change before them, so that they also apply at a daemon
     /// that was not told of the revisions between.
-    pub fn record(&mut self, now: Millis, reading: &Reading) -> u64 {
+    pub fn record(&mut self, now: Millis, reading: &Reading) -> Revision {
         let base = match reading.after {
             // The previous read ended where this one begins.
             Some(after) if after == self.read_to => self.unchanged_since,
@@ -53,7 +54,7 @@
     /// Returns the revision that other daemons need in order to know all changes that this one
     /// knows.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> Revision {
         self.unchanged_since
     }
 
--- a/cactusglade-policy/tests/relay.rs
+++ b/cactusglade-policy/tests/relay.rs
@@ -8,11 +8,11 @@
 
 fn read(progress: &mut Progress, after: u64, revision: u64, has_changes: bool) -> u64 {
     let reading = Reading {
-        after: Some(after),
-        revision,
+        after: Some(after.into()),
+        revision: revision.into(),
         has_changes,
     };
-    progress.record(Millis(0), &reading)
+    progress.record(Millis(0), &reading).into()
 }
 
 #[test]
@@ -20,14 +20,14 @@
     let mut progress = Progress::default();
     let snapshot = Reading {
         after: None,
-        revision: 100,
+        revision: 100.into(),
         has_changes: true,
     };
     progress.record(Millis(0), &snapshot);
     for (after, revision) in [(100, 130), (130, 170), (170, 220)] {
         read(&mut progress, after, revision, false);
     }
-    assert_eq!(progress.revision(), 100);
+    assert_eq!(progress.revision(), 100.into());
 }
 
 #[test]
@@ -36,7 +36,7 @@
     assert_eq!(read(&mut progress, 0, 100, true), 0);
     assert_eq!(read(&mut progress, 100, 150, false), 100);
     assert_eq!(read(&mut progress, 150, 160, true), 100);
-    assert_eq!(progress.revision(), 160);
+    assert_eq!(progress.revision(), 160.into());
 }
 
 #[test]
@@ -45,8 +45,8 @@
     assert_eq!(progress.age(Millis(5)), None);
     read(&mut progress, 0, 100, true);
     let reading = Reading {
-        after: Some(100),
-        revision: 140,
+        after: Some(100.into()),
+        revision: 140.into(),
         has_changes: false,
     };
     progress.record(Millis(900), &reading);
@@ -80,7 +80,7 @@
             let base = read(progress, *known, revision, !changes.is_empty());
             applied.extend(changes.iter().copied());
             *known = revision;
-            let announced = progress.revision();
+            let announced = u64::from(progress.revision());
             for (number, (progress, known, applied)) in daemons.iter_mut().enumerate() {
                 if number == relay {
                     continue;
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -12,6 +12,7 @@
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
+use cactusglade_core::revision::Revision;
 use cactusglade_core::row::Lease;
 use serde::Deserialize;
 use serde::Serialize;
@@ -84,7 +85,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Watermark {
     /// Revision of the last change that it knows.
-    pub revision: u64,
+    pub revision: Revision,
     /// Milliseconds since the store itself last confirmed that revision, where it ever did.
     pub age_ms: Option<u64>,
 }
@@ -93,9 +94,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entries {
     /// Revision to which the changes apply.
-    pub after: u64,
+    pub after: Revision,
     /// Revision that is reached once all parts have arrived.
-    pub revision: u64,
+    pub revision: Revision,
     /// Index of this part.
     pub part: usize,
     /// Number of parts.
@@ -110,7 +111,7 @@
 impl Entries {
     /// Splits changes into parts that each fit a datagram.
     #[must_use]
-    pub fn split(after: u64, revision: u64, changes: &[Change]) -> Vec<Self> {
+    pub fn split(after: Revision, revision: Revision, changes: &[Change]) -> Vec<Self> {
         let parts = changes.chunks(CHANGES_PER_PART).enumerate();
         let count = changes.len().div_ceil(CHANGES_PER_PART);
         let parts = parts.map(|(part, changes)| Self {
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -12,6 +12,7 @@
 use cactusglade_core::fleet::Change;
 use cactusglade_core::units::Millis;
 
+pub use cactusglade_core::revision::Revision;
 pub use codec::Codec;
 pub use codec::Decode;
 pub use codec::Forwarding;
@@ -33,8 +34,8 @@
     /// The call may have taken effect, or may still do so.
     #[error("no answer")]
     Unknown,
-    /// The requested changes have been removed from the history.
-    #[error("the requested changes are no longer in the history")]
+    /// The history does not reach back to the requested changes, or is another one.
+    #[error("the requested changes are not in the history")]
     Compacted,
     /// The answer could not be decoded.
     #[error("malformed answer: {0}")]
@@ -44,10 +45,6 @@
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// `Revision` is the number of a state of a store, greater with each change.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Revision(pub u64);
-
 /// `Update` is the answer of a source.
 #[derive(Clone, Debug)]
 pub struct Update<T> {
--- a/cactusglade-wire/tests/beat.rs
+++ b/cactusglade-wire/tests/beat.rs
@@ -64,7 +64,7 @@
         }))
     };
     let changes = (0..95).map(change).collect::<Vec<_>>();
-    let parts = Entries::split(3, 9, &changes);
+    let parts = Entries::split(3.into(), 9.into(), &changes);
     let joined = parts.iter().flat_map(|part| part.changes.clone());
     assert_eq!(joined.collect::<Vec<_>>(), changes);
     for part in parts {
