Compare the store's revisions by era before their number

Cause: a revision was a number that was trusted only to rise. Class: a position in a history taken for the whole history.

Change: revisions are ordered by era first. Changes of another era than the known revision's don't follow it, also where the store has given that number out again and reports nothing as lost: everything is read anew. Between daemons, a relay that is in an earlier era is no source. A registry from a copy does not bring back upstreams that were removed, or earlier incarnations, and those that it lacks have time to register again; an older configuration was refused before by its version already.

--- a/cactusglade-core/src/revision/mod.rs
+++ b/cactusglade-core/src/revision/mod.rs
@@ -20,10 +20,21 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(from = "u64", into = "u64")]
 pub struct Revision {
+    /// Era of the store, by which revisions are compared first.
+    pub era: u64,
     /// Number of the last change.
     pub number: u64,
-    /// Number of times that the store was restored, as the store states it.
-    pub era: u64,
+}
+
+impl Revision {
+    /// Returns the revision of a row that does not exist, in the same era.
+    #[must_use]
+    pub const fn of_absent_row(self) -> Self {
+        Self {
+            era: self.era,
+            number: 0,
+        }
+    }
 }
 
 impl From<u64> for Revision {
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -149,6 +149,8 @@
     pub changes: Vec<Change>,
     /// Whether these are all entries of the registry, so that those missing were removed.
     pub is_all: bool,
+    /// Whether these are the entries of a store that was restored from a copy.
+    pub is_restored: bool,
 }
 
 /// `Withhold` excludes a version of a service from requests while any other version serves.
@@ -361,7 +363,9 @@
 
     async fn handle(&mut self, apply: Apply, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        let leaving = if apply.is_all {
+        let leaving = if apply.is_restored {
+            self.policy.apply_copy(now, apply.changes)
+        } else if apply.is_all {
             self.policy.apply_snapshot(now, apply.changes)
         } else {
             self.policy.apply(now, apply.changes)
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -59,6 +59,9 @@
 pub struct Receipt {
     /// Whether the answer has all items of the source and not only changes.
     pub is_all: bool,
+    /// Whether these are the items of a store that was restored from a copy, in which changes that
+    /// were known are missing.
+    pub is_restored: bool,
     /// Revision of the source after the items.
     pub revision: Revision,
     /// Time from the call to its answer.
@@ -127,7 +130,7 @@
     const fn new(options: Options<S, K>) -> Self {
         Self {
             options,
-            revision: Revision { number: 0, era: 0 },
+            revision: Revision { era: 0, number: 0 },
             is_unreachable: false,
             retry_pause: MIN_RETRY_PAUSE,
         }
@@ -191,11 +194,19 @@
             self.pause().await;
             return;
         }
+        let is_first = self.revision == Revision::default();
+        let is_restored = !is_first && update.revision.era > self.revision.era;
+        if is_restored {
+            warn!(self.options.log, "store_restored"; "source" => self.options.name,
+                "revision" => update.revision.number, "era" => update.revision.era,
+                "known" => self.revision.number, "known_era" => self.revision.era);
+        }
         self.revision = update.revision;
         if is_all || !update.items.is_empty() {
             let held = u64::try_from(called.elapsed().as_millis()).unwrap_or(u64::MAX);
             let receipt = Receipt {
                 is_all,
+                is_restored,
                 revision: self.revision,
                 held: Millis(held),
             };
@@ -296,6 +307,7 @@
         let apply = broker::Apply {
             changes,
             is_all: receipt.is_all,
+            is_restored: receipt.is_restored,
         };
         // Fails only while the daemon stops.
         let _ = self.broker.tell(apply).await;
--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -65,6 +65,10 @@
                 // An empty answer reports that the registry is reachable again, through the relay.
                 return Ok(new_update(after, Vec::new()));
             }
+            if relay_revision.era < after.era {
+                // The relay has not noticed that the store was restored.
+                return self.poll_store(after, RELAY_MAX_WAIT).await;
+            }
             let is_behind = relay_revision > after;
             let pause = if is_behind {
                 FORWARD_TIMEOUT
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -34,20 +34,44 @@
     ///
     /// Upstreams that the snapshot lacks have been removed.
     pub fn apply_snapshot(&mut self, now: Millis, changes: Vec<Change>) -> Vec<arena::Upstream> {
-        let listed = changes.iter().filter_map(|change| match change {
-            Change::Put(instance) => Some(instance.name.clone()),
-            Change::Removed(_) => None,
+        let missing = self.missing(&listed(&changes));
+        self.apply(now, changes.into_iter().chain(missing))
+    }
+
+    /// Applies a snapshot of a registry that was restored from a copy, and returns the upstreams that
+    /// newly leave.
+    ///
+    /// The copy is older than what is known. It does not bring back an upstream that was removed
+    /// since, nor an earlier incarnation; an upstream that it lacks has time to register again.
+    pub fn apply_copy(&mut self, now: Millis, mut changes: Vec<Change>) -> Vec<arena::Upstream> {
+        self.store_regained = Some(now);
+        let missing = self.missing(&listed(&changes));
+        changes.retain(|change| match change {
+            Change::Put(instance) => !self.outlives(instance),
+            Change::Removed(_) => true,
         });
-        let listed = listed.collect::<BTreeSet<_>>();
-        let missing = self
-            .upstreams
-            .names()
-            .filter(|name| !listed.contains(*name));
-        let missing = missing.map(|name| Change::Removed(name.to_owned()));
-        let missing = missing.collect::<Vec<_>>();
         self.apply(now, changes.into_iter().chain(missing))
     }
 
+    /// Returns whether what is known of an upstream is newer than an entry in a copy.
+    fn outlives(&self, entry: &Instance) -> bool {
+        let known = self.upstreams.find(&entry.name);
+        known
+            .and_then(|key| self.upstreams.get(key))
+            .is_some_and(|known| {
+                known.removal.is_some() || entry.started_unix_ms < known.instance.started_unix_ms
+            })
+    }
+
+    /// Returns the removals of the upstreams that are not listed.
+    fn missing(&self, listed: &BTreeSet<String>) -> Vec<Change> {
+        let names = self.upstreams.names();
+        let missing = names.filter(|name| !listed.contains(*name));
+        missing
+            .map(|name| Change::Removed(name.to_owned()))
+            .collect()
+    }
+
     /// Applies changes of the registry and returns the upstreams that newly leave.
     pub fn apply(
         &mut self,
@@ -137,6 +161,15 @@
     }
 }
 
+/// Returns the names of the upstreams that have an entry.
+fn listed(changes: &[Change]) -> BTreeSet<String> {
+    let names = changes.iter().filter_map(|change| match change {
+        Change::Put(instance) => Some(instance.name.clone()),
+        Change::Removed(_) => None,
+    });
+    names.collect()
+}
+
 /// Returns whether two entries describe the same process.
 fn is_same(before: &Instance, after: &Instance) -> bool {
     before.started_unix_ms == after.started_unix_ms
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -375,3 +375,34 @@
     assert!(charge("first").is_err());
     assert!(charge("second").is_ok());
 }
+
+/// A registry that was restored from a copy brought back upstreams that had left, and took the place
+/// of those that had registered since.
+#[test]
+fn a_copy_of_the_registry_is_older_than_what_is_known() {
+    let mut fixture = set_up(&["left", "stays", "restarted", "new"]);
+    let broker = &mut fixture.broker;
+    broker.apply(Millis(1_000), [Change::Removed("left".to_owned())]);
+    broker.apply(Millis(1_000), [put("restarted", 5, Phase::Ready)]);
+    broker.apply(Millis(1_000), [put("stays", 1, Phase::Leaving)]);
+    let copy = ["left", "stays", "restarted"].map(|name| put(name, 1, Phase::Ready));
+    broker.apply_copy(Millis(5_000), copy.to_vec());
+    let serving = |broker: &Broker<Fastest>, now: u64| {
+        let upstreams = broker.upstreams();
+        let serving = upstreams.filter(|(_, one)| one.is_available(Millis(now)));
+        let names =
+            serving.map(|(_, one)| (one.instance.name.clone(), one.instance.started_unix_ms));
+        names.collect::<Vec<_>>()
+    };
+    let restarted = ("restarted".to_owned(), 5);
+    let new = ("new".to_owned(), 1);
+    assert_eq!(serving(broker, 6_500), [new.clone(), restarted.clone()]);
+    broker.apply(Millis(6_600), [put("left", 1, Phase::Ready)]);
+    let left = ("left".to_owned(), 1);
+    let again = [left, restarted];
+    assert_eq!(
+        serving(broker, 8_000),
+        again,
+        "one registered again, one did not"
+    );
+}
