Let epochs of the lease rise over restorations of the store

Change: the epochs of an era are greater than all before. A row from before the store's era, or none, is claimed at once only by the daemon that still holds the lease, since nobody else can have held it meanwhile; others wait for a term from the moment at which they learn of the era. A refused condition makes the row be read again at once. A write whose condition was checked in another era than the expected revision's proves nothing, since the number may have been given out again.

The policy's random test plays restorations to any earlier row beside suspensions, delays and lost answers; without the rising epochs, the waiting, or the check of one's own earlier row it fails.

--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -34,9 +34,12 @@
     store: S,
     lease: Lease,
     holder: String,
-    /// Row as last read or written, with its revision.
-    row: Option<(Row, Revision)>,
-    /// Whether the outcome of the last write is unknown, so that the row may be this daemon's.
+    /// Row as last read or written.
+    row: Option<Row>,
+    /// Revision of the row, or of its absence, as last read or written.
+    revision: Revision,
+    /// Whether the row must be read: the outcome of the last write is unknown, so that the row may be
+    /// this daemon's, or the row was not the expected one.
     is_uncertain: bool,
     is_held: bool,
     log: Logger,
@@ -54,6 +57,7 @@
             lease: Lease::with_timing(holder, timing),
             holder: holder.to_owned(),
             row: None,
+            revision: Revision::default(),
             is_uncertain: false,
             is_held: false,
             log,
@@ -68,7 +72,7 @@
     /// Returns the lease while it is safely held, for the heartbeats to other daemons.
     pub fn held_lease(&self, now: Millis) -> Option<Row> {
         self.fencing_token(now)?;
-        self.row.as_ref().map(|(row, _)| row.clone())
+        self.row.clone()
     }
 
     /// Acquires or renews the lease where that is due.
@@ -80,7 +84,7 @@
         let is_own = self
             .row
             .as_ref()
-            .is_some_and(|(row, _)| row.holder == self.holder);
+            .is_some_and(|row| row.holder == self.holder);
         if let Some(observed) = observed.filter(|_| !is_own) {
             self.lease.observe(now, Some(observed));
             self.log_transition(now);
@@ -89,12 +93,12 @@
         let is_held = is_own && self.fencing_token(now).is_some();
         let is_due = is_held || is_own || self.is_uncertain || self.lease.is_stale(now);
         // The holder knows the row that it wrote; any other daemon has to read it.
-        if !is_due || (!is_held && !self.read().await) {
+        if !is_due || (!is_held && !self.read(clock).await) {
             self.log_transition(clock.now());
             return;
         }
         let now = clock.now();
-        let row = self.row.as_ref().map(|(row, _)| row.clone());
+        let row = self.row.clone();
         if let Action::Write(next) = self.lease.observe(now, row) {
             self.write(clock, next).await;
         }
@@ -102,15 +106,14 @@
     }
 
     /// Reads the row from the store; returns whether that succeeded.
-    async fn read(&mut self) -> bool {
+    async fn read(&mut self, clock: Clock) -> bool {
         match self.store.rows(TABLE).await {
-            Ok(rows) => {
+            Ok(table) => {
                 self.is_uncertain = false;
-                let row = rows.into_iter().find(|row| row.key == KEY);
-                self.row = row.and_then(|row| {
-                    let lease = serde_json::from_slice(&row.value).ok()?;
-                    Some((lease, row.revision))
-                });
+                self.lease.enter_era(clock.now(), table.revision.era);
+                self.revision = table.revision_of(KEY);
+                let row = table.rows.iter().find(|row| row.key == KEY);
+                self.row = row.and_then(|row| serde_json::from_slice(&row.value).ok());
                 true
             }
             Err(error) => {
@@ -122,26 +125,26 @@
 
     /// Writes the row, provided that it is still as last read or written.
     async fn write(&mut self, clock: Clock, next: Row) {
-        let revision = self
-            .row
-            .as_ref()
-            .map_or(Revision::default(), |(_, revision)| *revision);
         let Ok(value) = serde_json::to_vec(&next) else {
             return;
         };
         let write = Write {
             table: TABLE,
             key: KEY.to_owned(),
-            expect: Some(revision),
+            expect: Some(self.revision),
             value,
         };
         let sent_at = clock.now();
         match self.store.commit(vec![write]).await {
             Ok(Some(revision)) => {
                 self.lease.confirm(sent_at, next.clone());
-                self.row = Some((next, revision));
+                self.row = Some(next);
+                self.revision = revision;
+            }
+            Ok(None) => {
+                self.is_uncertain = true;
+                self.row = None;
             }
-            Ok(None) => self.row = None,
             Err(error) => {
                 // The write may have taken effect; the next read shows whether it did.
                 warn!(self.log, "lease_unwritten"; "reason" => %error);
@@ -161,7 +164,7 @@
             } else {
                 "lease_lost"
             };
-            let epoch = self.row.as_ref().map_or(0, |(row, _)| row.epoch);
+            let epoch = self.row.as_ref().map_or(0, |row| row.epoch);
             info!(self.log, "duties"; "what" => event, "fence" => epoch);
         }
     }
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -15,7 +15,6 @@
 use cactusglade_wire::port::Holder;
 use cactusglade_wire::port::Platform;
 use cactusglade_wire::port::Provider;
-use cactusglade_wire::port::Revision;
 use cactusglade_wire::port::Store;
 use cactusglade_wire::port::Write;
 use serde::Deserialize;
@@ -179,15 +178,15 @@
     /// They are written to the store before the first report, so that all reports of a window are
     /// equal, whichever daemon sends them.
     async fn final_sums(&self, window: u64, unix_now: Millis, catalog: &Catalog) -> Option<Sums> {
-        let rows = match self.store.rows(SUM_TABLE).await {
-            Ok(rows) => rows,
+        let table = match self.store.rows(SUM_TABLE).await {
+            Ok(table) => table,
             Err(error) => {
                 warn!(self.log, "usage_unread"; "reason" => %error);
                 return None;
             }
         };
-        let row = rows.into_iter().find(|row| row.key == SUM_KEY);
-        let revision = row.as_ref().map_or(Revision::default(), |row| row.revision);
+        let revision = table.revision_of(SUM_KEY);
+        let row = table.rows.into_iter().find(|row| row.key == SUM_KEY);
         let sums = row.and_then(|row| serde_json::from_slice(&row.value).ok());
         let mut sums: BTreeMap<u64, Sums> = sums.unwrap_or_default();
         if let Some(counts) = sums.get(&window) {
@@ -217,14 +216,15 @@
     /// Sums up the counts of all daemons, once every zone has written its ledger or the time to
     /// wait for them is over.
     async fn sum(&self, window: u64, unix_now: Millis, catalog: &Catalog) -> Option<Sums> {
-        let rows = match self.store.rows(LEDGER_TABLE).await {
-            Ok(rows) => rows,
+        let table = match self.store.rows(LEDGER_TABLE).await {
+            Ok(table) => table,
             Err(error) => {
                 warn!(self.log, "usage_unread"; "reason" => %error);
                 return None;
             }
         };
-        let records = rows
+        let records = table
+            .rows
             .iter()
             .filter_map(|row| serde_json::from_slice(&row.value).ok());
         let records = records.collect::<Vec<Record>>();
--- a/cactusglade-daemon/src/edge/measure/mod.rs
+++ b/cactusglade-daemon/src/edge/measure/mod.rs
@@ -14,9 +14,9 @@
 use cactusglade_wire::port::Result;
 use cactusglade_wire::port::Revision;
 use cactusglade_wire::port::Rollout;
-use cactusglade_wire::port::Row;
 use cactusglade_wire::port::Source;
 use cactusglade_wire::port::Store;
+use cactusglade_wire::port::Table;
 use cactusglade_wire::port::Update;
 use cactusglade_wire::port::Write;
 
@@ -124,7 +124,7 @@
 }
 
 impl<S: Store> Store for Measured<S> {
-    async fn rows(&self, table: &'static str) -> Result<Vec<Row>> {
+    async fn rows(&self, table: &'static str) -> Result<Table> {
         timed(&self.metrics, "rows", self.part.rows(table)).await
     }
 
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -78,8 +78,8 @@
             is_written = store.commit(vec![write]).await.is_ok();
         }
         match store.rows(TABLE).await {
-            Ok(rows) => {
-                let members = rows.into_iter().filter_map(|row| {
+            Ok(table) => {
+                let members = table.rows.into_iter().filter_map(|row| {
                     let member: Member = serde_json::from_slice(&row.value).ok()?;
                     Some((member.address, member.zone))
                 });
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -5,12 +5,19 @@
 //! passed since it *sent* its last renewal. A holder whose process was suspended detects this on
 //! its own monotonic clock. Writes under the lease are also conditional on its epoch, which serves
 //! as the fencing token. See `docs/DESIGN.md`.
+//!
+//! A table that is restored from a copy has an earlier row, or none, and its store states the next
+//! era. The epochs of an era are greater than those of all eras before, and a row from before is
+//! taken over only by the daemon that still holds the lease, or after a whole term.
 
 use cactusglade_core::row::Lease as Row;
 use cactusglade_core::units::Millis;
 
 /// Default of [`Timing::term`].
 pub const TERM: Millis = Millis(6_000);
+/// Number of epochs in an era, far more than there are changes of the holder. Tokens stay below the
+/// greatest integer that a floating-point number holds exactly, for eras up to 2^33.
+const EPOCHS_PER_ERA: u64 = 1 << 20;
 
 /// `Timing` holds the durations of a lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,6 +70,10 @@
     renewed: Option<Millis>,
     /// When the state was first asked for.
     started: Option<Millis>,
+    /// Era of the store; zero where it states none, which is never restored.
+    era: u64,
+    /// Greatest epoch that this daemon has seen.
+    greatest: u64,
 }
 
 impl Lease {
@@ -83,11 +94,25 @@
             observed: None,
             renewed: None,
             started: None,
+            era: 0,
+            greatest: 0,
+        }
+    }
+
+    /// Records the era in which the store answers; a row counts as unchanged from its beginning on.
+    pub fn enter_era(&mut self, now: Millis, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if let Some(observed) = &mut self.observed {
+            observed.since = now;
         }
     }
 
     /// Records the row that the table holds now and returns the next action.
     pub fn observe(&mut self, now: Millis, row: Option<Row>) -> Action {
+        let is_held = self.epoch(now).is_some();
         let changed = self
             .observed
             .as_ref()
@@ -102,9 +127,12 @@
             .observed
             .as_ref()
             .map_or(Millis(0), |observed| now - observed.since);
+        let epoch = row.as_ref().map_or(0, |row| row.epoch);
+        self.greatest = self.greatest.max(epoch);
+        let is_expired = unchanged >= self.timing.term;
         match row {
-            None => Action::Write(self.claim(1)),
-            Some(row) if row.holder == self.holder => {
+            None if self.era == 0 => Action::Write(self.claim()),
+            Some(row) if row.holder == self.holder && row.epoch > self.epochs_before() => {
                 let is_due = self
                     .renewed
                     .is_none_or(|sent| now - sent >= self.timing.renewal);
@@ -118,8 +146,10 @@
                     Action::Wait
                 }
             }
-            Some(row) if unchanged >= self.timing.term => Action::Write(self.claim(row.epoch + 1)),
-            Some(_) => Action::Wait,
+            // No other daemon has held the lease since this one renewed it: the row is from a copy.
+            _ if is_held && epoch <= self.epochs_before() => Action::Write(self.claim()),
+            _ if is_expired => Action::Write(self.claim()),
+            _ => Action::Wait,
         }
     }
 
@@ -136,6 +166,7 @@
 
     /// Records that a write which was sent at `sent` has taken effect.
     pub fn confirm(&mut self, sent: Millis, row: Row) {
+        self.greatest = self.greatest.max(row.epoch);
         self.observed = Some(Observed {
             row: Some(row),
             since: sent,
@@ -148,15 +179,21 @@
     pub fn epoch(&self, now: Millis) -> Option<u64> {
         let sent = self.renewed?;
         let row = self.observed.as_ref()?.row.as_ref()?;
-        let is_held =
-            row.holder == self.holder && now - sent < self.timing.term - self.timing.margin;
+        // A copy may have an earlier row of this daemon.
+        let is_own = row.holder == self.holder && row.epoch == self.greatest;
+        let is_held = is_own && now - sent < self.timing.term - self.timing.margin;
         is_held.then_some(row.epoch)
     }
 
-    fn claim(&self, epoch: u64) -> Row {
+    /// Returns the greatest epoch that may have been given out before the store's era.
+    const fn epochs_before(&self) -> u64 {
+        self.era.saturating_mul(EPOCHS_PER_ERA)
+    }
+
+    fn claim(&self) -> Row {
         Row {
             holder: self.holder.clone(),
-            epoch,
+            epoch: self.greatest.max(self.epochs_before()) + 1,
             renewal: 0,
         }
     }
--- a/cactusglade-policy/tests/lease.rs
+++ b/cactusglade-policy/tests/lease.rs
@@ -15,6 +15,7 @@
     holder: usize,
     sent: Millis,
     expected: Option<Row>,
+    era: u64,
     row: Row,
 }
 
@@ -25,6 +26,11 @@
     suspended_until: Vec<Millis>,
     pending: Vec<Pending>,
     greatest_epoch: u64,
+    era: u64,
+    /// All rows so far, of which a copy may have been taken.
+    history: Vec<Option<Row>>,
+    /// Epoch under which a daemon acted last, and the daemon.
+    acted: (u64, usize),
 }
 
 impl Simulation {
@@ -38,20 +44,33 @@
             suspended_until: vec![Millis(0); HOLDERS],
             pending: Vec::new(),
             greatest_epoch: 0,
+            era: 0,
+            history: vec![None],
+            acted: (0, 0),
         }
     }
 
+    /// Restores the table from a copy, and forgets what was written since.
+    fn restore(&mut self, copy: usize) {
+        self.history.truncate(copy % self.history.len() + 1);
+        self.row = self.history.last().cloned().flatten();
+        self.era += 1;
+        self.greatest_epoch = 0;
+    }
+
     /// A holder reads the row and sends the write that it decides on, if any.
     fn observe(&mut self, holder: usize) {
         if self.now < self.suspended_until[holder] {
             return;
         }
         let expected = self.row.clone();
+        self.leases[holder].enter_era(self.now, self.era);
         if let Action::Write(row) = self.leases[holder].observe(self.now, expected.clone()) {
             self.pending.push(Pending {
                 holder,
                 sent: self.now,
                 expected,
+                era: self.era,
                 row,
             });
         }
@@ -72,21 +91,28 @@
         );
         self.greatest_epoch = write.row.epoch;
         self.row = Some(write.row.clone());
-        if answered {
+        self.history.push(self.row.clone());
+        // The answer to a write across a restoration proves nothing.
+        if answered && write.era == self.era {
             self.leases[write.holder].confirm(write.sent, write.row);
         }
     }
 
-    fn check(&self) {
-        let held = self
-            .leases
-            .iter()
-            .filter(|lease| lease.epoch(self.now).is_some());
+    fn check(&mut self) {
+        let held = self.leases.iter().enumerate();
+        let held = held.filter_map(|(holder, lease)| Some((lease.epoch(self.now)?, holder)));
+        let held = held.collect::<Vec<_>>();
         assert!(
-            held.count() <= 1,
-            "several daemons hold the lease at {:?}",
+            held.len() <= 1,
+            "several daemons hold the lease at {:?}: {held:?}",
             self.now
         );
+        for (epoch, holder) in held {
+            let (before, other) = self.acted;
+            let is_newer = epoch > before || (epoch, holder) == (before, other);
+            assert!(is_newer, "{epoch} by {holder} after {before} by {other}");
+            self.acted = (epoch, holder);
+        }
     }
 }
 
@@ -110,6 +136,51 @@
     });
 }
 
+/// After a restoration an epoch was given out twice, or a holder of before went on beside the one
+/// that had replaced it.
+#[test]
+fn no_epoch_is_used_twice_where_the_table_is_restored_from_a_copy() {
+    check::run::<Vec<(u8, u8, u16)>>(40_000, |steps| {
+        let mut simulation = Simulation::new();
+        simulation.era = 1;
+        for (kind, selector, amount) in steps {
+            let selector = usize::from(*selector);
+            match kind % 11 {
+                0..=4 => simulation.observe(selector % HOLDERS),
+                5..=7 => simulation.deliver(selector, amount % 4 != 0),
+                8 => simulation.now = simulation.now + Millis(u64::from(*amount) % 4_000),
+                9 => simulation.restore(selector),
+                _ => {
+                    let until = simulation.now + Millis(u64::from(*amount));
+                    simulation.suspended_until[selector % HOLDERS] = until;
+                }
+            }
+            simulation.check();
+        }
+    });
+}
+
+/// A restoration left a working holder without its lease for a whole term.
+#[test]
+fn a_holder_goes_on_after_a_restoration_with_a_greater_epoch() {
+    let mut simulation = Simulation::new();
+    simulation.era = 1;
+    simulation.observe(0);
+    simulation.now = simulation.now + TERM;
+    simulation.observe(0);
+    simulation.deliver(0, true);
+    let before = simulation.leases[0].epoch(simulation.now);
+    for copy in [0, 1] {
+        simulation.restore(copy);
+        simulation.now = simulation.now + Millis(1_000);
+        simulation.observe(1);
+        simulation.observe(0);
+        simulation.deliver(0, true);
+        assert!(simulation.leases[0].epoch(simulation.now) > before);
+        assert_eq!(simulation.leases[1].epoch(simulation.now), None);
+    }
+}
+
 #[test]
 fn a_failed_holder_is_replaced_with_a_greater_epoch() {
     let mut simulation = Simulation::new();
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -113,6 +113,24 @@
     pub revision: Revision,
 }
 
+/// `Table` is the content of one of the daemons' own tables.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Table {
+    /// All rows.
+    pub rows: Vec<Row>,
+    /// Revision of the store at which they were read.
+    pub revision: Revision,
+}
+
+impl Table {
+    /// Returns the revision of a row, or that of its absence.
+    #[must_use]
+    pub fn revision_of(&self, key: &str) -> Revision {
+        let row = self.rows.iter().find(|row| row.key == key);
+        row.map_or(self.revision.of_absent_row(), |row| row.revision)
+    }
+}
+
 /// `Write` replaces one of the daemons' own rows.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Write {
@@ -120,7 +138,8 @@
     pub table: &'static str,
     /// Key of the row.
     pub key: String,
-    /// Revision that the row must have, zero for an absent row; `None` for an unconditional write.
+    /// Revision that the row must have, number zero for an absent row; `None` for an unconditional
+    /// write.
     pub expect: Option<Revision>,
     /// Content.
     pub value: Vec<u8>,
@@ -129,9 +148,12 @@
 /// `Store` reads and writes the daemons' own rows.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads all rows of a table.
-    fn rows(&self, table: &'static str) -> impl Future<Output = Result<Vec<Row>>> + Send;
+    fn rows(&self, table: &'static str) -> impl Future<Output = Result<Table>> + Send;
 
     /// Writes all rows or none; returns `None` if a row does not have the expected revision.
+    ///
+    /// Returns [`Error::Unknown`] also where the store answers in another era than that of an expected
+    /// revision: the number may have been given out again.
     fn commit(&self, writes: Vec<Write>) -> impl Future<Output = Result<Option<Revision>>> + Send;
 }
 
