Call the store again when the relay of the zone has noticed a restoration

A call for changes that the store holds across a restoration, on a connection that stays, is answered with the next change: until then, up to 25 s, a daemon kept to the era before. It now calls again as soon as its zone's relay announces a later era.

--- a/cactusglade-daemon/src/edge/watch/supervised.rs
+++ b/cactusglade-daemon/src/edge/watch/supervised.rs
@@ -45,13 +45,21 @@
         // Only a change that is missed from now on concerns the call.
         self.missed.mark_unchanged();
         loop {
-            let has_relay = self.progress.borrow().revision.is_some();
-            let wait = if has_relay {
-                wait
-            } else {
-                wait.min(RELAY_MAX_WAIT)
+            let relay = self.progress.borrow().revision;
+            let is_restored = |relay: &Progress| {
+                let revision = relay.revision.unwrap_or_default();
+                revision.era > after.era
             };
-            let relay_lost = self.progress.wait_for(|relay| relay.revision.is_none());
+            let wait = match relay {
+                Some(relay) if relay.era > after.era => Millis(0),
+                Some(_) => wait,
+                None => wait.min(RELAY_MAX_WAIT),
+            };
+            let has_relay = relay.is_some();
+            // A call across a restoration is answered with the next change at the earliest.
+            let relay_changed = self.progress.wait_for(|relay| {
+                relay.revision.is_none() && has_relay || is_restored(relay) && wait > Millis(0)
+            });
             tokio::select! {
                 update = self.source.watch(after, wait) => return update,
                 Ok(()) = self.missed.changed() => {
@@ -59,7 +67,7 @@
                         "missed" => *self.missed.borrow());
                 }
                 // A call that was made under the supervision of a relay may be lost without it.
-                Ok(_) = relay_lost, if has_relay => {}
+                Ok(_) = relay_changed => {}
             }
         }
     }
