Write a daemon's row of the members again after a restoration of the store

A daemon that had started after the copy was taken was no longer listed; those that started later found it through the gossip of others only. Rows are written again within two seconds after a daemon learns of the era, each at a random moment, so that a fleet does not write all at once.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -106,7 +106,8 @@
         let broker = starter.start_broker(catalog).await?;
         starter.start_probes(draining_state).await?;
         let (rollouts, ordered) = watch::channel(BTreeMap::new());
-        let mesh = starter.start_mesh(&broker, rollouts).await?;
+        let (eras, _) = watch::channel(0);
+        let mesh = starter.start_mesh(&broker, rollouts, eras).await?;
         let duty = starter.start_duty(&broker, mesh, ordered).await?;
         let front = starter.start_front(callers, broker).await?;
         info!(log, "daemon_started"; "zone" => &settings.zone, "callers" => %settings.callers);
@@ -208,6 +209,7 @@
         &mut self,
         broker: &ActorRef<Broker>,
         rollouts: watch::Sender<BTreeMap<String, Rollout>>,
+        eras: watch::Sender<u64>,
     ) -> Result<ActorRef<Mesh>> {
         let settings = self.settings;
         let (progress, relay_progress) = watch::channel(Progress::default());
@@ -234,7 +236,7 @@
             reason,
         })?;
         let mesh = self.kernel.start::<Mesh>(mesh::NAME, mesh).await?;
-        self.start_discovery(&mesh);
+        self.start_discovery(&mesh, eras.subscribe());
         let (missed, gaps) = watch::channel(0);
         let operators = Supervised {
             source: self.platform.operator(),
@@ -257,6 +259,7 @@
             configuration,
             broker: broker.clone(),
             rollouts,
+            eras,
         };
         self.start_watches(operators, orders, registry, broker)
             .await?;
@@ -264,12 +267,17 @@
     }
 
     /// Starts the task that finds the other daemons through the store.
-    fn start_discovery(&self, mesh: &ActorRef<Mesh>) {
+    fn start_discovery(&self, mesh: &ActorRef<Mesh>, eras: watch::Receiver<u64>) {
         let settings = self.settings;
-        let own = (settings.peers, settings.zone.clone());
-        let (store, name) = (self.platform.store(), settings.name.clone());
-        let discover = mesh::discover(store, mesh.clone(), name, own, self.log.clone());
-        tokio::spawn(discover);
+        let discovery = mesh::Discovery {
+            store: self.platform.store(),
+            name: settings.name.clone(),
+            address: settings.peers,
+            zone: settings.zone.clone(),
+            eras,
+            log: self.log.clone(),
+        };
+        tokio::spawn(discovery.run(mesh.clone()));
     }
 
     /// Starts the service that owns the configuration.
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use tokio::sync::watch;
 
 use super::Mesh;
 use super::messages::Members;
@@ -27,6 +28,8 @@
 /// least one finds the other and sends it heartbeats. Later reads make up for heartbeats that were
 /// lost; the relay makes them for its zone, and so does a daemon that no other one reaches.
 const READ_PAUSES: std::ops::Range<Duration> = Duration::from_secs(8)..Duration::from_secs(64);
+/// Time within which all daemons write their rows again after the store was restored.
+const RESTORE_SPREAD: Duration = Duration::from_secs(2);
 /// Factor by which the pause grows after each read.
 const PAUSE_FACTOR: u32 = 4;
 
@@ -36,66 +39,104 @@
     zone: String,
 }
 
-/// Writes this daemon's row to the store and passes all daemons' rows to the mesh, until the mesh
-/// stops.
-pub async fn discover<S: Store>(
-    store: S,
-    mesh: ActorRef<Mesh>,
-    name: String,
-    own: (SocketAddr, String),
-    log: Logger,
-) {
-    let mesh = mesh.downgrade();
-    let member = Member {
-        address: own.0,
-        zone: own.1,
-    };
-    let Ok(value) = serde_json::to_vec(&member) else {
-        return;
-    };
-    let mut next_pause = READ_PAUSES.start;
-    let (mut is_written, mut is_read) = (false, false);
-    loop {
-        if is_read {
-            let Some(mesh) = mesh.upgrade() else { return };
-            match mesh.ask(ReadsMembers).await {
-                Ok(true) => {}
-                Ok(false) => {
-                    tokio::time::sleep(next_pause).await;
-                    continue;
-                }
-                Err(_) => return,
+/// `Discovery` writes this daemon's row to the store and passes all daemons' rows to the mesh.
+#[derive(Debug)]
+pub struct Discovery<S> {
+    /// Store of the rows.
+    pub store: S,
+    /// Name of this daemon.
+    pub name: String,
+    /// Address at which other daemons reach this one.
+    pub address: SocketAddr,
+    /// Availability zone of this daemon.
+    pub zone: String,
+    /// Era of the store after it was last restored from a copy, which may lack the row.
+    pub eras: watch::Receiver<u64>,
+    /// Log of the daemon.
+    pub log: Logger,
+}
+
+impl<S: Store> Discovery<S> {
+    /// Runs until the mesh stops.
+    pub async fn run(mut self, mesh: ActorRef<Mesh>) {
+        let mesh = mesh.downgrade();
+        let mut next_pause = READ_PAUSES.start;
+        let (mut is_written, mut is_read) = (false, false);
+        loop {
+            if self.eras.has_changed().unwrap_or(false) {
+                self.eras.mark_unchanged();
+                is_written = false;
             }
-        }
-        let mut pause = RETRY_PAUSE;
-        if !is_written {
-            let write = Write {
-                table: TABLE,
-                key: name.clone(),
-                expect: None,
-                value: value.clone(),
-            };
-            is_written = store.commit(vec![write]).await.is_ok();
-        }
-        match store.rows(TABLE).await {
-            Ok(table) => {
-                let members = table.rows.into_iter().filter_map(|row| {
-                    let member: Member = serde_json::from_slice(&row.value).ok()?;
-                    Some((member.address, member.zone))
-                });
+            if is_read && is_written {
                 let Some(mesh) = mesh.upgrade() else { return };
-                if mesh.tell(Members(members.collect())).await.is_err() {
-                    return;
+                match mesh.ask(ReadsMembers).await {
+                    Ok(true) => {}
+                    Ok(false) => {
+                        self.pause(next_pause).await;
+                        continue;
+                    }
+                    Err(_) => return,
                 }
-                if is_written {
-                    is_read = true;
-                    pause = next_pause;
-                    next_pause = (next_pause * PAUSE_FACTOR).min(READ_PAUSES.end);
+            }
+            let mut pause = RETRY_PAUSE;
+            if !is_written {
+                is_written = self.write().await;
+            }
+            match self.store.rows(TABLE).await {
+                Ok(table) => {
+                    let members = table.rows.into_iter().filter_map(|row| {
+                        let member: Member = serde_json::from_slice(&row.value).ok()?;
+                        Some((member.address, member.zone))
+                    });
+                    let Some(mesh) = mesh.upgrade() else { return };
+                    if mesh.tell(Members(members.collect())).await.is_err() {
+                        return;
+                    }
+                    if is_written {
+                        is_read = true;
+                        pause = next_pause;
+                        next_pause = (next_pause * PAUSE_FACTOR).min(READ_PAUSES.end);
+                    }
                 }
+                Err(error) => warn!(self.log, "members_unread"; "reason" => %error),
+            }
+            self.pause(pause.mul_f64(rand::random_range(0.8..1.2)))
+                .await;
+        }
+    }
+
+    /// Writes this daemon's row; returns whether that succeeded.
+    async fn write(&self) -> bool {
+        let member = Member {
+            address: self.address,
+            zone: self.zone.clone(),
+        };
+        let Ok(value) = serde_json::to_vec(&member) else {
+            return false;
+        };
+        let write = Write {
+            table: TABLE,
+            key: self.name.clone(),
+            expect: None,
+            value,
+        };
+        self.store.commit(vec![write]).await.is_ok()
+    }
+
+    /// Waits for a time, or for a random part of [`RESTORE_SPREAD`] after the store was restored.
+    async fn pause(&mut self, span: Duration) {
+        let restored = async {
+            if self.eras.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep(span) => {}
+            () = restored => {
+                self.eras.mark_changed();
+                tokio::time::sleep(RESTORE_SPREAD.mul_f64(rand::random())).await;
             }
-            Err(error) => warn!(log, "members_unread"; "reason" => %error),
         }
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
 
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -50,7 +50,7 @@
 use crate::edge::broker;
 use crate::edge::broker::Broker;
 
-pub use members::discover;
+pub use members::Discovery;
 pub use messages::Changeset;
 pub use messages::Fleet;
 pub use messages::InForce;
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -242,10 +242,15 @@
     pub broker: ActorRef<Broker>,
     /// Publishes the rollouts that operators have ordered, by service.
     pub rollouts: watch::Sender<BTreeMap<String, Rollout>>,
+    /// Publishes the era of the store after it was restored from a copy.
+    pub eras: watch::Sender<u64>,
 }
 
 impl Sink<Order> for Orders {
     async fn apply(&mut self, items: Vec<Order>, receipt: Receipt) {
+        if receipt.is_restored {
+            self.eras.send_replace(receipt.revision.era);
+        }
         for order in items {
             match order {
                 Order::Configure(draft) => {
