Report no window again whose sums a restored store may have lost

A store that comes back from a copy has lost the last of them, and another holder of the duties summed the window up anew, from ledgers that may be older, and reported other counts.

Change: the sums have a row beside them with the era in which they were written and the last window that is closed. The first holder to write in another era writes its own sums again, and closes the windows up to its last one if nobody else has held the lease since (the lease's tenure says so, across eras too), or else all that may have been reported. Ledgers of zones are written again at once.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -106,9 +106,9 @@
         let broker = starter.start_broker(catalog).await?;
         starter.start_probes(draining_state).await?;
         let (rollouts, ordered) = watch::channel(BTreeMap::new());
-        let (eras, _) = watch::channel(0);
+        let (eras, era) = watch::channel(0);
         let mesh = starter.start_mesh(&broker, rollouts, eras).await?;
-        let duty = starter.start_duty(&broker, mesh, ordered).await?;
+        let duty = starter.start_duty(&broker, mesh, ordered, era).await?;
         let front = starter.start_front(callers, broker).await?;
         info!(log, "daemon_started"; "zone" => &settings.zone, "callers" => %settings.callers);
         Ok(Self {
@@ -339,6 +339,7 @@
         broker: &ActorRef<Broker>,
         mesh: ActorRef<Mesh>,
         rollouts: watch::Receiver<BTreeMap<String, Rollout>>,
+        eras: watch::Receiver<u64>,
     ) -> Result<ActorRef<Duty<P>>> {
         let options = duty::Options {
             name: self.settings.name.clone(),
@@ -350,6 +351,7 @@
             window: from_seconds(self.settings.usage_window_s),
             report_within: from_seconds(self.settings.usage_late_s),
             zones: self.settings.zones.clone(),
+            eras,
             clock: self.clock,
             log: self.log.clone(),
         };
--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -69,6 +69,11 @@
         self.lease.epoch(now)
     }
 
+    /// Returns the epoch since which no other daemon has held the lease, while this one holds it.
+    pub const fn tenure(&self) -> u64 {
+        self.lease.tenure()
+    }
+
     /// Returns the lease while it is safely held, for the heartbeats to other daemons.
     pub fn held_lease(&self, now: Millis) -> Option<Row> {
         self.fencing_token(now)?;
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -18,6 +18,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
+use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::port::Holder;
 use cactusglade_wire::port::Platform;
 use cactusglade_wire::port::Report;
@@ -68,6 +69,8 @@
     pub report_within: Millis,
     /// Names of all availability zones.
     pub zones: Vec<String>,
+    /// Era of the store after it was last restored from a copy.
+    pub eras: watch::Receiver<u64>,
     /// Monotonic clock of the daemon.
     pub clock: Clock,
     /// Log of the daemon.
@@ -137,17 +140,8 @@
             .ask(broker::Survey)
             .await
             .unwrap_or_default();
-        if let Some(ledger) = &fleet.ledger
-            && let Some(is_stored) = self.usage.publish(ledger).await
-        {
-            let is_store_unreachable = !is_stored;
-            let _ = self
-                .options
-                .mesh
-                .tell(mesh::Reachability {
-                    is_store_unreachable,
-                })
-                .await;
+        if let Some(ledger) = &fleet.ledger {
+            self.publish(ledger).await;
         }
         self.election
             .acquire_or_renew(clock, fleet.lease.clone())
@@ -171,8 +165,9 @@
         let provider = self.options.platform.provider();
         let catalog = self.options.catalogs.borrow().clone();
         let is_held = || self.election.fencing_token(clock.now()).is_some();
+        let tenure = self.election.tenure();
         self.usage
-            .report(&provider, &holder, &catalog, is_held)
+            .report(&provider, &holder, tenure, &catalog, is_held)
             .await;
         let orders = self
             .capacity
@@ -188,6 +183,21 @@
 }
 
 impl<P: Platform> Duty<P> {
+    /// Writes the zone's ledger to the store where that is due.
+    async fn publish(&mut self, ledger: &Ledger) {
+        if self.options.eras.has_changed().unwrap_or(false) {
+            self.options.eras.mark_unchanged();
+            self.usage.republish();
+        }
+        if let Some(is_stored) = self.usage.publish(ledger).await {
+            let reachability = mesh::Reachability {
+                is_store_unreachable: !is_stored,
+            };
+            // The mesh stops after this service.
+            let _ = self.options.mesh.tell(reachability).await;
+        }
+    }
+
     /// Reports every ordered rollout as rolled back, so that none stays pending.
     async fn roll_back(&mut self) {
         let rollouts = self.options.rollouts.borrow().clone();
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -11,14 +11,17 @@
 use cactusglade_policy::affinity;
 use cactusglade_policy::usage::Counts;
 use cactusglade_policy::usage::Ledger;
+use cactusglade_policy::usage::Settlement;
 use cactusglade_policy::usage::Windows;
 use cactusglade_wire::port::Holder;
 use cactusglade_wire::port::Platform;
 use cactusglade_wire::port::Provider;
 use cactusglade_wire::port::Store;
+use cactusglade_wire::port::Table;
 use cactusglade_wire::port::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -27,9 +30,11 @@
 
 /// Table of the ledgers, with a row for each daemon that has written its zone's ledger.
 const LEDGER_TABLE: &str = "usage";
-/// Table of the final sums, which has one row.
+/// Table of the final sums.
 const SUM_TABLE: &str = "report";
 const SUM_KEY: &str = "sums";
+/// Row beside the sums that says which windows are closed.
+const SETTLEMENT_KEY: &str = "settlement";
 /// Time after the end of a window at which its ledger is written. By then the counts of daemons
 /// whose clocks differ a little have arrived.
 const LEDGER_DELAY: Millis = Millis(700);
@@ -54,6 +59,25 @@
     windows: BTreeMap<u64, BTreeMap<String, Counts>>,
 }
 
+/// `Closing` is the value of the row of the settlement.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+struct Closing {
+    /// Era of the store in which it was written.
+    era: u64,
+    /// Last window that may have been reported before that era.
+    closed_through: u64,
+}
+
+/// `Final` is what is known of the final sums of a window.
+enum Final {
+    /// The sums.
+    Sums(Sums),
+    /// Nothing yet.
+    Unknown,
+    /// The sums may have been reported and are lost, so that the window is not reported again.
+    Closed,
+}
+
 /// `Usage` writes the zone's ledger and, while its daemon holds the duties, reports the sums.
 #[derive(Debug)]
 pub struct Usage<S> {
@@ -66,6 +90,10 @@
     last_reported: Option<u64>,
     /// First window that this daemon reports as holder; it may lack counts of earlier ones.
     first_window: u64,
+    /// Tenure in which this daemon has performed the duties without a break.
+    tenure: u64,
+    /// Final sums as this daemon has last read or written them in that tenure.
+    own: BTreeMap<u64, Sums>,
     log: Logger,
 }
 
@@ -82,6 +110,8 @@
             through: now.saturating_sub(1),
             last_reported: None,
             first_window: now.saturating_sub(2),
+            tenure: 0,
+            own: BTreeMap::new(),
             windows,
             log: options.log.clone(),
         }
@@ -106,6 +136,11 @@
         Some(is_stored)
     }
 
+    /// Has the ledger written again, after the store was restored from a copy.
+    pub fn republish(&mut self) {
+        self.through = self.through.saturating_sub(1);
+    }
+
     /// Writes the ledger to the store at once, including the counts of the window under way.
     pub async fn flush(&mut self, ledger: &Ledger) {
         let window = self.windows.window(clock::unix_time());
@@ -137,14 +172,19 @@
     }
 
     /// Reports the next window that has ended, while `is_held` confirms that the lease is still
-    /// held.
+    /// held; `tenure` is the epoch since which no other daemon has held it.
     pub async fn report(
         &mut self,
         provider: &impl Provider,
         holder: &Holder,
+        tenure: u64,
         catalog: &Catalog,
         is_held: impl Fn() -> bool,
     ) {
+        if tenure != self.tenure {
+            self.tenure = tenure;
+            self.own.clear();
+        }
         let unix_now = clock::unix_time();
         let newest = self.windows.window(unix_now - SUM_DELAY).saturating_sub(1);
         let next = self
@@ -154,8 +194,14 @@
         let Some(window) = (next..=newest).find(|window| is_due(*window)) else {
             return;
         };
-        let Some(counts) = self.final_sums(window, unix_now, catalog).await else {
-            return;
+        let counts = match self.final_sums(window, unix_now, catalog).await {
+            Final::Sums(counts) => counts,
+            Final::Unknown => return,
+            Final::Closed => {
+                warn!(self.log, "usage_closed"; "window" => window);
+                self.last_reported = Some(window);
+                return;
+            }
         };
         if !is_held() {
             return;
@@ -176,39 +222,77 @@
     /// Returns the final sums of a window.
     ///
     /// They are written to the store before the first report, so that all reports of a window are
-    /// equal, whichever daemon sends them.
-    async fn final_sums(&self, window: u64, unix_now: Millis, catalog: &Catalog) -> Option<Sums> {
+    /// equal, whichever daemon sends them. A store that was restored from a copy gets this daemon's
+    /// own ones again.
+    async fn final_sums(&mut self, window: u64, unix_now: Millis, catalog: &Catalog) -> Final {
         let table = match self.store.rows(SUM_TABLE).await {
             Ok(table) => table,
             Err(error) => {
                 warn!(self.log, "usage_unread"; "reason" => %error);
-                return None;
+                return Final::Unknown;
             }
         };
-        let revision = table.revision_of(SUM_KEY);
-        let row = table.rows.into_iter().find(|row| row.key == SUM_KEY);
-        let sums = row.and_then(|row| serde_json::from_slice(&row.value).ok());
-        let mut sums: BTreeMap<u64, Sums> = sums.unwrap_or_default();
-        if let Some(counts) = sums.get(&window) {
-            return Some(counts.clone());
+        let mut sums: BTreeMap<u64, Sums> = decode(&table, SUM_KEY);
+        let closing: Closing = decode(&table, SETTLEMENT_KEY);
+        let mut settlement = Settlement {
+            era: closing.era,
+            closed_through: closing.closed_through,
+        };
+        let newest = self.windows.window(unix_now - SUM_DELAY).saturating_sub(1);
+        let last = self.own.keys().next_back().copied();
+        let is_restored = settlement.enter_era(table.revision.era, last, newest);
+        if is_restored {
+            info!(self.log, "usage_settled"; "era" => settlement.era,
+                "closed_through" => settlement.closed_through, "own" => self.own.len());
+            sums.extend(self.own.clone());
+        }
+        let known = sums.get(&window).cloned();
+        if known.is_none() && settlement.is_open(window) {
+            let Some(counts) = self.sum(window, unix_now, catalog).await else {
+                return Final::Unknown;
+            };
+            sums.insert(window, counts);
+        } else if !is_restored {
+            self.own = sums;
+            return known.map_or(Final::Closed, Final::Sums);
         }
-        let counts = self.sum(window, unix_now, catalog).await?;
-        sums.insert(window, counts.clone());
         while sums.len() > KEPT_WINDOWS {
             sums.pop_first();
         }
-        let write = Write {
+        if !self.write_sums(&table, &sums, &settlement).await {
+            return Final::Unknown;
+        }
+        self.own.clone_from(&sums);
+        sums.remove(&window).map_or(Final::Closed, Final::Sums)
+    }
+
+    /// Writes the final sums, provided that they are still as read; returns whether that succeeded.
+    async fn write_sums(
+        &self,
+        table: &Table,
+        sums: &BTreeMap<u64, Sums>,
+        settlement: &Settlement,
+    ) -> bool {
+        let closing = Closing {
+            era: settlement.era,
+            closed_through: settlement.closed_through,
+        };
+        let values = (serde_json::to_vec(sums), serde_json::to_vec(&closing));
+        let (Ok(sums), Ok(settlement)) = values else {
+            return false;
+        };
+        let write = |key: &str, value| Write {
             table: SUM_TABLE,
-            key: SUM_KEY.to_owned(),
-            expect: Some(revision),
-            value: serde_json::to_vec(&sums).ok()?,
+            key: key.to_owned(),
+            expect: Some(table.revision_of(key)),
+            value,
         };
-        match self.store.commit(vec![write]).await {
-            Ok(Some(_)) => Some(counts),
-            Ok(None) => None,
+        let writes = vec![write(SUM_KEY, sums), write(SETTLEMENT_KEY, settlement)];
+        match self.store.commit(writes).await {
+            Ok(written) => written.is_some(),
             Err(error) => {
-                warn!(self.log, "usage_unfixed"; "window" => window, "reason" => %error);
-                None
+                warn!(self.log, "usage_unfixed"; "reason" => %error);
+                false
             }
         }
     }
@@ -247,3 +331,10 @@
         Some(sums.collect())
     }
 }
+
+/// Decodes a row; one that is absent or malformed counts as empty.
+fn decode<T: Default + DeserializeOwned>(table: &Table, key: &str) -> T {
+    let row = table.rows.iter().find(|row| row.key == key);
+    let value = row.and_then(|row| serde_json::from_slice(&row.value).ok());
+    value.unwrap_or_default()
+}
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -74,6 +74,8 @@
     era: u64,
     /// Greatest epoch that this daemon has seen.
     greatest: u64,
+    /// First epoch of this daemon's tenure.
+    tenure: u64,
 }
 
 impl Lease {
@@ -96,6 +98,7 @@
             started: None,
             era: 0,
             greatest: 0,
+            tenure: 0,
         }
     }
 
@@ -112,7 +115,8 @@
 
     /// Records the row that the table holds now and returns the next action.
     pub fn observe(&mut self, now: Millis, row: Option<Row>) -> Action {
-        let is_held = self.epoch(now).is_some();
+        // Nobody can have taken the lease over yet, although this daemon no longer acts under it.
+        let is_last_holder = self.held_within(now, self.timing.term);
         let changed = self
             .observed
             .as_ref()
@@ -130,9 +134,11 @@
         let epoch = row.as_ref().map_or(0, |row| row.epoch);
         self.greatest = self.greatest.max(epoch);
         let is_expired = unchanged >= self.timing.term;
+        let is_copy = epoch <= self.epochs_before();
+        let is_own = row.as_ref().is_some_and(|row| row.holder == self.holder);
         match row {
-            None if self.era == 0 => Action::Write(self.claim()),
-            Some(row) if row.holder == self.holder && row.epoch > self.epochs_before() => {
+            None if self.era == 0 => Action::Write(self.take_over()),
+            Some(row) if is_own && !is_copy => {
                 let is_due = self
                     .renewed
                     .is_none_or(|sent| now - sent >= self.timing.renewal);
@@ -146,9 +152,8 @@
                     Action::Wait
                 }
             }
-            // No other daemon has held the lease since this one renewed it: the row is from a copy.
-            _ if is_held && epoch <= self.epochs_before() => Action::Write(self.claim()),
-            _ if is_expired => Action::Write(self.claim()),
+            _ if is_last_holder && is_copy => Action::Write(self.claim()),
+            _ if is_expired => Action::Write(self.take_over()),
             _ => Action::Wait,
         }
     }
@@ -177,12 +182,23 @@
     /// Returns the epoch of the lease while this daemon safely holds it.
     #[must_use]
     pub fn epoch(&self, now: Millis) -> Option<u64> {
-        let sent = self.renewed?;
-        let row = self.observed.as_ref()?.row.as_ref()?;
+        let is_held = self.held_within(now, self.timing.term - self.timing.margin);
+        is_held.then_some(self.greatest)
+    }
+
+    /// Returns the first epoch since which no other daemon has held the lease; it stays the same where
+    /// this daemon goes on after a restoration of the store.
+    #[must_use]
+    pub const fn tenure(&self) -> u64 {
+        self.tenure
+    }
+
+    /// Returns whether the observed row is this daemon's and was renewed within `span`.
+    fn held_within(&self, now: Millis, span: Millis) -> bool {
+        let row = self.observed.as_ref().and_then(|one| one.row.as_ref());
         // A copy may have an earlier row of this daemon.
-        let is_own = row.holder == self.holder && row.epoch == self.greatest;
-        let is_held = is_own && now - sent < self.timing.term - self.timing.margin;
-        is_held.then_some(row.epoch)
+        let is_own = row.is_some_and(|row| row.holder == self.holder && row.epoch == self.greatest);
+        is_own && self.renewed.is_some_and(|sent| now - sent < span)
     }
 
     /// Returns the greatest epoch that may have been given out before the store's era.
@@ -190,6 +206,13 @@
         self.era.saturating_mul(EPOCHS_PER_ERA)
     }
 
+    /// Begins another tenure.
+    fn take_over(&mut self) -> Row {
+        let row = self.claim();
+        self.tenure = row.epoch;
+        row
+    }
+
     fn claim(&self) -> Row {
         Row {
             holder: self.holder.clone(),
--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -126,3 +126,39 @@
         sum
     }
 }
+
+/// `Settlement` says which windows can't be summed up any more.
+///
+/// The sums of a window are written to the store before they are reported. A store that is restored
+/// from a copy may have lost them, and sums that were formed anew could differ from those that were
+/// reported.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Settlement {
+    /// Era of the store in which this was written.
+    pub era: u64,
+    /// Last window that may have been reported before that era; if its sums are not known, it is not
+    /// reported again.
+    pub closed_through: u64,
+}
+
+impl Settlement {
+    /// Closes windows where the store answers in a later era; returns whether it does.
+    ///
+    /// `own` is the last window that this daemon has summed up if it has performed the duties without
+    /// a break, so that no other daemon has reported a later one. `newest` is the last window that
+    /// may be reported now.
+    pub fn enter_era(&mut self, era: u64, own: Option<u64>, newest: u64) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        self.closed_through = self.closed_through.max(own.unwrap_or(newest));
+        true
+    }
+
+    /// Returns whether a window without sums may still be summed up.
+    #[must_use]
+    pub const fn is_open(&self, window: u64) -> bool {
+        window > self.closed_through
+    }
+}
--- a/cactusglade-policy/tests/lease.rs
+++ b/cactusglade-policy/tests/lease.rs
@@ -29,8 +29,8 @@
     era: u64,
     /// All rows so far, of which a copy may have been taken.
     history: Vec<Option<Row>>,
-    /// Epoch under which a daemon acted last, and the daemon.
-    acted: (u64, usize),
+    /// Epochs under which daemons acted, each with the daemon.
+    acted: Vec<(u64, usize)>,
 }
 
 impl Simulation {
@@ -46,7 +46,7 @@
             greatest_epoch: 0,
             era: 0,
             history: vec![None],
-            acted: (0, 0),
+            acted: Vec::new(),
         }
     }
 
@@ -108,10 +108,19 @@
             self.now
         );
         for (epoch, holder) in held {
-            let (before, other) = self.acted;
-            let is_newer = epoch > before || (epoch, holder) == (before, other);
-            assert!(is_newer, "{epoch} by {holder} after {before} by {other}");
-            self.acted = (epoch, holder);
+            let (before, other) = self.acted.last().copied().unwrap_or_default();
+            let is_same = (epoch, holder) == (before, other);
+            assert!(
+                is_same || epoch > before,
+                "{epoch} by {holder} after {before} by {other}"
+            );
+            let tenure = self.leases[holder].tenure();
+            let others = self.acted.iter().filter(|(_, other)| *other != holder);
+            let is_alone = others.into_iter().all(|(epoch, _)| *epoch < tenure);
+            assert!(is_alone, "{holder} since {tenure}: {:?}", self.acted);
+            if !is_same {
+                self.acted.push((epoch, holder));
+            }
         }
     }
 }
--- a/cactusglade-policy/tests/usage.rs
+++ b/cactusglade-policy/tests/usage.rs
@@ -5,6 +5,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_policy::usage::Counts;
 use cactusglade_policy::usage::Ledger;
+use cactusglade_policy::usage::Settlement;
 
 /// The daemon that reports may have taken the lease seconds after the window has ended.
 #[test]
@@ -21,3 +22,23 @@
         assert_eq!(ledger.sum(100), counts, "{window:?}");
     }
 }
+
+/// After a restoration of the store, which loses the final sums of windows, another daemon summed them
+/// up anew and reported other counts.
+#[test]
+fn windows_whose_sums_may_be_lost_are_closed() {
+    let mut settlement = Settlement::default();
+    assert!(!settlement.enter_era(0, None, 40), "a store without eras");
+    assert!(settlement.is_open(30));
+    assert!(settlement.enter_era(1, None, 40));
+    assert!(!settlement.is_open(40) && settlement.is_open(41));
+    assert!(!settlement.enter_era(1, None, 45), "the same era");
+    assert!(settlement.is_open(41));
+    assert!(
+        settlement.enter_era(2, Some(43), 45),
+        "by who knows all sums"
+    );
+    assert!(!settlement.is_open(43) && settlement.is_open(44));
+    assert!(settlement.enter_era(3, None, 45));
+    assert!(!settlement.is_open(45) && settlement.is_open(46));
+}
