Answer or refuse all requests before a planned stop ends

Operators reported that requests which came late in the grace of a planned stop were passed on and then cut with no answer, among them ones that may not be repeated. It could happen here in one way: a request whose head came before the daemon closed was passed on whenever its body was complete, up to ten seconds later, beyond the end of the grace. It is refused now, truly not run.

Requests that were taken in time and outlast the grace were cut without an answer. They now get 502 shortly before the process ends, which promises nothing and lets callers decide at once; streams that have begun go on until then.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -62,6 +62,8 @@
 const LAME_DUCK_PERIOD: Duration = Duration::from_millis(2_600);
 /// Time that is left for stopping the services before the platform kills the process.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the services are stopped at which requests without an answer get an error.
+const ENDING_PERIOD: Duration = Duration::from_millis(150);
 /// Capacity of the queue of datagrams with changes of the registry that the relay forwards.
 const FORWARDED_CAPACITY: usize = 64;
 /// Time within which a partition is detected, until the size of the zone is known.
@@ -143,9 +145,13 @@
         tokio::time::sleep(LAME_DUCK_PERIOD).await;
         self.phase.send_replace(Phase::Closing);
         let remaining = self.grace.saturating_sub(LAME_DUCK_PERIOD + STOP_MARGIN);
+        let remaining = remaining.saturating_sub(ENDING_PERIOD);
         let is_drained = self.front.ask(Drain(remaining)).await.unwrap_or(false);
         if !is_drained {
             warn!(self.log, "drain_incomplete"; "limit_ms" => self.grace.as_millis());
+            self.phase.send_replace(Phase::Ending);
+            // Streams that have begun go on until the process ends.
+            let _ = self.front.ask(Drain(ENDING_PERIOD)).await;
         }
         // Fails only if the service has ended unexpectedly, and with it the daemon.
         let _ = self.duty.ask(duty::Flush).await;
--- a/cactusglade-daemon/src/edge/front/connection.rs
+++ b/cactusglade-daemon/src/edge/front/connection.rs
@@ -51,7 +51,7 @@
     tokio::select! {
         // The caller notices a broken connection itself; its requests end with the connection.
         _ = connection.as_mut() => return,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
     }
     // A caller that has just connected may have sent a request already; it gets an answer, which
     // closes the connection. A connection that has carried a request is closed while it is idle.
--- a/cactusglade-daemon/src/edge/front/context.rs
+++ b/cactusglade-daemon/src/edge/front/context.rs
@@ -21,6 +21,8 @@
     Draining,
     /// The daemon finishes requests in progress and refuses new ones.
     Closing,
+    /// The process ends in a moment: requests without an answer get one that says so.
+    Ending,
 }
 
 /// `Context` is the state shared by all requests.
--- a/cactusglade-daemon/src/edge/front/mod.rs
+++ b/cactusglade-daemon/src/edge/front/mod.rs
@@ -95,7 +95,7 @@
     let mut phase = context.phase.clone();
     loop {
         tokio::select! {
-            Ok(_) = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            Ok(_) = phase.wait_for(|phase| *phase >= Phase::Closing) => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
                 if let Ok((socket, _)) = accepted {
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -54,10 +54,21 @@
         Ok(entry) => Arc::new(entry),
         Err(rejection) => return refuse(&context, &rejection, arrived).map(Either::Left),
     };
-    if entry
-        .catalog_route()
-        .is_some_and(|route| route.semantics.is_stream())
-    {
+    let mut phase = context.phase.clone();
+    tokio::select! {
+        answer = answer(entry.clone()) => answer,
+        Ok(_) = phase.wait_for(|phase| *phase == Phase::Ending) => {
+            entry.refuse(Kind::UpstreamLost, None, 0).map(Either::Left)
+        }
+    }
+}
+
+/// Has an upstream answer a request that was admitted.
+async fn answer<F: port::Codec>(
+    entry: Arc<Entry<F>>,
+) -> Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = stream::Item>>>> {
+    let route = entry.catalog_route();
+    if route.is_some_and(|route| route.semantics.is_stream()) {
         match stream::answer(entry).await {
             Ok(response) => response.map(Either::Right),
             Err(buffered) => buffered.map(Either::Left),
@@ -106,7 +117,7 @@
         id: Some(call.id.clone()),
     };
     let catalog = context.catalogs.borrow().clone();
-    let resolved = if *context.phase.borrow() == Phase::Closing {
+    let resolved = if *context.phase.borrow() >= Phase::Closing {
         Err(Kind::Draining)
     } else {
         resolve(&catalog, &call)
@@ -121,6 +132,10 @@
     let body = read_body(body, catalog.limits.body_bytes)
         .await
         .map_err(rejection)?;
+    // The body may have come long after the head.
+    if *context.phase.borrow() >= Phase::Closing {
+        return Err(rejection(Kind::Draining));
+    }
     let timeout = catalog.routes.get(route).map(|route| route.timeout);
     let timeout = timeout.unwrap_or_default();
     let call_timeout = call.timeout.unwrap_or(timeout);
