--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -242,8 +242,6 @@
         let last = self.own.keys().next_back().copied();
         let is_restored = settlement.enter_era(table.revision.era, last, newest);
         if is_restored {
-            info!(self.log, "usage_settled"; "era" => settlement.era,
-                "closed_through" => settlement.closed_through, "own" => self.own.len());
             sums.extend(self.own.clone());
         }
         let known = sums.get(&window).cloned();
@@ -262,6 +260,10 @@
         if !self.write_sums(&table, &sums, &settlement).await {
             return Final::Unknown;
         }
+        if is_restored {
+            info!(self.log, "usage_settled"; "era" => settlement.era,
+                "closed_through" => settlement.closed_through, "own" => self.own.len());
+        }
         self.own.clone_from(&sums);
         sums.remove(&window).map_or(Final::Closed, Final::Sums)
     }
