Pause before a table is read again that has no history

A store, or something before it, that answers a read and then has no history of what was just read, or answers in another era, was read again without a pause: found by reading, while looking for what the comparison of eras may repeat.

--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -148,7 +148,14 @@
                     continue;
                 }
             }
-            while self.poll().await {}
+            let mut has_followed = false;
+            while self.poll().await {
+                has_followed = true;
+            }
+            // A store that has what was just read and no history of it is not asked again at once.
+            if !has_followed {
+                self.pause().await;
+            }
         }
     }
 
