State the epoch that a holder has renewed, not the greatest one that it knows

Nothing went wrong with the greatest one, but why it is the same was hard to see, and no test failed without the comparison of the observed row's epoch. The last renewal now has its epoch; an earlier row of the same daemon in a copy has no effect on it.

--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -60,14 +60,21 @@
     since: Millis,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Renewal {
+    /// When the write was sent.
+    sent: Millis,
+    epoch: u64,
+}
+
 /// `Lease` is one daemon's state of the lease on one duty.
 #[derive(Debug)]
 pub struct Lease {
     holder: String,
     timing: Timing,
     observed: Option<Observed>,
-    /// When the last successful write of the lease was sent.
-    renewed: Option<Millis>,
+    /// Last successful write of the lease.
+    renewed: Option<Renewal>,
     /// When the state was first asked for.
     started: Option<Millis>,
     /// Era of the store; zero where it states none, which is never restored.
@@ -116,7 +123,7 @@
     /// Records the row that the table holds now and returns the next action.
     pub fn observe(&mut self, now: Millis, row: Option<Row>) -> Action {
         // Nobody can have taken the lease over yet, although this daemon no longer acts under it.
-        let is_last_holder = self.held_within(now, self.timing.term);
+        let is_last_holder = self.renewed_within(now, self.timing.term).is_some();
         let changed = self
             .observed
             .as_ref()
@@ -141,7 +148,7 @@
             Some(row) if is_own && !is_copy => {
                 let is_due = self
                     .renewed
-                    .is_none_or(|sent| now - sent >= self.timing.renewal);
+                    .is_none_or(|last| now - last.sent >= self.timing.renewal);
                 let renewal = Row {
                     renewal: row.renewal + 1,
                     ..row
@@ -172,18 +179,21 @@
     /// Records that a write which was sent at `sent` has taken effect.
     pub fn confirm(&mut self, sent: Millis, row: Row) {
         self.greatest = self.greatest.max(row.epoch);
+        self.renewed = Some(Renewal {
+            sent,
+            epoch: row.epoch,
+        });
         self.observed = Some(Observed {
             row: Some(row),
             since: sent,
         });
-        self.renewed = Some(sent);
     }
 
     /// Returns the epoch of the lease while this daemon safely holds it.
     #[must_use]
     pub fn epoch(&self, now: Millis) -> Option<u64> {
-        let is_held = self.held_within(now, self.timing.term - self.timing.margin);
-        is_held.then_some(self.greatest)
+        let renewal = self.renewed_within(now, self.timing.term - self.timing.margin);
+        renewal.map(|renewal| renewal.epoch)
     }
 
     /// Returns the first epoch since which no other daemon has held the lease; it stays the same where
@@ -193,12 +203,13 @@
         self.tenure
     }
 
-    /// Returns whether the observed row is this daemon's and was renewed within `span`.
-    fn held_within(&self, now: Millis, span: Millis) -> bool {
-        let row = self.observed.as_ref().and_then(|one| one.row.as_ref());
-        // A copy may have an earlier row of this daemon.
-        let is_own = row.is_some_and(|row| row.holder == self.holder && row.epoch == self.greatest);
-        is_own && self.renewed.is_some_and(|sent| now - sent < span)
+    /// Returns the last renewal if it was sent within `span`, and the observed row is this daemon's.
+    ///
+    /// The row need not be the renewed one: a copy may have an earlier one of this daemon.
+    fn renewed_within(&self, now: Millis, span: Millis) -> Option<Renewal> {
+        let row = self.observed.as_ref()?.row.as_ref()?;
+        let renewal = self.renewed.filter(|_| row.holder == self.holder);
+        renewal.filter(|renewal| now - renewal.sent < span)
     }
 
     /// Returns the greatest epoch that may have been given out before the store's era.
