--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -51,7 +51,7 @@
 pub use messages::Survey;
 pub use messages::Sweep;
 pub use messages::Withhold;
-pub use statements::Limited;
+pub use statements::Curb;
 pub use statements::Observe;
 pub use statements::Rearrange;
 
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -27,9 +27,9 @@
     pub sent_at: Millis,
 }
 
-/// `Limited` passes on what other daemons know of the limits that upstreams state.
+/// `Curb` passes on the limits of upstreams that other daemons know of.
 #[derive(Clone, Debug)]
-pub struct Limited(pub Vec<fleet::Limit>);
+pub struct Curb(pub Vec<fleet::Limit>);
 
 /// `Rearrange` sets the daemons among which the limits of upstreams are divided.
 #[derive(Clone, Debug)]
@@ -59,12 +59,12 @@
     }
 }
 
-impl Message<Limited> for Broker {
+impl Message<Curb> for Broker {
     type Reply = ();
 
-    async fn handle(&mut self, limited: Limited, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, curb: Curb, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        for limit in &limited.0 {
+        for limit in &curb.0 {
             if let Some(key) = self.policy.learn_limit(now, limit) {
                 self.log_limit(key, "daemon");
             }
--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -40,7 +40,7 @@
     revision: Revision,
     /// Whether the row must be read: the outcome of the last write is unknown, so that the row may be
     /// this daemon's, or the row was not the expected one.
-    is_uncertain: bool,
+    must_read: bool,
     is_held: bool,
     log: Logger,
 }
@@ -58,7 +58,7 @@
             holder: holder.to_owned(),
             row: None,
             revision: Revision::default(),
-            is_uncertain: false,
+            must_read: false,
             is_held: false,
             log,
         }
@@ -96,7 +96,7 @@
             return;
         }
         let is_held = is_own && self.fencing_token(now).is_some();
-        let is_due = is_held || is_own || self.is_uncertain || self.lease.is_stale(now);
+        let is_due = is_held || is_own || self.must_read || self.lease.is_stale(now);
         // The holder knows the row that it wrote; any other daemon has to read it.
         if !is_due || (!is_held && !self.read(clock).await) {
             self.log_transition(clock.now());
@@ -114,7 +114,7 @@
     async fn read(&mut self, clock: Clock) -> bool {
         match self.store.rows(TABLE).await {
             Ok(table) => {
-                self.is_uncertain = false;
+                self.must_read = false;
                 self.lease.enter_era(clock.now(), table.revision.era);
                 self.revision = table.revision_of(KEY);
                 let row = table.rows.iter().find(|row| row.key == KEY);
@@ -147,13 +147,13 @@
                 self.revision = revision;
             }
             Ok(None) => {
-                self.is_uncertain = true;
+                self.must_read = true;
                 self.row = None;
             }
             Err(error) => {
                 // The write may have taken effect; the next read shows whether it did.
                 warn!(self.log, "lease_unwritten"; "reason" => %error);
-                self.is_uncertain = true;
+                self.must_read = true;
                 self.row = None;
             }
         }
--- a/cactusglade-daemon/src/edge/mesh/statements.rs
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -152,6 +152,6 @@
         } = received;
         self.keep_statements(now, &zone, is_forwarded, &entries);
         // Fails only while the daemon stops.
-        let _ = self.broker.tell(broker::Limited(entries)).await;
+        let _ = self.broker.tell(broker::Curb(entries)).await;
     }
 }
