--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -2,6 +2,7 @@
 
 mod evidence;
 mod idle;
+mod inventory;
 mod messages;
 mod statements;
 
@@ -32,12 +33,13 @@
 
 pub use evidence::Heed;
 pub use evidence::Proved;
+pub use inventory::Inventory;
+pub use inventory::Survey;
 pub use messages::Adopt;
 pub use messages::Apply;
 pub use messages::Begun;
 pub use messages::Charge;
 pub use messages::Ended;
-pub use messages::Inventory;
 pub use messages::Learn;
 pub use messages::Meter;
 pub use messages::Outage;
@@ -48,7 +50,6 @@
 pub use messages::Resize;
 pub use messages::Retire;
 pub use messages::Spare;
-pub use messages::Survey;
 pub use messages::Sweep;
 pub use messages::Withhold;
 pub use statements::Curb;
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -5,6 +5,7 @@
 mod registry;
 mod sightings;
 mod statements;
+mod summaries;
 mod versions;
 
 use std::collections::BTreeMap;
@@ -25,14 +26,12 @@
 use cactusglade_policy::roster::Consumption;
 use cactusglade_policy::roster::Roster;
 use cactusglade_policy::roster::Totals;
-use cactusglade_policy::roster::Zone;
 use cactusglade_policy::throttle::Layout;
 use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::gossip::Heartbeat;
 use cactusglade_wire::gossip::MAX_DATAGRAM_BYTES;
-use cactusglade_wire::gossip::Summary;
 use cactusglade_wire::gossip::Watermark;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -419,25 +418,6 @@
         self.roster.record(now, heartbeat.from, announcement)
     }
 
-    /// Records a summary of another zone; returns what was added to the totals of that zone.
-    fn receive_summary(&mut self, now: Millis, summary: Summary) -> Consumption {
-        let announcement = Announcement {
-            incarnation: summary.incarnation,
-            sequence: summary.sequence,
-            quota_used: summary.quota_used,
-            work: summary.work,
-            lease: summary.lease,
-            is_store_unreachable: false,
-        };
-        let zone = Zone::new(
-            summary.relay,
-            summary.daemons,
-            summary.reachable,
-            announcement,
-        );
-        self.roster.record_zone(now, &summary.zone, zone)
-    }
-
     /// Sends a heartbeat to the daemons of this zone, and one in [`HEARTBEATS_PER_BROADCAST`]
     /// also to daemons from which none was received lately.
     async fn send_heartbeat(&self, now: Millis) {
@@ -476,39 +456,6 @@
         })
     }
 
-    /// Sends the zone's summary to the other zones, and forwards their summaries within the zone.
-    async fn send_summaries(&self, now: Millis) {
-        let lease = self.lease.clone();
-        let (daemons, reachable, announcement) = self.roster.summary(now, &self.own_totals, lease);
-        let summary = Datagram::Summary(Summary {
-            zone: self.zone.clone(),
-            relay: self.address,
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            daemons,
-            reachable,
-            quota_used: announcement.quota_used,
-            work: announcement.work,
-            lease: announcement.lease,
-        });
-        self.send(&summary, self.roster.relays(now)).await;
-        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for (name, zone) in self.roster.zones(now).filter(|_| !neighbours.is_empty()) {
-            let summary = Datagram::Summary(Summary {
-                zone: name.clone(),
-                relay: zone.relay,
-                incarnation: zone.announcement.incarnation,
-                sequence: zone.announcement.sequence,
-                daemons: zone.daemons,
-                reachable: zone.reachable,
-                quota_used: zone.announcement.quota_used.clone(),
-                work: zone.announcement.work.clone(),
-                lease: zone.announcement.lease.clone(),
-            });
-            self.send(&summary, neighbours.iter().copied()).await;
-        }
-    }
-
     /// Sends a datagram to each of these addresses.
     async fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
         let Some(bytes) = datagram.encode() else {
--- /dev/null
+++ b/cactusglade-daemon/src/edge/mesh/summaries.rs
@@ -0,0 +1,64 @@
+//! Summaries of zones, which their relays exchange and forward within their zones.
+
+use cactusglade_core::units::Millis;
+use cactusglade_policy::roster::Announcement;
+use cactusglade_policy::roster::Consumption;
+use cactusglade_policy::roster::Zone;
+use cactusglade_wire::gossip::Datagram;
+use cactusglade_wire::gossip::Summary;
+
+use super::Mesh;
+
+impl Mesh {
+    /// Records a summary of another zone; returns what was added to the totals of that zone.
+    pub(super) fn receive_summary(&mut self, now: Millis, summary: Summary) -> Consumption {
+        let announcement = Announcement {
+            incarnation: summary.incarnation,
+            sequence: summary.sequence,
+            quota_used: summary.quota_used,
+            work: summary.work,
+            lease: summary.lease,
+            is_store_unreachable: false,
+        };
+        let zone = Zone::new(
+            summary.relay,
+            summary.daemons,
+            summary.reachable,
+            announcement,
+        );
+        self.roster.record_zone(now, &summary.zone, zone)
+    }
+
+    /// Sends the zone's summary to the other zones, and forwards their summaries within the zone.
+    pub(super) async fn send_summaries(&self, now: Millis) {
+        let lease = self.lease.clone();
+        let (daemons, reachable, announcement) = self.roster.summary(now, &self.own_totals, lease);
+        let summary = Datagram::Summary(Summary {
+            zone: self.zone.clone(),
+            relay: self.address,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            daemons,
+            reachable,
+            quota_used: announcement.quota_used,
+            work: announcement.work,
+            lease: announcement.lease,
+        });
+        self.send(&summary, self.roster.relays(now)).await;
+        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
+        for (name, zone) in self.roster.zones(now).filter(|_| !neighbours.is_empty()) {
+            let summary = Datagram::Summary(Summary {
+                zone: name.clone(),
+                relay: zone.relay,
+                incarnation: zone.announcement.incarnation,
+                sequence: zone.announcement.sequence,
+                daemons: zone.daemons,
+                reachable: zone.reachable,
+                quota_used: zone.announcement.quota_used.clone(),
+                work: zone.announcement.work.clone(),
+                lease: zone.announcement.lease.clone(),
+            });
+            self.send(&summary, neighbours.iter().copied()).await;
+        }
+    }
+}
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -3,6 +3,7 @@
 //! The broker has no queue: engines order their waiting requests by priority, so a request is sent
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
+mod candidates;
 mod limits;
 mod quotas;
 mod registry;
@@ -38,8 +39,6 @@
 pub use strategy::Strategy;
 pub use upstream::Upstream;
 
-/// Share of a session's shared tokens that its preferred upstream is assumed to have cached.
-const ASSUMED_CACHED_SHARE: f64 = 0.95;
 /// Prompt tokens that an engine reads per millisecond, from the deployments' data sheets.
 const PREFILL_TOKENS_PER_MS: f64 = 56.6;
 /// Engine time per generated token at about thirty concurrent requests, in milliseconds: a step
@@ -349,79 +348,6 @@
         ((events * tokens_per_event) as f64 * DECODE_MS_PER_TOKEN) as u64
     }
 
-    /// Returns a sample of the upstreams that may serve the request, and the number of all of them.
-    ///
-    /// Upstreams that are doubted count only if there is no other.
-    fn candidates(&self, now: Millis, service: &str, query: &Query<'_>) -> (Vec<Candidate>, usize) {
-        let keys = self.services.get(service).map(Vec::as_slice);
-        let withheld = self.withheld_version(now, service);
-        let available = |key: &arena::Upstream| {
-            let upstream = self.upstreams.get(*key)?;
-            let is_open = upstream.is_available(now) && upstream.takes_requests(now);
-            let is_allowed = withheld.is_none_or(|version| upstream.instance.version != version);
-            let is_eligible = is_open && is_allowed && !query.tried.contains(key);
-            is_eligible.then_some((*key, upstream))
-        };
-        let available = keys.unwrap_or_default().iter().filter_map(available);
-        let mut available = available.collect::<Vec<_>>();
-        let session = query.prompt.and_then(Prompt::session);
-        let preferred = session.and_then(|session| {
-            let weight = |upstream: &Upstream| affinity::weight(session, upstream.hash);
-            let keys = available.iter().map(|(key, one)| (weight(one), *key));
-            keys.max().map(|(_, key)| key)
-        });
-        if available
-            .iter()
-            .any(|(_, upstream)| !upstream.is_doubted(now))
-        {
-            available.retain(|(_, upstream)| !upstream.is_doubted(now));
-        }
-        let is_preferred = |(key, _): &(_, &Upstream)| preferred == Some(*key);
-        let position = available.iter().position(is_preferred);
-        let sample = sample::indices(available.len(), position, query.draw);
-        let candidates = sample.into_iter().map(|index| {
-            let (key, upstream) = available[index];
-            self.candidate(now, key, upstream, query, position == Some(index))
-        });
-        (candidates.collect(), available.len())
-    }
-
-    #[allow(clippy::cast_precision_loss)]
-    fn candidate(
-        &self,
-        now: Millis,
-        key: arena::Upstream,
-        upstream: &Upstream,
-        query: &Query<'_>,
-        is_preferred: bool,
-    ) -> Candidate {
-        let uncached = query.prompt.map_or(0.0, |prompt| {
-            let cached = upstream.cache.cached(now, &prompt.parts) as f64;
-            let shared = prompt.parts.iter().rev().skip(1).map(|part| part.tokens);
-            let shared = shared.sum::<u64>() as f64;
-            let assumed = if is_preferred {
-                shared * ASSUMED_CACHED_SHARE
-            } else {
-                0.0
-            };
-            (prompt.input_tokens as f64 - cached.max(assumed)).max(0.0)
-        });
-        Candidate {
-            upstream: key,
-            is_same_zone: upstream.instance.zone == self.options.zone,
-            load: upstream.load(now),
-            slots: upstream.instance.slots as f64,
-            backlog: upstream.backlog as f64,
-            uncached,
-            failures: upstream.failures(now),
-            latency: if query.prompt.is_some() {
-                0.0
-            } else {
-                upstream.latency()
-            },
-        }
-    }
-
     /// Records the load that an upstream reported, as numbers of requests.
     pub fn record_load(&mut self, now: Millis, key: arena::Upstream, running: u64, waiting: u64) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
