Wait a little for a store whose era a daemon has yet to learn; log rows not written

While its relay is in a later era, a daemon called the store without a wait, and would have done so again and again where the store still answered it in the earlier one. It now lets the store hold the call for 0.2 s, and how the relay stands to a call has a name. A daemon's row of the members that could not be written again is logged.

--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -120,7 +120,11 @@
             expect: None,
             value,
         };
-        self.store.commit(vec![write]).await.is_ok()
+        let written = self.store.commit(vec![write]).await;
+        if let Err(error) = &written {
+            warn!(self.log, "member_unwritten"; "reason" => %error);
+        }
+        written.is_ok()
     }
 
     /// Waits for a time, or for a random part of [`RESTORE_SPREAD`] after the store was restored.
--- a/cactusglade-daemon/src/edge/watch/supervised.rs
+++ b/cactusglade-daemon/src/edge/watch/supervised.rs
@@ -2,8 +2,8 @@
 //!
 //! The store holds a call until there is a change. Where its answer is lost, the connection stays
 //! sound and the call waits for its timeout. The relay of a zone therefore calls at short
-//! intervals, and the other daemons call again when they learn that they have missed a change, or
-//! that there is no relay.
+//! intervals, and the other daemons call again when they learn that they have missed a change, that
+//! the store was restored, or that there is no relay.
 
 use cactusglade_core::units::Millis;
 use cactusglade_wire::port::Result;
@@ -18,6 +18,39 @@
 
 /// Time for which the store may hold a call of the relay open.
 const RELAY_MAX_WAIT: Millis = Millis(900);
+/// Time for which the store may hold a call while the relay is in a later era: an answer without
+/// changes tells this daemon the era too.
+const ERA_MAX_WAIT: Millis = Millis(200);
+
+/// `Standing` is how far the zone's relay supervises a call for changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// There is no relay.
+    Absent,
+    /// The relay follows the store in the era of the call.
+    Level,
+    /// The relay is in a later era: the store was restored since the call's revision.
+    Ahead,
+}
+
+impl Standing {
+    fn of(relay: Progress, after: Revision) -> Self {
+        match relay.revision {
+            None => Self::Absent,
+            Some(revision) if revision.era > after.era => Self::Ahead,
+            Some(_) => Self::Level,
+        }
+    }
+
+    /// Returns the time for which the store may hold the call, at most `wait`.
+    fn max_wait(self, wait: Millis) -> Millis {
+        match self {
+            Self::Absent => wait.min(RELAY_MAX_WAIT),
+            Self::Level => wait,
+            Self::Ahead => wait.min(ERA_MAX_WAIT),
+        }
+    }
+}
 
 /// `Supervised` follows a source whose changes other daemons also follow.
 #[derive(Debug)]
@@ -45,29 +78,20 @@
         // Only a change that is missed from now on concerns the call.
         self.missed.mark_unchanged();
         loop {
-            let relay = self.progress.borrow().revision;
-            let is_restored = |relay: &Progress| {
-                let revision = relay.revision.unwrap_or_default();
-                revision.era > after.era
-            };
-            let wait = match relay {
-                Some(relay) if relay.era > after.era => Millis(0),
-                Some(_) => wait,
-                None => wait.min(RELAY_MAX_WAIT),
-            };
-            let has_relay = relay.is_some();
-            // A call across a restoration is answered with the next change at the earliest.
-            let relay_changed = self.progress.wait_for(|relay| {
-                relay.revision.is_none() && has_relay || is_restored(relay) && wait > Millis(0)
-            });
+            let standing = Standing::of(*self.progress.borrow(), after);
+            let changed = self
+                .progress
+                .wait_for(|relay| Standing::of(*relay, after) != standing);
+            let update = self.source.watch(after, standing.max_wait(wait));
             tokio::select! {
-                update = self.source.watch(after, wait) => return update,
+                update = update => return update,
                 Ok(()) = self.missed.changed() => {
                     info!(self.log, "held_call_dropped"; "after" => %after,
                         "missed" => *self.missed.borrow());
                 }
-                // A call that was made under the supervision of a relay may be lost without it.
-                Ok(_) = relay_changed => {}
+                // A call that was made under the supervision of a relay may be lost without it, and one
+                // across a restoration is answered with the next change at the earliest.
+                Ok(_) = changed, if standing == Standing::Level => {}
             }
         }
     }
