--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -435,6 +435,14 @@
     return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
 
 
+def prompt(name, attempt):
+    """Returns the headers of a prompt: a part that the kind of request shares, a session's, and its own."""
+    shared, session = sum(name.encode()), hash(attempt) % 50 + 1
+    own = hash((attempt, "own")) % (1 << 48)
+    return [("Model", "m"), ("Token-Count", "1460,300"),
+            ("Prompt-Prefix", f"{shared:x}:200,{shared:x}{session:04x}:600,{own:x}:660")]
+
+
 class Answer:
     def __init__(self, status, headers, body, whole, error=None):
         self.status, self.headers, self.body, self.whole, self.error = status, headers, body, whole, error
