Measure how late the event loop runs timers

All tasks share one thread. A service now measures the lateness of a timer every 250 ms: metric cactusglade_loop_lateness_seconds, and a line event=loop_late from 100 ms on, which is at most four lines a second.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -47,6 +47,8 @@
 use crate::edge::probe;
 use crate::edge::probe::Probe;
 use crate::edge::probe::State;
+use crate::edge::pulse;
+use crate::edge::pulse::Pulse;
 use crate::edge::watch as source_watch;
 use crate::edge::watch::DIRECTORY;
 use crate::edge::watch::Entries;
@@ -190,7 +192,8 @@
         Ok(self.kernel.start::<Broker>(broker::NAME, options).await?)
     }
 
-    /// Starts the services that answer the balancer's readiness checks and the operators.
+    /// Starts the services that answer the balancer's readiness checks and the operators, and the one
+    /// that measures the event loop.
     async fn start_probes(&mut self, draining: watch::Receiver<bool>) -> Result<()> {
         let state = State {
             catalogs: self.catalogs.clone(),
@@ -207,6 +210,11 @@
             };
             self.kernel.start::<Probe>(name, options).await?;
         }
+        let options = pulse::Options {
+            metrics: self.metrics.clone(),
+            log: self.log.clone(),
+        };
+        self.kernel.start::<Pulse>(pulse::NAME, options).await?;
         Ok(())
     }
 
--- a/cactusglade-daemon/src/edge/mod.rs
+++ b/cactusglade-daemon/src/edge/mod.rs
@@ -10,4 +10,5 @@
 pub mod measure;
 pub mod mesh;
 pub mod probe;
+pub mod pulse;
 pub mod watch;
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -71,6 +71,8 @@
     pub waiting: IntGauge,
     /// Bytes of rows sent to and received from peers.
     pub gossip_bytes: IntCounter,
+    /// Seconds by which the event loop runs timers late.
+    pub loop_lateness: Histogram,
 }
 
 impl Metrics {
@@ -135,6 +137,7 @@
                 "cactusglade_gossip_bytes_total",
                 "Bytes of rows to and from peers",
             )?,
+            loop_lateness: loop_lateness(&registry)?,
             registry,
         })
     }
@@ -179,6 +182,16 @@
     Ok(platform_calls)
 }
 
+fn loop_lateness(registry: &Registry) -> Result<Histogram> {
+    let options = HistogramOpts::new(
+        "cactusglade_loop_lateness_seconds",
+        "Time by which the event loop runs timers late",
+    );
+    let loop_lateness = Histogram::with_opts(options.buckets(LATENCY_BUCKETS_S.to_vec()))?;
+    registry.register(Box::new(loop_lateness.clone()))?;
+    Ok(loop_lateness)
+}
+
 fn request_metrics(registry: &Registry) -> Result<(IntCounterVec, HistogramVec, Histogram)> {
     let requests = IntCounterVec::new(
         Opts::new("cactusglade_requests_total", "Requests by their end"),
