Bound the bytes before the final head of an answer

Cause: the HTTP library parses interim heads as long as bytes are there, and parsing short headers takes longer than receiving them. One poll of that connection's task took over a second (event=loop_late), with all other tasks behind it, also the timer that would have ended the request.

A connection now reads at most 32 KiB before the final head. Whoever waits for the answer is told and drops the connection; the request counts as lost, since it may have run. The bound holds for upstreams, the store, the provider and other daemons, which share the connection type.

Ruled out: a bound on time alone, whose timer is what did not run.

--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -121,7 +121,8 @@
         let parts = prompt.map(|prompt| prompt.shared_ids());
         info!(self.entry.context.log, "sending_failed"; "id" => &self.entry.call.id,
             "upstream" => &reservation.name, "outcome" => ?fault.outcome, "next" => ?next,
-            "sent" => self.attempt.sent(), "cut" => fault.is_cut, "events" => reservation.events,
+            "sent" => self.attempt.sent(), "cut" => fault.is_cut, "flood" => fault.is_flood,
+            "events" => reservation.events,
             "parts" => parts);
     }
 
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -45,6 +45,8 @@
     /// Whether the upstream's connection ended while the upstream had the request, as it does when
     /// the upstream's process ends.
     pub is_cut: bool,
+    /// Whether the upstream sent more than an answer may have, so that this daemon gave it up.
+    pub is_flood: bool,
 }
 
 impl Fault {
@@ -53,6 +55,7 @@
         Self {
             outcome,
             is_cut: false,
+            is_flood: false,
         }
     }
 
@@ -61,6 +64,16 @@
         Self {
             outcome,
             is_cut: true,
+            is_flood: false,
+        }
+    }
+
+    /// Returns the fault of an attempt that this daemon gave up because of what the upstream sent.
+    pub const fn flood(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            is_cut: false,
+            is_flood: true,
         }
     }
 }
@@ -247,6 +260,8 @@
     let response = match answered.await {
         Ok(Ok(response)) => response,
         Ok(Err(link::Error::NotSent)) => return Err((unsent, reservation)),
+        // The upstream's process goes on, so this is no evidence that the prompt crashes upstreams.
+        Ok(Err(link::Error::Flooded)) => return Err((Fault::flood(Outcome::Lost), reservation)),
         Ok(Err(_)) => return Err((Fault::cut(Outcome::Lost), reservation)),
         Err(_) => return Err((Fault::new(Outcome::Lost), reservation)),
     };
--- a/cactusglade-daemon/src/gate/attempt.rs
+++ b/cactusglade-daemon/src/gate/attempt.rs
@@ -110,7 +110,7 @@
             .await
             .map_err(|error| match error {
                 link::Error::NotSent => Error::Refused,
-                link::Error::Lost | link::Error::Timeout => Error::Lost,
+                link::Error::Lost | link::Error::Flooded | link::Error::Timeout => Error::Lost,
             })?;
         let header_text = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
         if header_text(header::ATTEMPT) != Some(call.attempt.as_str()) {
--- a/cactusglade-daemon/src/platform/mod.rs
+++ b/cactusglade-daemon/src/platform/mod.rs
@@ -60,7 +60,7 @@
             .await;
         let answer = answer.map_err(|error| match error {
             link::Error::NotSent => refused("the request was not sent"),
-            link::Error::Lost | link::Error::Timeout => Error::Unknown,
+            link::Error::Lost | link::Error::Flooded | link::Error::Timeout => Error::Unknown,
         })?;
         match answer.status {
             200 => Ok(Committed::Yes),
--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to other systems over HTTP, each owned by one task.
 
 mod client;
+mod meter;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,6 +30,9 @@
     /// The connection was lost after the request may have been sent.
     #[error("the connection was lost")]
     Lost,
+    /// The peer sent more than an answer may have; the request may have run.
+    #[error("the answer exceeds the bounds on what a peer may send")]
+    Flooded,
     /// No answer arrived within the time limit; the request may have run.
     #[error("no answer arrived within the time limit")]
     Timeout,
@@ -68,6 +72,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    control: meter::Control,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -110,12 +115,14 @@
             // data.
             let linger = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
             linger.map_err(|_| Error::NotSent)?;
-            let io = TokioIo::new(socket);
+            let (meter, control) = meter::new(socket);
+            let io = TokioIo::new(meter);
             let (sender, task) = http1::handshake(io).await.map_err(|_| Error::NotSent)?;
             // The error of the task is also returned to the request that waits for an answer.
             let task = tokio::spawn(async move { drop(task.await) });
             Ok(Self {
                 sender,
+                control,
                 _task: AbortOnDropHandle::new(task),
             })
         };
@@ -134,18 +141,26 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::NotSent`] only if no byte of the request can have been sent.
+    /// Returns [`Error::NotSent`] only if no byte of the request can have been sent, and
+    /// [`Error::Flooded`] if the connection must be dropped since its peer sends heads without end.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent);
         }
-        let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|error| {
+        self.control.expect_head();
+        let sent = tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = self.control.exhausted() => return Err(Error::Flooded),
+        };
+        let response = sent.map_err(|error| {
             if error.message().is_some() {
                 Error::NotSent
             } else {
                 Error::Lost
             }
-        })
+        })?;
+        self.control.expect_body();
+        Ok(response)
     }
 }
