Bound the chunks of bodies that are read whole

A request that met such an upstream got 504, though another could have served it.

Cause: the bound was on the data alone, and chunks were kept as they came.

--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -3,13 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cactusglade_link::body;
 use cactusglade_policy::attempt::Next;
 use cactusglade_policy::attempt::Outcome;
 use cactusglade_wire::port;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONNECTION;
@@ -66,14 +64,14 @@
         .filter(|_| !exchange.attempt.may_have_run());
     reservation.begin(organisation).await;
     let deadline = entry.context.clock.instant(entry.deadline);
-    let body = tokio::time::timeout_at(deadline, Limited::new(body, MAX_ANSWER_BYTES).collect());
+    let body = tokio::time::timeout_at(deadline, body::collect(body, MAX_ANSWER_BYTES));
     let body = match body.await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         failed => {
-            let is_cut = matches!(&failed, Ok(Err(error)) if !error.is::<LengthLimitError>());
-            let fault = Fault {
-                outcome: Outcome::Lost,
-                is_cut,
+            let fault = match failed {
+                Ok(Err(error)) if error.is_flood() => Fault::flood(Outcome::Lost),
+                Ok(_) => Fault::cut(Outcome::Lost),
+                Err(_) => Fault::new(Outcome::Lost),
             };
             return Err(exchange.handle_failure(fault, reservation).err());
         }
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -9,14 +9,12 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::units::Millis;
+use cactusglade_link::body;
 use cactusglade_wire::port;
 use cactusglade_wire::port::Refusal;
 use futures::Stream;
-use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
@@ -180,17 +178,15 @@
 /// Reads the body of a request that is refused: closing a connection with unread bytes resets it,
 /// and the caller may lose the answer.
 async fn discard_body(body: Incoming) {
-    let limited = Limited::new(body, MAX_DISCARDED_BYTES);
     // The request is refused in any case.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, limited.collect()).await;
+    let _ = body::collect_within(body, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
 }
 
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Kind> {
-    let limited = Limited::new(body, max_bytes);
-    match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
-        Ok(Err(_)) => Err(Kind::BadRequest),
-        Err(_) => Err(Kind::SlowRequest),
-    }
+    let body = body::collect_within(body, max_bytes, BODY_TIMEOUT).await;
+    body.map_err(|error| match error {
+        body::Error::TooLong => Kind::BodyTooLarge,
+        body::Error::TooFragmented | body::Error::Broken => Kind::BadRequest,
+        body::Error::Timeout => Kind::SlowRequest,
+    })
 }
--- a/cactusglade-daemon/src/gate/plain.rs
+++ b/cactusglade-daemon/src/gate/plain.rs
@@ -9,13 +9,13 @@
 use cactusglade_core::set::Target;
 use cactusglade_core::set::digest;
 use cactusglade_core::units::Millis;
+use cactusglade_link::body;
+use cactusglade_link::link::Connection;
 use cactusglade_policy::dispatch::Cause;
 use cactusglade_policy::dispatch::Report;
 use cactusglade_policy::dispatch::Submission;
 use cactusglade_policy::dispatch::Verdict;
 use cactusglade_policy::prefix::Prompt;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
@@ -36,7 +36,7 @@
 use crate::gate::inbound::Inbound;
 use crate::ledger;
 use crate::ledger::Claim;
-use cactusglade_link::link::Connection;
+
 
 /// Cost that is charged for one call of a plain service, in tokens.
 const COST_TOKENS: u64 = 100;
@@ -346,8 +346,8 @@
     if !is_framed {
         return Err(Error::Lost);
     }
-    let body = Limited::new(body, inbound.context.limits.answer_bytes);
-    let body = body.collect().await.map_err(|_| Error::Lost)?.to_bytes();
+    let body = body::collect(body, inbound.context.limits.answer_bytes).await;
+    let body = body.map_err(|_| Error::Lost)?;
     let content_type = parts
         .headers
         .get(CONTENT_TYPE)
--- a/cactusglade-daemon/src/gate/request.rs
+++ b/cactusglade-daemon/src/gate/request.rs
@@ -11,12 +11,10 @@
 use cactusglade_core::set::Target;
 use cactusglade_core::units::Generation;
 use cactusglade_core::units::Millis;
+use cactusglade_link::body;
 use cactusglade_wire::header;
 use futures::Stream;
-use http_body_util::BodyExt;
 use http_body_util::Either;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Frame;
@@ -167,15 +165,12 @@
 }
 
 async fn read_body(body: Incoming, context: &Context) -> Result<Bytes> {
-    let limited = Limited::new(body, context.limits.body_bytes);
     let timeout = Duration::from_millis(context.limits.body_timeout.0);
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal(
-            Kind::BodyTooLarge,
-            "the body is longer than the limit",
-        )),
-        Ok(Err(_)) => Err(Refusal(Kind::BadRequest, "the body broke off")),
-        Err(_) => Err(Refusal(Kind::SlowRequest, "the body took too long")),
-    }
+    let body = body::collect_within(body, context.limits.body_bytes, timeout).await;
+    body.map_err(|error| match error {
+        body::Error::TooLong => Refusal(Kind::BodyTooLarge, "the body is longer than the limit"),
+        body::Error::TooFragmented => Refusal(Kind::BadRequest, "the body has too many chunks"),
+        body::Error::Broken => Refusal(Kind::BadRequest, "the body broke off"),
+        body::Error::Timeout => Refusal(Kind::SlowRequest, "the body took too long"),
+    })
 }
--- /dev/null
+++ b/cactusglade-link/src/body/mod.rs
@@ -0,0 +1,102 @@
+//! Bodies that are read as a whole, with a bound on the work and memory for what a peer sends.
+//!
+//! A peer chooses the size of the chunks in which it sends a body. Each of them costs a task switch
+//! and, where chunks are kept as they come, memory beyond its data, so that a bound on the data
+//! alone would not limit either. See `docs/incidents/small-chunks.md`.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+/// Chunks that a body of any length may have.
+const MIN_CHUNKS: usize = 4_096;
+/// Mean length in bytes of the chunks of a longer body, below which it has too many of them.
+const MIN_MEAN_CHUNK_BYTES: usize = 64;
+
+/// Error of reading a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The body is longer than the limit.
+    #[error("the body exceeds its limit")]
+    TooLong,
+    /// The body has more chunks than a body of its greatest length needs.
+    #[error("the body has too many chunks")]
+    TooFragmented,
+    /// The body broke off.
+    #[error("the body broke off")]
+    Broken,
+    /// The body was not complete within the time limit.
+    #[error("the body was not complete within the time limit")]
+    Timeout,
+}
+
+impl Error {
+    /// Whether the peer sent more than a body may have.
+    #[must_use]
+    pub const fn is_flood(self) -> bool {
+        matches!(self, Self::TooLong | Self::TooFragmented)
+    }
+}
+
+/// Result of reading a body.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Reads a body of at most `max_bytes` bytes.
+///
+/// # Errors
+///
+/// Fails where the body breaks off, is longer, or has far more chunks than it needs.
+pub async fn collect<B>(mut body: B, max_bytes: usize) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let stated = body.size_hint().lower();
+    if usize::try_from(stated).map_or(true, |stated| stated > max_bytes) {
+        return Err(Error::TooLong);
+    }
+    let max_chunks = MIN_CHUNKS.max(max_bytes / MIN_MEAN_CHUNK_BYTES);
+    let mut first = Bytes::new();
+    // Further chunks are copied, since each would keep the buffer that it was read into.
+    let mut whole = BytesMut::new();
+    let mut chunks = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
+            // Trailers, which the HTTP library bounds.
+            continue;
+        };
+        chunks += 1;
+        if first.len() + whole.len() + data.len() > max_bytes {
+            return Err(Error::TooLong);
+        }
+        if chunks > max_chunks {
+            return Err(Error::TooFragmented);
+        }
+        if chunks == 1 {
+            first = data;
+        } else {
+            whole.extend_from_slice(&std::mem::take(&mut first));
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(if whole.is_empty() {
+        first
+    } else {
+        whole.freeze()
+    })
+}
+
+/// Reads a body as [`collect`] does, within a time limit.
+///
+/// # Errors
+///
+/// As for [`collect`], and where the body is not complete in time.
+pub async fn collect_within<B>(body: B, max_bytes: usize, timeout: Duration) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let collected = tokio::time::timeout(timeout, collect(body, max_bytes)).await;
+    collected.unwrap_or(Err(Error::Timeout))
+}
--- a/cactusglade-link/src/link/client.rs
+++ b/cactusglade-link/src/link/client.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::body;
 use crate::link::Connection;
 use crate::link::Error;
 use crate::link::Result;
@@ -125,8 +124,14 @@
         };
         let response = connection.send(request).await?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(|_| Error::Lost)?.to_bytes();
+        let body = body::collect(body, MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|error| {
+            if error.is_flood() {
+                Error::Flooded
+            } else {
+                Error::Lost
+            }
+        })?;
         // Fails only once the pool task has ended, when the connection can't be reused.
         let _ = self.idle.send(Message::Release(connection)).await;
         Ok(Answer {
