Take comments in a stream for no progress, and bound them

Callers of a stream that had stalled waited until its deadline and saw it break off, although another upstream could have resumed it: each comment that the stalled upstream sent moved the time by which the next event must come, and comments without end were forwarded without end.

Only events with data or a number count now, and what comes between two of them has a bound of 256 KiB.

--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -31,6 +31,9 @@
 /// route's maximum gap between two events. Callers wait for eight such gaps.
 const MAX_SILENCE_GAPS: u64 = 3;
 
+/// Maximum number of bytes between two new events, such as comments that keep a connection alive.
+const MAX_FILLER_BYTES: usize = 256 << 10;
+
 /// Error that aborts an answer, so that the caller does not take it as complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the stream ended early and no upstream resumed it")]
@@ -99,6 +102,8 @@
     cursor: Option<u64>,
     /// Time until which the next new event must arrive.
     event_due: Millis,
+    /// Bytes received since the last new event that are part of none.
+    filler: usize,
     is_counted: bool,
     has_ended: bool,
 }
@@ -113,6 +118,7 @@
             body: started.body,
             reservation: Some(started.reservation),
             fault: None,
+            filler: 0,
             is_counted: false,
             has_ended: false,
         }
@@ -176,11 +182,12 @@
         match frame {
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
-                self.splitter.push(&data).map_err(|_| broken)?;
+                let pushed = self.splitter.push(&data);
+                pushed.map_err(|_| Fault::flood(Outcome::Broken))?;
                 let mut bytes = BytesMut::new();
                 match self.pop_events(&mut bytes) {
-                    Err(outcome) if bytes.is_empty() => return Err(Fault::new(outcome)),
-                    popped => self.fault = popped.err().map(Fault::new),
+                    Err(fault) if bytes.is_empty() => return Err(fault),
+                    popped => self.fault = popped.err(),
                 }
                 Ok(Some(bytes.freeze()))
             }
@@ -191,10 +198,23 @@
     }
 
     /// Appends the complete events that were received and not yet forwarded.
-    fn pop_events(&mut self, bytes: &mut BytesMut) -> Result<(), Outcome> {
-        while let Some(event) = self.splitter.pop().map_err(|_| Outcome::Broken)? {
-            if self.is_new(&event)? {
+    ///
+    /// Only events with content move the time by which the next one must arrive: an upstream that
+    /// sends nothing but comments is as silent as one that sends nothing.
+    fn pop_events(&mut self, bytes: &mut BytesMut) -> Result<(), Fault> {
+        let broken = Fault::new(Outcome::Broken);
+        while let Some(event) = self.splitter.pop().map_err(|_| broken)? {
+            let is_new = self.is_new(&event).map_err(Fault::new)?;
+            if is_new && (event.has_data || event.id.is_some()) {
                 self.event_due = self.next_event_due();
+                self.filler = 0;
+            } else {
+                self.filler += event.bytes.len();
+            }
+            if self.filler > MAX_FILLER_BYTES {
+                return Err(Fault::flood(Outcome::Broken));
+            }
+            if is_new {
                 self.cursor = event.id.or(self.cursor);
                 if let Some(reservation) = self.reservation.as_mut() {
                     reservation.events += 1;
@@ -267,6 +287,7 @@
             self.reservation = Some(started.reservation);
             if started.head.status.is_success() {
                 self.event_due = self.exchange.answer_deadline();
+                self.filler = 0;
                 self.body = started.body;
                 let fields = self.exchange.entry.context.codec.event_fields();
                 self.splitter = Splitter::new(fields);
