Lower the read buffers of connections

A connection could hold 400 KB of what its peer sent, the HTTP library's default, and as much was parsed before other tasks ran. 64 KiB are enough for connections to other systems, and 16 KiB for the heads of operators, the balancer and other daemons. Callers' heads keep the configuration's bound.

--- a/cactusglade-daemon/src/edge/configuration/exchange.rs
+++ b/cactusglade-daemon/src/edge/configuration/exchange.rs
@@ -27,6 +27,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of receiving the head of a request. Daemons send theirs right after connecting.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest head of a request in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 const OK: u16 = 200;
 
 /// Error of fetching a configuration.
@@ -64,7 +66,8 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT);
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
     // The other daemon notices a broken connection itself, and asks again.
     let _ = builder
         .serve_connection(TokioIo::new(socket), service)
--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -49,6 +49,10 @@
 /// Unanswered probes after which an idle connection is considered lost.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Largest read buffer of a connection in bytes. It bounds what a connection holds, and the work that
+/// is done for what its peer sends before other tasks run.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Disables Nagle's algorithm and sets the options by which the system detects a lost peer.
 ///
 /// # Errors
@@ -117,7 +121,9 @@
             linger.map_err(|_| Error::NotSent)?;
             let (meter, control) = meter::new(socket);
             let io = TokioIo::new(meter);
-            let (sender, task) = http1::handshake(io).await.map_err(|_| Error::NotSent)?;
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MAX_BUFFER_BYTES);
+            let (sender, task) = builder.handshake(io).await.map_err(|_| Error::NotSent)?;
             // The error of the task is also returned to the request that waits for an answer.
             let task = tokio::spawn(async move { drop(task.await) });
             Ok(Self {
