Count the time of suspensions in the daemon's clock

Two daemons performed the duties in turn (ONE): after its host was suspended, a holder sent usage reports under a token below the one that its successor had used, 0.37 and 0.79 s after it went on.

Cause: the system's steady clock leaves out the time for which a host is suspended, so that the holder's lease seemed new.

Ruled out: freezes by a signal alone, which break nothing.

nix gives access to the clock without unsafe code.

--- a/cactusglade-link/src/clock/mod.rs
+++ b/cactusglade-link/src/clock/mod.rs
@@ -1,23 +1,33 @@
 //! The daemon's clocks: a monotonic one for durations, and Unix time for deadlines that other
 //! processes share.
+//!
+//! A host may be suspended for seconds. The system's steady clock leaves that time out, while it
+//! passes for all other daemons; a daemon that believed it would act under a lease that another one
+//! has taken. See `docs/incidents/suspended-holder.md`.
 
-use std::time::Instant;
+use std::future::Future;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use cactusglade_core::units::Millis;
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 
-/// `Clock` is a monotonic clock that starts at zero when it is made.
+/// Interval at which a time limit is compared with the clock, which timers don't follow across a
+/// suspension; well below the time for which calls of a suspended holder are tolerated.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// `Clock` is a monotonic clock that starts at zero when it is made, and counts the time for which the
+/// host was suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    started: Duration,
 }
 
 impl Default for Clock {
     fn default() -> Self {
-        Self {
-            started: Instant::now(),
-        }
+        Self { started: uptime() }
     }
 }
 
@@ -25,14 +35,47 @@
     /// Returns the time since the start of the clock.
     #[must_use]
     pub fn now(&self) -> Millis {
-        Millis(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+        let since = uptime().saturating_sub(self.started);
+        Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Returns a time of this clock as an instant for timers.
+    ///
+    /// A timer that is set before a suspension fires late by its duration.
     #[must_use]
     pub fn instant(&self, at: Millis) -> tokio::time::Instant {
-        (self.started + std::time::Duration::from_millis(at.0)).into()
+        tokio::time::Instant::now() + Duration::from_millis((at - self.now()).0)
+    }
+
+    /// Awaits a future until a time of this clock, also across a suspension; `None` if it has not ended
+    /// by then.
+    pub async fn timeout_at<T>(&self, at: Millis, future: impl Future<Output = T>) -> Option<T> {
+        tokio::pin!(future);
+        loop {
+            let remaining = Duration::from_millis((at - self.now()).0);
+            if remaining.is_zero() {
+                return None;
+            }
+            let checked = tokio::time::timeout(remaining.min(CHECK_INTERVAL), &mut future);
+            if let Ok(output) = checked.await {
+                return Some(output);
+            }
+        }
     }
+
+    /// Sleeps until a time of this clock, also across a suspension.
+    pub async fn sleep_until(&self, at: Millis) {
+        // The time limit is the only end of the wait.
+        let _ = self.timeout_at(at, std::future::pending::<()>()).await;
+    }
+}
+
+/// Returns the time since the start of the host, including suspensions.
+///
+/// The clock exists on all supported systems, so that the call does not fail.
+fn uptime() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    time.map(Duration::from).unwrap_or_default()
 }
 
 /// Returns the Unix time in milliseconds from the system clock.
