End the lease when its renewal is denied

A holder whose renewal the store denied, since another daemon's row was there, went on with its old token for the rest of the round. Read in the source by the review; it takes a holder that believes it still has the lease, as a suspended one did. The denial now ends the lease. The random test of the policy denies writes too.

--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -69,6 +69,11 @@
         self.lease.epoch(now)
     }
 
+    /// Returns the time until which the lease is safely held, if it is.
+    pub fn held_until(&self, now: Millis) -> Option<Millis> {
+        self.lease.held_until(now)
+    }
+
     /// Returns the epoch since which no other daemon has held the lease, while this one holds it.
     pub const fn tenure(&self) -> u64 {
         self.lease.tenure()
@@ -147,6 +152,7 @@
                 self.revision = revision;
             }
             Ok(None) => {
+                self.lease.deny();
                 self.must_read = true;
                 self.row = None;
             }
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -189,6 +189,20 @@
         });
     }
 
+    /// Records that a write did not take effect, since the table holds another row than the last one
+    /// observed: this daemon may have been replaced, and holds the lease no longer.
+    pub const fn deny(&mut self) {
+        self.renewed = None;
+    }
+
+    /// Returns the time until which this daemon safely holds the lease, if it does.
+    #[must_use]
+    pub fn held_until(&self, now: Millis) -> Option<Millis> {
+        let span = self.timing.term - self.timing.margin;
+        let renewal = self.renewed_within(now, span);
+        renewal.map(|renewal| renewal.sent + span)
+    }
+
     /// Returns the epoch of the lease while this daemon safely holds it.
     #[must_use]
     pub fn epoch(&self, now: Millis) -> Option<u64> {
--- a/cactusglade-policy/tests/lease.rs
+++ b/cactusglade-policy/tests/lease.rs
@@ -83,6 +83,9 @@
         }
         let write = self.pending.remove(index % self.pending.len());
         if self.row != write.expected {
+            if answered && write.era == self.era {
+                self.leases[write.holder].deny();
+            }
             return;
         }
         assert!(
@@ -204,6 +207,24 @@
     assert_eq!(simulation.leases[0].epoch(simulation.now), None);
 }
 
+/// Guards against a holder that acts on for the rest of a round after the store has denied its renewal,
+/// by a clock that has left out the time in which another daemon took the lease.
+#[test]
+fn a_holder_whose_renewal_is_denied_holds_the_lease_no_longer() {
+    let mut simulation = Simulation::new();
+    simulation.observe(0);
+    simulation.deliver(0, true);
+    assert_eq!(simulation.leases[0].epoch(simulation.now), Some(1));
+    simulation.row = Some(Row {
+        holder: "holder-1".to_owned(),
+        epoch: 2,
+        renewal: 0,
+    });
+    simulation.leases[0].deny();
+    assert_eq!(simulation.leases[0].epoch(simulation.now), None);
+    assert_eq!(simulation.leases[0].held_until(simulation.now), None);
+}
+
 /// Daemons of a large fleet.
 const FLEET: u64 = 195;
 /// Time until every daemon has heard of a lease that was taken, and the interval at which a daemon
