Abandon calls under the lease when it lapses

The lease was checked before a call, not while one was under way: a call that had begun before a suspension went on after it, within its own time limit of 1.5 s, which stood still meanwhile. Calls under the lease now go through one wrapper, which checks the clock before each and every 50 ms during it, and drops the call, and so resets its connection, once the lease has lapsed.

--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -6,6 +6,7 @@
 
 mod capacity;
 mod election;
+mod leased;
 mod usage;
 
 use std::collections::BTreeMap;
@@ -41,6 +42,7 @@
 
 use capacity::Capacity;
 use election::Election;
+use leased::Leased;
 use usage::Usage;
 
 /// Name of the service.
@@ -146,14 +148,18 @@
         self.election
             .acquire_or_renew(clock, fleet.lease.clone())
             .await;
-        let fencing_token = self.election.fencing_token(clock.now());
+        let now = clock.now();
+        let held = self
+            .election
+            .fencing_token(now)
+            .zip(self.election.held_until(now));
         // The mesh stops after this service.
         let _ = self
             .options
             .mesh
             .tell(mesh::Leadership(self.election.held_lease(clock.now())))
             .await;
-        let Some(fencing_token) = fencing_token else {
+        let Some((fencing_token, until)) = held else {
             self.capacity.reset();
             return;
         };
@@ -161,20 +167,19 @@
             name: self.options.name.clone(),
             fencing_token,
         };
-        self.roll_back().await;
-        let provider = self.options.platform.provider();
+        let report = Leased::new(self.options.platform.report(), clock, until);
+        self.roll_back(report).await;
+        let provider = Leased::new(self.options.platform.provider(), clock, until);
         let catalog = self.options.catalogs.borrow().clone();
-        let is_held = || self.election.fencing_token(clock.now()).is_some();
         let tenure = self.election.tenure();
         self.usage
-            .report(&provider, &holder, tenure, &catalog, is_held)
+            .report(&provider, &holder, tenure, &catalog)
             .await;
         let orders = self
             .capacity
             .orders(clock.now(), &catalog, &fleet, &inventory);
         for order in orders {
-            // A holder that was suspended meanwhile must not give orders once it has been replaced.
-            if self.election.fencing_token(clock.now()).is_none() {
+            if !provider.is_held() {
                 return;
             }
             self.capacity.send(&provider, &holder, order).await;
@@ -199,13 +204,13 @@
     }
 
     /// Reports every ordered rollout as rolled back, so that none stays pending.
-    async fn roll_back(&mut self) {
+    async fn roll_back(&mut self, report: impl Report) {
         let rollouts = self.options.rollouts.borrow().clone();
         for rollout in rollouts.values() {
             if self.rolled_back.contains(&rollout.revision) {
                 continue;
             }
-            match self.options.platform.report().rolled_back(rollout).await {
+            match report.rolled_back(rollout).await {
                 Ok(()) => {
                     self.rolled_back.insert(rollout.revision);
                     info!(self.options.log, "rollout_taken_back"; "service" => &rollout.service,
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -171,15 +171,14 @@
         }
     }
 
-    /// Reports the next window that has ended, while `is_held` confirms that the lease is still
-    /// held; `tenure` is the epoch since which no other daemon has held it.
+    /// Reports the next window that has ended; `tenure` is the epoch since which no other daemon has held
+    /// the lease.
     pub async fn report(
         &mut self,
         provider: &impl Provider,
         holder: &Holder,
         tenure: u64,
         catalog: &Catalog,
-        is_held: impl Fn() -> bool,
     ) {
         if tenure != self.tenure {
             self.tenure = tenure;
@@ -203,9 +202,6 @@
                 return;
             }
         };
-        if !is_held() {
-            return;
-        }
         match provider.report_usage(holder, window, &counts).await {
             Ok(()) => {
                 self.last_reported = Some(window);
