--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -5,7 +5,6 @@
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::edge::Settings;
@@ -61,11 +60,11 @@
 
 /// Time after the stop signal for which new connections are still accepted. The balancer checks
 /// readiness once a second and stops sending connections after two failed checks.
-const LAME_DUCK_PERIOD: Duration = Duration::from_millis(2_600);
+const LAME_DUCK_PERIOD: Millis = Millis(2_600);
 /// Time that is left for stopping the services before the platform kills the process.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
+const STOP_MARGIN: Millis = Millis(400);
 /// Time before the services are stopped at which requests without an answer get an error.
-const ENDING_PERIOD: Duration = Duration::from_millis(150);
+const ENDING_PERIOD: Millis = Millis(150);
 /// Capacity of the queue of datagrams with changes of the registry that the relay forwards.
 const FORWARDED_CAPACITY: usize = 64;
 /// Time within which a partition is detected, until the size of the zone is known.
@@ -80,7 +79,8 @@
     phase: watch::Sender<Phase>,
     front: ActorRef<Front<P::Codec>>,
     duty: ActorRef<Duty<Measured<P>>>,
-    grace: Duration,
+    grace: Millis,
+    clock: Clock,
     log: Logger,
 }
 
@@ -122,7 +122,8 @@
             phase,
             front,
             duty,
-            grace: Duration::from_secs_f64(settings.grace_s),
+            grace: from_seconds(settings.grace_s),
+            clock: starter.clock,
             log,
         })
     }
@@ -139,21 +140,25 @@
     /// Reports that the daemon is not ready, lets requests finish within the platform's grace
     /// period, and stops the services in reverse order.
     ///
-    /// Returns whether every connection ended within the grace period.
+    /// The grace period goes on while the host is suspended. Returns whether every connection ended
+    /// within it.
     pub async fn stop(self) -> bool {
+        let began = self.clock.now();
+        let end = began + (self.grace - STOP_MARGIN);
         self.draining.send_replace(true);
         self.phase.send_replace(Phase::Draining);
-        info!(self.log, "draining"; "limit_ms" => self.grace.as_millis());
-        tokio::time::sleep(LAME_DUCK_PERIOD).await;
+        info!(self.log, "draining"; "limit_ms" => self.grace.0);
+        self.clock.sleep_until(began + LAME_DUCK_PERIOD).await;
         self.phase.send_replace(Phase::Closing);
-        let remaining = self.grace.saturating_sub(LAME_DUCK_PERIOD + STOP_MARGIN);
-        let remaining = remaining.saturating_sub(ENDING_PERIOD);
-        let is_drained = self.front.ask(Drain(remaining)).await.unwrap_or(false);
+        let drain = Drain {
+            until: end - ENDING_PERIOD,
+        };
+        let is_drained = self.front.ask(drain).await.unwrap_or(false);
         if !is_drained {
-            warn!(self.log, "drain_incomplete"; "limit_ms" => self.grace.as_millis());
+            warn!(self.log, "drain_incomplete"; "limit_ms" => self.grace.0);
             self.phase.send_replace(Phase::Ending);
             // Streams that have begun go on until the process ends.
-            let _ = self.front.ask(Drain(ENDING_PERIOD)).await;
+            let _ = self.front.ask(Drain { until: end }).await;
         }
         // Fails only if the service has ended unexpectedly, and with it the daemon.
         let _ = self.duty.ask(duty::Flush).await;
--- a/cactusglade-daemon/src/edge/front/mod.rs
+++ b/cactusglade-daemon/src/edge/front/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusglade_core::units::Millis;
 use cactusglade_wire::port;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -51,14 +52,17 @@
 #[derive(Debug)]
 pub struct Front<F> {
     connections: watch::Receiver<usize>,
-    _context: Arc<Context<F>>,
+    context: Arc<Context<F>>,
 }
 
-/// `Drain` waits until every connection has ended, for at most this time.
+/// `Drain` waits until every connection has ended, for a limited time.
 ///
 /// The reply is whether all connections have ended.
 #[derive(Clone, Copy, Debug)]
-pub struct Drain(pub Duration);
+pub struct Drain {
+    /// Time on the daemon's clock until which they may end.
+    pub until: Millis,
+}
 
 impl<F: port::Codec> Actor for Front<F> {
     type Args = Options<F>;
@@ -70,7 +74,7 @@
         tokio::spawn(listen(listener, options.context.clone(), count));
         Ok(Self {
             connections,
-            _context: options.context,
+            context: options.context,
         })
     }
 }
@@ -81,7 +85,9 @@
     async fn handle(&mut self, drain: Drain, _: &mut kameo::message::Context<Self, bool>) -> bool {
         let finished = self.connections.wait_for(|count| *count == 0);
         // The listening task sets the count to 0 once it and all connections have ended.
-        tokio::time::timeout(drain.0, finished).await.is_ok()
+        let clock = self.context.clock;
+        let finished = clock.timeout_at(drain.until, finished).await;
+        matches!(finished, Some(Ok(_)))
     }
 }
 
