Take a stream without framing that ends before any event as cut

Cause: a body with neither a length nor chunks ends with its connection, and only an end inside an event was taken as a break. A stream that has had no event now broke off. It is resumed elsewhere where the route allows it.

--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -17,6 +17,8 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 
 use super::entry::Buffered;
 use super::entry::Entry;
@@ -95,6 +97,8 @@
     exchange: Exchange<F>,
     body: Incoming,
     reservation: Option<Reservation>,
+    /// Whether the end of the body is marked by more than the end of its connection.
+    is_framed: bool,
     splitter: Splitter,
     /// Fault after the events that were returned last.
     fault: Option<Fault>,
@@ -115,6 +119,7 @@
             cursor: exchange.entry.call.last_event,
             splitter: Splitter::new(exchange.entry.context.codec.event_fields()),
             exchange,
+            is_framed: is_framed(&started.head.headers),
             body: started.body,
             reservation: Some(started.reservation),
             fault: None,
@@ -192,11 +197,20 @@
                 Ok(Some(bytes.freeze()))
             }
             Some(Err(_)) => Err(Fault::cut(Outcome::Broken)),
-            None if self.splitter.has_partial() => Err(Fault::cut(Outcome::Broken)),
+            None if self.splitter.has_partial() || self.is_cut_before_first_event() => {
+                Err(Fault::cut(Outcome::Broken))
+            }
             None => Ok(None),
         }
     }
 
+    /// Whether a stream that has ended can't be complete: the end of its connection is all that marks the
+    /// end, as that of an upstream which crashed does, and it has had no event.
+    fn is_cut_before_first_event(&self) -> bool {
+        let events = self.reservation.as_ref().map_or(0, |one| one.events);
+        !self.is_framed && events == 0 && self.cursor.is_none()
+    }
+
     /// Appends the complete events that were received and not yet forwarded.
     ///
     /// Only events with content move the time by which the next one must arrive: an upstream that
@@ -288,6 +302,7 @@
             if started.head.status.is_success() {
                 self.event_due = self.exchange.answer_deadline();
                 self.filler = 0;
+                self.is_framed = is_framed(&started.head.headers);
                 self.body = started.body;
                 let fields = self.exchange.entry.context.codec.event_fields();
                 self.splitter = Splitter::new(fields);
@@ -297,3 +312,8 @@
         }
     }
 }
+
+/// Whether a body has a length or is sent in chunks.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- a/cactusglade-daemon/src/gate/plain.rs
+++ b/cactusglade-daemon/src/gate/plain.rs
@@ -37,7 +37,6 @@
 use crate::ledger;
 use crate::ledger::Claim;
 
-
 /// Cost that is charged for one call of a plain service, in tokens.
 const COST_TOKENS: u64 = 100;
 /// Time after the deadline for which the reply to a request with a claimed idempotency key is still
--- a/cactusglade-link/src/link/meter.rs
+++ b/cactusglade-link/src/link/meter.rs
@@ -79,7 +79,7 @@
     pub async fn exhausted(&mut self) {
         if self.exhausted.changed().await.is_err() {
             // The connection has ended, which the request notices.
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 }
