Bound what a caller may send for a request, and the work between other tasks

A caller that sends the length of a chunk with zeros without end was read for 10 s at the speed of its link, since the length of a head, the data of a body and the time had bounds, but not the bytes.

A caller's connection now has an allowance for each request, up to the head of the next one, by the same meter as connections to upstreams. Beyond it the connection is dropped. The meter also lets other tasks run after 256 KB, where the runtime's budget is 128 reads of any length.

--- a/cactusglade-daemon/src/edge/front/connection.rs
+++ b/cactusglade-daemon/src/edge/front/connection.rs
@@ -5,8 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusglade_core::catalog::Limits;
 use cactusglade_core::units::Millis;
+use cactusglade_link::body;
 use cactusglade_link::link;
+use cactusglade_link::link::meter;
 use cactusglade_wire::port;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -34,8 +37,11 @@
     let limits = context.catalogs.borrow().limits;
     let mut phase = context.phase.clone();
     let (has_request, mut requests) = watch::channel(false);
+    let (meter, mut control) = meter::new(socket, allowance(&limits));
+    let allowances = control.clone();
     let service = service_fn(move |request| {
         has_request.send_replace(true);
+        allowances.allow(allowance(&context.catalogs.borrow().limits));
         let context = context.clone();
         async move { Ok::<_, Infallible>(request::handle(context, request).await) }
     });
@@ -47,10 +53,12 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let connection = builder.serve_connection(TokioIo::new(meter), service);
+    let mut connection = pin!(connection);
     tokio::select! {
         // The caller notices a broken connection itself; its requests end with the connection.
         _ = connection.as_mut() => return,
+        () = control.exhausted() => return,
         _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
     }
     // A caller that has just connected may have sent a request already; it gets an answer, which
@@ -63,3 +71,10 @@
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
+
+/// Returns the number of bytes that a caller may send for one request, up to the head of the next one.
+fn allowance(limits: &Limits) -> u64 {
+    let body_bytes = limits.body_bytes.max(request::MAX_DISCARDED_BYTES);
+    let head_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
+    body::max_sent_bytes(body_bytes) + head_bytes as u64
+}
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -33,7 +33,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest body of a refused request that is read, in bytes, and the time for it.
-const MAX_DISCARDED_BYTES: usize = 256 << 10;
+pub const MAX_DISCARDED_BYTES: usize = 256 << 10;
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Error of admitting a request.
--- a/cactusglade-link/src/body/mod.rs
+++ b/cactusglade-link/src/body/mod.rs
@@ -16,6 +16,12 @@
 /// Mean length in bytes of the chunks of a longer body, below which it has too many of them.
 const MIN_MEAN_CHUNK_BYTES: usize = 64;
 
+/// Bytes beside the data of each chunk: its length and two ends of lines.
+const CHUNK_FRAME_BYTES: usize = 32;
+/// Bytes beside the chunks of a body: extensions of chunks and trailers, which the HTTP library bounds,
+/// and what it reads ahead.
+const SPARE_BYTES: usize = 128 << 10;
+
 /// Error of reading a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -44,6 +50,22 @@
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, Error>;
 
+const fn max_chunks(max_bytes: usize) -> usize {
+    let needed = max_bytes / MIN_MEAN_CHUNK_BYTES;
+    if needed > MIN_CHUNKS {
+        needed
+    } else {
+        MIN_CHUNKS
+    }
+}
+
+/// Returns the number of bytes that a peer may need to send a body of at most `max_bytes` bytes.
+#[must_use]
+pub const fn max_sent_bytes(max_bytes: usize) -> u64 {
+    let sent = max_bytes + max_chunks(max_bytes) * CHUNK_FRAME_BYTES + SPARE_BYTES;
+    sent as u64
+}
+
 /// Reads a body of at most `max_bytes` bytes.
 ///
 /// # Errors
@@ -57,7 +79,6 @@
     if usize::try_from(stated).map_or(true, |stated| stated > max_bytes) {
         return Err(Error::TooLong);
     }
-    let max_chunks = MIN_CHUNKS.max(max_bytes / MIN_MEAN_CHUNK_BYTES);
     let mut first = Bytes::new();
     // Further chunks are copied, since each would keep the buffer that it was read into.
     let mut whole = BytesMut::new();
@@ -71,7 +92,7 @@
         if first.len() + whole.len() + data.len() > max_bytes {
             return Err(Error::TooLong);
         }
-        if chunks > max_chunks {
+        if chunks > max_chunks(max_bytes) {
             return Err(Error::TooFragmented);
         }
         if chunks == 1 {
--- a/cactusglade-link/src/link/meter.rs
+++ b/cactusglade-link/src/link/meter.rs
@@ -1,7 +1,7 @@
-//! A bound on the bytes that a peer may send before the final head of its answer.
+//! Bounds on what a peer may send at a time, and on the work for it before other tasks run.
 //!
-//! HTTP lets a peer send any number of interim heads first, and a client has to parse each of them.
-//! Parsing short headers takes longer than receiving them, so that a peer which sends interim heads
+//! The HTTP library reads and parses as long as bytes are there: interim heads, empty lines, lengths
+//! of chunks. Some of these take longer to parse than to receive, so that a peer which sends them
 //! without end would take all of the daemon's time. See `docs/incidents/interim-heads.md`.
 
 use std::io::Result;
@@ -18,41 +18,36 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-/// Maximum number of bytes before the body of an answer: its interim heads and its final one.
-const MAX_HEAD_BYTES: u64 = 32 << 10;
-
-/// `Allowance` is how much the peer may send from now on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Allowance {
-    /// An answer is expected, whose heads have a bound.
-    Head,
-    /// The final head has arrived; whoever reads the body limits it.
-    Body,
-}
+/// Number of bytes after which a connection lets other tasks run, although more are there.
+const MAX_BURST_BYTES: u64 = 256 << 10;
 
 /// `Meter` is a socket that stops reading once the peer has used up its allowance.
 #[derive(Debug)]
 pub struct Meter<S> {
+    /// Socket with the rest of the allowance.
     socket: Take<S>,
-    allowances: mpsc::UnboundedReceiver<Allowance>,
+    allowances: mpsc::UnboundedReceiver<u64>,
     exhausted: watch::Sender<()>,
+    /// Bytes read since other tasks last ran.
+    burst: u64,
 }
 
 /// `Control` sets the allowance of a [`Meter`].
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Control {
-    allowances: mpsc::UnboundedSender<Allowance>,
+    allowances: mpsc::UnboundedSender<u64>,
     exhausted: watch::Receiver<()>,
 }
 
-/// Wraps a socket; the peer may send the heads of one answer.
-pub fn new<S: AsyncRead>(socket: S) -> (Meter<S>, Control) {
+/// Wraps a socket; the peer may send this number of bytes.
+pub fn new<S: AsyncRead>(socket: S, allowance: u64) -> (Meter<S>, Control) {
     let (sender, allowances) = mpsc::unbounded_channel();
     let (exhausted, receiver) = watch::channel(());
     let meter = Meter {
-        socket: socket.take(MAX_HEAD_BYTES),
+        socket: socket.take(allowance),
         allowances,
         exhausted,
+        burst: 0,
     };
     let control = Control {
         allowances: sender,
@@ -62,45 +57,36 @@
 }
 
 impl Control {
-    /// Allows the heads of one answer.
-    pub fn expect_head(&mut self) {
+    /// Forgets that an earlier allowance was used up, which the peer was allowed to exceed since.
+    pub fn reset(&mut self) {
         self.exhausted.mark_unchanged();
-        // Fails only after the connection has ended, which the request notices.
-        let _ = self.allowances.send(Allowance::Head);
     }
 
-    /// Allows the body of the answer whose final head has arrived.
-    pub fn expect_body(&self) {
-        // As above.
-        let _ = self.allowances.send(Allowance::Body);
+    /// Allows the peer to send this number of bytes from now on.
+    pub fn allow(&self, bytes: u64) {
+        // Fails only after the connection has ended, which its owner notices.
+        let _ = self.allowances.send(bytes);
     }
 
-    /// Waits until the peer has sent more than the heads of an answer may have.
+    /// Waits until the peer has used up its allowance.
     pub async fn exhausted(&mut self) {
         if self.exhausted.changed().await.is_err() {
-            // The connection has ended, which the request notices.
+            // The connection has ended, which its owner notices.
             std::future::pending::<()>().await;
         }
     }
 }
 
 impl<S: AsyncRead> Meter<S> {
-    fn set(&mut self, allowance: Allowance) {
-        self.socket.set_limit(match allowance {
-            Allowance::Head => MAX_HEAD_BYTES,
-            Allowance::Body => u64::MAX,
-        });
-    }
-
     /// Waits until the peer may send more.
     fn poll_allowance(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while let Ok(allowance) = self.allowances.try_recv() {
-            self.set(allowance);
+        while let Ok(bytes) = self.allowances.try_recv() {
+            self.socket.set_limit(bytes);
         }
         while self.socket.limit() == 0 {
             self.exhausted.send_replace(());
             match ready!(self.allowances.poll_recv(context)) {
-                Some(allowance) => self.set(allowance),
+                Some(bytes) => self.socket.set_limit(bytes),
                 // The connection is being dropped, and with it this socket.
                 None => return Poll::Pending,
             }
@@ -116,7 +102,19 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         ready!(self.poll_allowance(context));
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        if self.burst >= MAX_BURST_BYTES {
+            self.burst = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = self.socket.limit();
+        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
+        match read {
+            // Other tasks run while this one waits.
+            Poll::Pending => self.burst = 0,
+            Poll::Ready(_) => self.burst += before - self.socket.limit(),
+        }
+        read
     }
 }
 
--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -1,7 +1,8 @@
 //! Connections to other systems over HTTP, each owned by one task.
 
+pub mod meter;
+
 mod client;
-mod meter;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -49,6 +50,8 @@
 /// Unanswered probes after which an idle connection is considered lost.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Maximum number of bytes before the body of an answer: its interim heads and its final one.
+const MAX_HEAD_BYTES: u64 = 32 << 10;
 /// Largest read buffer of a connection in bytes. It bounds what a connection holds, and the work that
 /// is done for what its peer sends before other tasks run.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
@@ -119,7 +122,7 @@
             // data.
             let linger = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
             linger.map_err(|_| Error::NotSent)?;
-            let (meter, control) = meter::new(socket);
+            let (meter, control) = meter::new(socket, MAX_HEAD_BYTES);
             let io = TokioIo::new(meter);
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_BUFFER_BYTES);
@@ -153,7 +156,8 @@
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent);
         }
-        self.control.expect_head();
+        self.control.reset();
+        self.control.allow(MAX_HEAD_BYTES);
         let sent = tokio::select! {
             biased;
             sent = self.sender.try_send_request(request) => sent,
@@ -166,7 +170,8 @@
                 Error::Lost
             }
         })?;
-        self.control.expect_body();
+        // Whoever reads the body limits it.
+        self.control.allow(u64::MAX);
         Ok(response)
     }
 }
