Take streams with comments alone for cut as well; keep sums of limits in range

Found while reading the diff: a stream without framing whose upstream sent a comment and then crashed still looked complete, and the number of bytes that a caller may send overflowed for a configuration with the greatest body limit.

--- a/cactusglade-daemon/src/edge/front/connection.rs
+++ b/cactusglade-daemon/src/edge/front/connection.rs
@@ -76,5 +76,5 @@
 fn allowance(limits: &Limits) -> u64 {
     let body_bytes = limits.body_bytes.max(request::MAX_DISCARDED_BYTES);
     let head_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
-    body::max_sent_bytes(body_bytes) + head_bytes as u64
+    body::max_sent_bytes(body_bytes.saturating_add(head_bytes))
 }
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -97,8 +97,9 @@
     exchange: Exchange<F>,
     body: Incoming,
     reservation: Option<Reservation>,
-    /// Whether the end of the body is marked by more than the end of its connection.
-    is_framed: bool,
+    /// Whether the stream may be complete when the body ends: the body has framing, or the caller has
+    /// had an event. Otherwise the upstream may have crashed, which looks the same.
+    may_end: bool,
     splitter: Splitter,
     /// Fault after the events that were returned last.
     fault: Option<Fault>,
@@ -116,10 +117,10 @@
     fn new(exchange: Exchange<F>, started: Started) -> Self {
         Self {
             event_due: exchange.answer_deadline(),
+            may_end: exchange.entry.call.last_event.is_some() || is_framed(&started.head.headers),
             cursor: exchange.entry.call.last_event,
             splitter: Splitter::new(exchange.entry.context.codec.event_fields()),
             exchange,
-            is_framed: is_framed(&started.head.headers),
             body: started.body,
             reservation: Some(started.reservation),
             fault: None,
@@ -197,20 +198,13 @@
                 Ok(Some(bytes.freeze()))
             }
             Some(Err(_)) => Err(Fault::cut(Outcome::Broken)),
-            None if self.splitter.has_partial() || self.is_cut_before_first_event() => {
+            None if self.splitter.has_partial() || !self.may_end => {
                 Err(Fault::cut(Outcome::Broken))
             }
             None => Ok(None),
         }
     }
 
-    /// Whether a stream that has ended can't be complete: the end of its connection is all that marks the
-    /// end, as that of an upstream which crashed does, and it has had no event.
-    fn is_cut_before_first_event(&self) -> bool {
-        let events = self.reservation.as_ref().map_or(0, |one| one.events);
-        !self.is_framed && events == 0 && self.cursor.is_none()
-    }
-
     /// Appends the complete events that were received and not yet forwarded.
     ///
     /// Only events with content move the time by which the next one must arrive: an upstream that
@@ -221,6 +215,7 @@
             let is_new = self.is_new(&event).map_err(Fault::new)?;
             if is_new && (event.has_data || event.id.is_some()) {
                 self.event_due = self.next_event_due();
+                self.may_end = true;
                 self.filler = 0;
             } else {
                 self.filler += event.bytes.len();
@@ -302,7 +297,7 @@
             if started.head.status.is_success() {
                 self.event_due = self.exchange.answer_deadline();
                 self.filler = 0;
-                self.is_framed = is_framed(&started.head.headers);
+                self.may_end = self.cursor.is_some() || is_framed(&started.head.headers);
                 self.body = started.body;
                 let fields = self.exchange.entry.context.codec.event_fields();
                 self.splitter = Splitter::new(fields);
--- a/cactusglade-link/src/body/mod.rs
+++ b/cactusglade-link/src/body/mod.rs
@@ -15,7 +15,6 @@
 const MIN_CHUNKS: usize = 4_096;
 /// Mean length in bytes of the chunks of a longer body, below which it has too many of them.
 const MIN_MEAN_CHUNK_BYTES: usize = 64;
-
 /// Bytes beside the data of each chunk: its length and two ends of lines.
 const CHUNK_FRAME_BYTES: usize = 32;
 /// Bytes beside the chunks of a body: extensions of chunks and trailers, which the HTTP library bounds,
@@ -50,6 +49,7 @@
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Returns the number of chunks that a body of at most `max_bytes` bytes may have.
 const fn max_chunks(max_bytes: usize) -> usize {
     let needed = max_bytes / MIN_MEAN_CHUNK_BYTES;
     if needed > MIN_CHUNKS {
@@ -62,8 +62,10 @@
 /// Returns the number of bytes that a peer may need to send a body of at most `max_bytes` bytes.
 #[must_use]
 pub const fn max_sent_bytes(max_bytes: usize) -> u64 {
-    let sent = max_bytes + max_chunks(max_bytes) * CHUNK_FRAME_BYTES + SPARE_BYTES;
-    sent as u64
+    let beside = max_chunks(max_bytes)
+        .saturating_mul(CHUNK_FRAME_BYTES)
+        .saturating_add(SPARE_BYTES);
+    max_bytes.saturating_add(beside) as u64
 }
 
 /// Reads a body of at most `max_bytes` bytes.
--- a/cactusglade-link/tests/body.rs
+++ b/cactusglade-link/tests/body.rs
@@ -44,3 +44,8 @@
     let stated = Full::new(Bytes::from(vec![0; MAX_BYTES + 1]));
     assert_eq!(body::collect(stated, MAX_BYTES).await, Err(Error::TooLong));
 }
+
+#[test]
+fn the_greatest_limit_has_a_number_of_sent_bytes() {
+    assert_eq!(body::max_sent_bytes(usize::MAX), usize::MAX as u64);
+}
