Let a denied holder go on once the row shows that it may

A denial now holds until the row is observed again: if it is the holder's or a copy, it goes on, otherwise it has been replaced.

--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -75,6 +75,8 @@
     observed: Option<Observed>,
     /// Last successful write of the lease.
     renewed: Option<Renewal>,
+    /// Whether a write was denied since the row was last observed.
+    is_denied: bool,
     /// When the state was first asked for.
     started: Option<Millis>,
     /// Era of the store; zero where it states none, which is never restored.
@@ -102,6 +104,7 @@
             timing,
             observed: None,
             renewed: None,
+            is_denied: false,
             started: None,
             era: 0,
             greatest: 0,
@@ -122,6 +125,7 @@
 
     /// Records the row that the table holds now and returns the next action.
     pub fn observe(&mut self, now: Millis, row: Option<Row>) -> Action {
+        self.is_denied = false;
         // Nobody can have taken the lease over yet, although this daemon no longer acts under it.
         let is_last_holder = self.renewed_within(now, self.timing.term).is_some();
         let changed = self
@@ -190,9 +194,10 @@
     }
 
     /// Records that a write did not take effect, since the table holds another row than the last one
-    /// observed: this daemon may have been replaced, and holds the lease no longer.
+    /// observed: this daemon may have been replaced, and holds the lease no longer until the next
+    /// observation shows that it has not.
     pub const fn deny(&mut self) {
-        self.renewed = None;
+        self.is_denied = true;
     }
 
     /// Returns the time until which this daemon safely holds the lease, if it does.
@@ -200,14 +205,15 @@
     pub fn held_until(&self, now: Millis) -> Option<Millis> {
         let span = self.timing.term - self.timing.margin;
         let renewal = self.renewed_within(now, span);
+        let renewal = renewal.filter(|_| !self.is_denied);
         renewal.map(|renewal| renewal.sent + span)
     }
 
     /// Returns the epoch of the lease while this daemon safely holds it.
     #[must_use]
     pub fn epoch(&self, now: Millis) -> Option<u64> {
-        let renewal = self.renewed_within(now, self.timing.term - self.timing.margin);
-        renewal.map(|renewal| renewal.epoch)
+        self.held_until(now)?;
+        self.renewed.map(|renewal| renewal.epoch)
     }
 
     /// Returns the first epoch since which no other daemon has held the lease; it stays the same where
--- a/cactusglade-policy/tests/lease.rs
+++ b/cactusglade-policy/tests/lease.rs
@@ -223,6 +223,21 @@
     simulation.leases[0].deny();
     assert_eq!(simulation.leases[0].epoch(simulation.now), None);
     assert_eq!(simulation.leases[0].held_until(simulation.now), None);
+    simulation.observe(0);
+    assert_eq!(simulation.leases[0].epoch(simulation.now), None);
+}
+
+/// Guards against a holder that waits for a whole term after a restoration of the store has denied its
+/// renewal, although nobody can have replaced it.
+#[test]
+fn a_denied_holder_goes_on_once_the_row_shows_that_it_may() {
+    let mut simulation = Simulation::new();
+    simulation.observe(0);
+    simulation.deliver(0, true);
+    simulation.leases[0].deny();
+    assert_eq!(simulation.leases[0].epoch(simulation.now), None);
+    simulation.observe(0);
+    assert_eq!(simulation.leases[0].epoch(simulation.now), Some(1));
 }
 
 /// Daemons of a large fleet.
