Fail loudly without the clock that counts suspensions; state one bound on heads

Found while reading the diff: a failed read of the clock was turned into zero, by which a holder would have kept its lease forever; it now ends the process, which no supported system makes happen. Three servers had the same bound on heads.

--- a/cactusglade-daemon/src/accept/mod.rs
+++ b/cactusglade-daemon/src/accept/mod.rs
@@ -7,6 +7,9 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
+/// Longest head of a request in bytes, for servers whose requests have no body and few headers.
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Runs `serve` for each accepted connection in a task of its own.
 ///
 /// A connection accepted while `max_connections` are open is closed at once. Returns when the
--- a/cactusglade-daemon/src/edge/configuration/exchange.rs
+++ b/cactusglade-daemon/src/edge/configuration/exchange.rs
@@ -22,13 +22,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::accept;
+
 /// Timeout of fetching a configuration: other daemons are some milliseconds away, and the largest
 /// configuration has about a hundred kilobytes.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of receiving the head of a request. Daemons send theirs right after connecting.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 const OK: u16 = 200;
 
 /// Error of fetching a configuration.
@@ -67,7 +67,7 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_buf_size(accept::MAX_HEAD_BYTES);
     // The other daemon notices a broken connection itself, and asks again.
     let _ = builder
         .serve_connection(TokioIo::new(socket), service)
--- a/cactusglade-daemon/src/edge/probe/mod.rs
+++ b/cactusglade-daemon/src/edge/probe/mod.rs
@@ -33,8 +33,6 @@
 const METRICS_PATH: &str = "/metrics";
 /// Timeout of receiving the head of a request. The balancer sends a request once a second.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of open connections; the balancer and some operators need few.
 const MAX_CONNECTIONS: usize = 64;
 
@@ -110,7 +108,7 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_buf_size(accept::MAX_HEAD_BYTES);
     // The client notices a broken connection itself.
     let _ = builder
         .serve_connection(TokioIo::new(socket), service)
--- a/cactusglade-daemon/src/ops/mod.rs
+++ b/cactusglade-daemon/src/ops/mod.rs
@@ -37,8 +37,6 @@
 pub const NAME: &str = "ops";
 /// Timeout for receiving the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of open connections of operators.
 const MAX_CONNECTIONS: usize = 64;
 
@@ -101,7 +99,7 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_buf_size(accept::MAX_HEAD_BYTES);
     // Errors of a connection concern only the operator's client, which sees them itself.
     let _ = builder
         .serve_connection(TokioIo::new(socket), service)
--- a/cactusglade-link/src/clock/mod.rs
+++ b/cactusglade-link/src/clock/mod.rs
@@ -72,10 +72,10 @@
 
 /// Returns the time since the start of the host, including suspensions.
 ///
-/// The clock exists on all supported systems, so that the call does not fail.
+/// Panics where the system lacks the clock: a time that stood still would keep the lease forever.
 fn uptime() -> Duration {
     let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
-    time.map(Duration::from).unwrap_or_default()
+    Duration::from(time.expect("the system has CLOCK_BOOTTIME"))
 }
 
 /// Returns the Unix time in milliseconds from the system clock.
