Log how long a holder of the duties may still act when it has acted

The holder now states the end of its lease in the time of its host, suspensions included. Behaviour is unchanged.

--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -20,6 +20,7 @@
 use crate::edge::mesh::Fleet;
 
 use super::Options;
+use super::leased;
 
 /// Time constants of the two running means of the load, in milliseconds. The greater mean counts,
 /// so that the plan follows a rise at once and ignores a short lull.
@@ -113,7 +114,7 @@
                 info!(self.log, "capacity_ordered"; "service" => &order.service,
                     "zone" => &order.zone, "reclaimable" => order.reclaimable,
                     "count" => order.count, "need" => need, "busy" => busy,
-                    "fence" => holder.fencing_token);
+                    "fence" => holder.fencing_token, "lease_left_ms" => leased::left_ms(holder));
             }
             Err(error) => {
                 warn!(self.log, "capacity_refused"; "service" => &order.service,
--- a/cactusglade-daemon/src/edge/duty/leased.rs
+++ b/cactusglade-daemon/src/edge/duty/leased.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 
 use cactusglade_core::units::Millis;
+use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
 use cactusglade_wire::port::Capacity;
 use cactusglade_wire::port::Error;
@@ -26,6 +27,12 @@
     until: Millis,
 }
 
+/// Returns the time for which the daemon may still act, in milliseconds, for the log of what it did.
+pub fn left_ms(holder: &Holder) -> u64 {
+    let left = holder.until.saturating_sub(clock::uptime());
+    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl<T> Leased<T> {
     /// Wraps a part for as long as the lease is held without another renewal.
     pub const fn new(part: T, clock: Clock, until: Millis) -> Self {
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -166,6 +166,7 @@
         let holder = Holder {
             name: self.options.name.clone(),
             fencing_token,
+            until: clock.uptime_at(until),
         };
         let report = Leased::new(self.options.platform.report(), clock, until);
         self.roll_back(report).await;
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -27,6 +27,7 @@
 use slog::warn;
 
 use super::Options;
+use super::leased;
 
 /// Table of the ledgers, with a row for each daemon that has written its zone's ledger.
 const LEDGER_TABLE: &str = "usage";
@@ -207,7 +208,8 @@
                 self.last_reported = Some(window);
                 info!(self.log, "usage_reported"; "window" => window,
                     "fence" => holder.fencing_token, "organisations" => counts.len(),
-                    "requests" => counts.values().sum::<u64>());
+                    "requests" => counts.values().sum::<u64>(),
+                    "lease_left_ms" => leased::left_ms(holder));
             }
             Err(error) => {
                 warn!(self.log, "usage_unreported"; "window" => window, "reason" => %error);
--- a/cactusglade-link/src/clock/mod.rs
+++ b/cactusglade-link/src/clock/mod.rs
@@ -39,6 +39,12 @@
         Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
     }
 
+    /// Returns a time of this clock as the time since the start of the host, see [`uptime`].
+    #[must_use]
+    pub fn uptime_at(&self, at: Millis) -> Duration {
+        self.started + Duration::from_millis(at.0)
+    }
+
     /// Returns a time of this clock as an instant for timers.
     ///
     /// A timer that is set before a suspension fires late by its duration.
@@ -72,8 +78,11 @@
 
 /// Returns the time since the start of the host, including suspensions.
 ///
+/// # Panics
+///
 /// Panics where the system lacks the clock: a time that stood still would keep the lease forever.
-fn uptime() -> Duration {
+#[must_use]
+pub fn uptime() -> Duration {
     let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
     Duration::from(time.expect("the system has CLOCK_BOOTTIME"))
 }
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::time::Duration;
 
 use cactusglade_core::catalog::Draft;
 use cactusglade_core::fleet::Change;
@@ -164,6 +165,8 @@
     pub name: String,
     /// Fencing token, greater with each change of the holder.
     pub fencing_token: u64,
+    /// Time since the start of the host, suspensions included, from which no call may be sent.
+    pub until: Duration,
 }
 
 /// `Provider` accepts the orders and reports that one daemon at a time has to send.
