Compare the end of the lease with the clock where a call is written

Cause: the check of the lease and the system call that sends are in two tasks. Where the event loop stands still in between, or the processor is slow, the call leaves after the lease has lapsed.

Evidence: on the test, with the call made as holders made it, fails: left: ["POST /before HTTP/1.1", "POST /delayed HTTP/1.1", "POST /after HTTP/1.1"] right: ["POST /before HTTP/1.1", "POST /after HTTP/1.1"] A first form of the test, which stalled the loop before the connection was acquired, passed there: the time limit ends such a call.

Change: the connection compares the time limit in the write itself, so that nothing waits between the check and the system call.

Measured: the tests of cactusglade-link pass. Whether this is what the users saw is not known.

--- a/cactusglade-link/src/link/client.rs
+++ b/cactusglade-link/src/link/client.rs
@@ -85,25 +85,27 @@
     ) -> Result<Answer> {
         let request = self.request(method, path, body.into())?;
         let timeout = timeout.unwrap_or(self.timeout);
-        let call = tokio::time::timeout(timeout, self.send(request));
+        let call = tokio::time::timeout(timeout, self.send(request, None));
         call.await.unwrap_or(Err(Error::Timeout))
     }
 
-    /// Calls as [`call`](Self::call) does, with further headers.
+    /// Calls as [`call`](Self::call) does, with further headers, and sends nothing from `until` on, which
+    /// counts from the start of the host as [`uptime`](crate::clock::uptime) does.
     ///
     /// # Errors
     ///
     /// As for [`call`](Self::call).
-    pub async fn call_with_headers(
+    pub async fn call_until(
         &self,
         method: &str,
         path: &str,
         headers: HeaderMap,
         body: impl Into<Bytes>,
+        until: Duration,
     ) -> Result<Answer> {
         let mut request = self.request(method, path, body.into())?;
         request.headers_mut().extend(headers);
-        let call = tokio::time::timeout(self.timeout, self.send(request));
+        let call = tokio::time::timeout(self.timeout, self.send(request, Some(until)));
         call.await.unwrap_or(Err(Error::Timeout))
     }
 
@@ -117,12 +119,12 @@
             .map_err(|_| Error::NotSent)
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Answer> {
+    async fn send(&self, request: Request<Full<Bytes>>, until: Option<Duration>) -> Result<Answer> {
         let mut connection = match self.acquire().await {
             Some(connection) => connection,
             None => Connection::with_keepalive(self.address, self.timeout).await?,
         };
-        let response = connection.send(request).await?;
+        let response = connection.send_until(request, until).await?;
         let (head, body) = response.into_parts();
         let body = body::collect(body, MAX_ANSWER_BYTES).await;
         let body = body.map_err(|error| {
--- a/cactusglade-link/src/link/mod.rs
+++ b/cactusglade-link/src/link/mod.rs
@@ -146,18 +146,34 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
+    /// Sends a request as [`send_until`](Self::send_until) does, without a time limit.
+    ///
+    /// # Errors
+    ///
+    /// As for [`send_until`](Self::send_until).
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        self.send_until(request, None).await
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
+    /// From `until` on, counted from the start of the host, no byte of it is sent.
+    ///
     /// # Errors
     ///
     /// Returns [`Error::NotSent`] only if no byte of the request can have been sent, and
     /// [`Error::Flooded`] if the connection must be dropped since its peer sends heads without end.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send_until(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        until: Option<Duration>,
+    ) -> Result<Response<Incoming>> {
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent);
         }
         self.control.reset();
         self.control.allow(MAX_HEAD_BYTES);
+        self.control.expire(until);
         let sent = tokio::select! {
             biased;
             sent = self.sender.try_send_request(request) => sent,
