Close windows whose sums can't be decoded instead of summing them up anew

What callers saw: nothing so far; found while looking for ways in which the platform could get two usage reports for one window with different counts.

Cause: a row of the sums that can't be decoded counted as absent. The next holder found no sums, all windows open, and formed the sums of windows that had been reported anew, from ledgers that may have changed since.

Ruled out: that windows whose sums are no longer kept are formed anew, which was the suspicion. The oldest window is dropped after the new one was inserted, so one that is older than all kept ones is dropped at once and counts as closed, whatever a daemon's clock says.

Change: a malformed row is treated like sums lost by a restoration. The holder without a break writes its own again; another closes the windows up to the newest.

--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -64,7 +64,7 @@
 struct Closing {
     /// Era of the store in which it was written.
     era: u64,
-    /// Last window that may have been reported before that era.
+    /// Last window that may have been reported before the sums were lost.
     closed_through: u64,
 }
 
@@ -218,8 +218,8 @@
     /// Returns the final sums of a window.
     ///
     /// They are written to the store before the first report, so that all reports of a window are
-    /// equal, whichever daemon sends them. A store that was restored from a copy gets this daemon's
-    /// own ones again.
+    /// equal, whichever daemon sends them. Where they may be lost, since the store was restored from a
+    /// copy or a row is malformed, it gets this daemon's own ones again.
     async fn final_sums(&mut self, window: u64, unix_now: Millis, catalog: &Catalog) -> Final {
         let table = match self.store.rows(SUM_TABLE).await {
             Ok(table) => table,
@@ -228,8 +228,11 @@
                 return Final::Unknown;
             }
         };
-        let mut sums: BTreeMap<u64, Sums> = decode(&table, SUM_KEY);
-        let closing: Closing = decode(&table, SETTLEMENT_KEY);
+        let sums: Option<BTreeMap<u64, Sums>> = decode(&table, SUM_KEY);
+        let closing: Option<Closing> = decode(&table, SETTLEMENT_KEY);
+        let is_malformed = sums.is_none() || closing.is_none();
+        let mut sums = sums.unwrap_or_default();
+        let closing = closing.unwrap_or_default();
         let mut settlement = Settlement {
             era: closing.era,
             closed_through: closing.closed_through,
@@ -237,7 +240,11 @@
         let newest = self.windows.window(unix_now - SUM_DELAY).saturating_sub(1);
         let last = self.own.keys().next_back().copied();
         let is_restored = settlement.enter_era(table.revision.era, last, newest);
-        if is_restored {
+        if is_malformed {
+            settlement.close(last, newest);
+        }
+        let is_lost = is_restored || is_malformed;
+        if is_lost {
             sums.extend(self.own.clone());
         }
         let known = sums.get(&window).cloned();
@@ -246,7 +253,7 @@
                 return Final::Unknown;
             };
             sums.insert(window, counts);
-        } else if !is_restored {
+        } else if !is_lost {
             self.own = sums;
             return known.map_or(Final::Closed, Final::Sums);
         }
@@ -256,8 +263,8 @@
         if !self.write_sums(&table, &sums, &settlement).await {
             return Final::Unknown;
         }
-        if is_restored {
-            info!(self.log, "usage_settled"; "era" => settlement.era,
+        if is_lost {
+            info!(self.log, "usage_settled"; "era" => settlement.era, "malformed" => is_malformed,
                 "closed_through" => settlement.closed_through, "own" => self.own.len());
         }
         self.own.clone_from(&sums);
@@ -330,9 +337,10 @@
     }
 }
 
-/// Decodes a row; one that is absent or malformed counts as empty.
-fn decode<T: Default + DeserializeOwned>(table: &Table, key: &str) -> T {
-    let row = table.rows.iter().find(|row| row.key == key);
-    let value = row.and_then(|row| serde_json::from_slice(&row.value).ok());
-    value.unwrap_or_default()
+/// Decodes a row; one that is absent counts as empty, and one that is malformed is `None`.
+fn decode<T: Default + DeserializeOwned>(table: &Table, key: &str) -> Option<T> {
+    let Some(row) = table.rows.iter().find(|row| row.key == key) else {
+        return Some(T::default());
+    };
+    serde_json::from_slice(&row.value).ok()
 }
--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -130,14 +130,14 @@
 /// `Settlement` says which windows can't be summed up any more.
 ///
 /// The sums of a window are written to the store before they are reported. A store that is restored
-/// from a copy may have lost them, and sums that were formed anew could differ from those that were
-/// reported.
+/// from a copy may have lost them, or their row may be malformed, and sums that were formed anew could
+/// differ from those that were reported.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Settlement {
     /// Era of the store in which this was written.
     pub era: u64,
-    /// Last window that may have been reported before that era; if its sums are not known, it is not
-    /// reported again.
+    /// Last window that may have been reported before the sums were lost; if its sums are not known, it
+    /// is not reported again.
     pub closed_through: u64,
 }
 
@@ -152,10 +152,16 @@
             return false;
         }
         self.era = era;
-        self.closed_through = self.closed_through.max(own.unwrap_or(newest));
+        self.close(own, newest);
         true
     }
 
+    /// Closes all windows that may have been reported, where their sums are lost; `own` and `newest` are
+    /// those of [`Settlement::enter_era`].
+    pub fn close(&mut self, own: Option<u64>, newest: u64) {
+        self.closed_through = self.closed_through.max(own.unwrap_or(newest));
+    }
+
     /// Returns whether a window without sums may still be summed up.
     #[must_use]
     pub const fn is_open(&self, window: u64) -> bool {
--- a/cactusglade-policy/tests/usage.rs
+++ b/cactusglade-policy/tests/usage.rs
@@ -42,3 +42,15 @@
     assert!(settlement.enter_era(3, None, 45));
     assert!(!settlement.is_open(45) && settlement.is_open(46));
 }
+
+/// Sums whose row was malformed were formed anew, and reported with other counts.
+#[test]
+fn windows_whose_sums_are_lost_within_an_era_are_closed() {
+    let mut settlement = Settlement::default();
+    settlement.close(Some(40), 42);
+    assert!(!settlement.is_open(40) && settlement.is_open(41));
+    settlement.close(None, 42);
+    assert!(!settlement.is_open(42) && settlement.is_open(43));
+    settlement.close(None, 30);
+    assert!(!settlement.is_open(42), "a closed window stays closed");
+}
