Close a window in the transaction that drops its sums

What callers saw: nothing; this closes a gap that the code covered by the order of two steps.

Cause: a window whose sums had been dropped counted as open. It was summed up anew, and not reported only because the oldest window is dropped after the new one was inserted.

The new test of the policy fails without the line that closes: assertion failed: !settlement.is_open(41) && settlement.is_open(42)

Change: `Settlement::retain` drops the oldest sums and raises `closed_through`, which the same transaction writes. Rows keep their form; daemons of an earlier build read and write them as before.

Not changed: the number of kept windows. A build that keeps more than the one that wrote the row would form anew what that one dropped without a record.

--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -64,7 +64,7 @@
 struct Closing {
     /// Era of the store in which it was written.
     era: u64,
-    /// Last window that may have been reported before the sums were lost.
+    /// Last window that may have been reported and whose sums may be lost or were dropped.
     closed_through: u64,
 }
 
@@ -257,9 +257,7 @@
             self.own = sums;
             return known.map_or(Final::Closed, Final::Sums);
         }
-        while sums.len() > KEPT_WINDOWS {
-            sums.pop_first();
-        }
+        settlement.retain(&mut sums, KEPT_WINDOWS);
         if !self.write_sums(&table, &sums, &settlement).await {
             return Final::Unknown;
         }
--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -136,8 +136,8 @@
 pub struct Settlement {
     /// Era of the store in which this was written.
     pub era: u64,
-    /// Last window that may have been reported before the sums were lost; if its sums are not known, it
-    /// is not reported again.
+    /// Last window that may have been reported and whose sums may be lost or were dropped; if they are
+    /// not known, it is not reported again.
     pub closed_through: u64,
 }
 
@@ -162,6 +162,16 @@
         self.closed_through = self.closed_through.max(own.unwrap_or(newest));
     }
 
+    /// Drops the oldest sums beyond `capacity`, and closes their windows: they may still be due for a
+    /// daemon that has not reported them, or whose time of day is behind.
+    pub fn retain<T>(&mut self, sums: &mut BTreeMap<u64, T>, capacity: usize) {
+        while sums.len() > capacity {
+            if let Some((dropped, _)) = sums.pop_first() {
+                self.close(Some(dropped), dropped);
+            }
+        }
+    }
+
     /// Returns whether a window without sums may still be summed up.
     #[must_use]
     pub const fn is_open(&self, window: u64) -> bool {
--- a/cactusglade-policy/tests/usage.rs
+++ b/cactusglade-policy/tests/usage.rs
@@ -54,3 +54,18 @@
     settlement.close(None, 30);
     assert!(!settlement.is_open(42), "a closed window stays closed");
 }
+
+/// A window whose sums were dropped counted as open; only the order of the steps kept its new sums from
+/// being reported.
+#[test]
+fn windows_whose_sums_are_dropped_are_closed() {
+    let mut settlement = Settlement::default();
+    let mut sums = (40..48).map(|window| (window, ())).collect();
+    settlement.retain(&mut sums, 6);
+    assert!(sums.keys().copied().eq(42..48));
+    assert!(!settlement.is_open(41) && settlement.is_open(42));
+    sums.insert(38, ());
+    settlement.retain(&mut sums, 6);
+    assert!(sums.keys().copied().eq(42..48));
+    assert!(!settlement.is_open(41), "a closed window stays closed");
+}
