--- a/cactusglade-link/tests/late.rs
+++ b/cactusglade-link/tests/late.rs
@@ -18,6 +18,8 @@
 /// still.
 const LEFT: Millis = Millis(200);
 const STALL: Duration = Duration::from_millis(400);
+/// Time that is left for the calls that nothing delays.
+const NO_STALL: Millis = Millis(2_000);
 
 /// Answers the requests on one connection after the other, and sends their first lines to the test.
 async fn answer_requests(listener: TcpListener, received: mpsc::UnboundedSender<String>) {
@@ -53,15 +55,15 @@
     tokio::spawn(answer_requests(listener, received));
     let clock = Clock::default();
     let client = Client::new(address, TIMEOUT);
-    let call = async |path| {
-        let at = clock.now() + LEFT;
+    let call = async |path, left| {
+        let at = clock.now() + left;
         let until = clock.uptime_at(at);
         let call = client.call_until("POST", path, HeaderMap::new(), Bytes::new(), until);
         clock.timeout_at(at, call).await
     };
     // The connection of the first call is idle afterwards.
-    assert!(matches!(call("/before").await, Some(Ok(_))));
-    let delayed = call("/delayed");
+    assert!(matches!(call("/before", NO_STALL).await, Some(Ok(_))));
+    let delayed = call("/delayed", LEFT);
     tokio::pin!(delayed);
     // The first step asks for the idle connection, the second one hands the request to its task.
     assert!(futures::poll!(&mut delayed).is_pending());
@@ -70,7 +72,7 @@
     std::thread::sleep(STALL);
     let answer = delayed.await;
     assert!(!matches!(answer, Some(Ok(_))), "{answer:?}");
-    assert!(matches!(call("/after").await, Some(Ok(_))));
+    assert!(matches!(call("/after", NO_STALL).await, Some(Ok(_))));
     let requests = std::iter::from_fn(|| requests.try_recv().ok());
     let requests = requests.collect::<Vec<_>>();
     assert_eq!(requests, ["POST /before HTTP/1.1", "POST /after HTTP/1.1"]);
