Move the steps of the lease's election into the policy

The decisions of duty::Election (when to read the row, what to write on which revision, what an outcome means) lived beside its I/O in the daemon, so no random test of the lease could play them. They are lease::Election now, a plain value; the daemon carries out its steps and logs. Behaviour and log lines are unchanged. LEASE_TIMING is lease::TIMING, so that a test can use the same spans.

--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -3,8 +3,9 @@
 use cactusglade_core::row::Lease as Row;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock::Clock;
-use cactusglade_policy::lease::Action;
-use cactusglade_policy::lease::Lease;
+use cactusglade_policy::lease;
+use cactusglade_policy::lease::Outcome;
+use cactusglade_policy::lease::Step;
 use cactusglade_policy::lease::Timing;
 use cactusglade_wire::port::Revision;
 use cactusglade_wire::port::Store;
@@ -16,14 +17,6 @@
 const TABLE: &str = "lease";
 const KEY: &str = "duties";
 
-/// Time spans of the lease. The term is longer than the platform's limit for alternating holders,
-/// and the margin is longer than any call to the store or the provider.
-const LEASE_TIMING: Timing = Timing {
-    term: Millis(4_000),
-    margin: Millis(1_700),
-    renewal: Millis(800),
-    patience: Millis(0),
-};
 /// Upper bound of a daemon's random patience. A lease that was taken is known everywhere after about
 /// half a second.
 const MAX_PATIENCE: Millis = Millis(2_000);
@@ -32,15 +25,7 @@
 #[derive(Debug)]
 pub struct Election<S> {
     store: S,
-    lease: Lease,
-    holder: String,
-    /// Row as last read or written.
-    row: Option<Row>,
-    /// Revision of the row, or of its absence, as last read or written.
-    revision: Revision,
-    /// Whether the row must be read: the outcome of the last write is unknown, so that the row may be
-    /// this daemon's, or the row was not the expected one.
-    must_read: bool,
+    state: lease::Election,
     is_held: bool,
     log: Logger,
 }
@@ -50,15 +35,11 @@
     pub fn new(store: S, holder: &str, log: Logger) -> Self {
         let timing = Timing {
             patience: Millis(rand::random_range(0..MAX_PATIENCE.0)),
-            ..LEASE_TIMING
+            ..lease::TIMING
         };
         Self {
             store,
-            lease: Lease::with_timing(holder, timing),
-            holder: holder.to_owned(),
-            row: None,
-            revision: Revision::default(),
-            must_read: false,
+            state: lease::Election::new(holder, timing),
             is_held: false,
             log,
         }
@@ -66,103 +47,73 @@
 
     /// Returns the fencing token, which is the lease's epoch, while the lease is safely held.
     pub fn fencing_token(&self, now: Millis) -> Option<u64> {
-        self.lease.epoch(now)
+        self.state.lease().epoch(now)
     }
 
     /// Returns the time until which the lease is safely held, if it is.
     pub fn held_until(&self, now: Millis) -> Option<Millis> {
-        self.lease.held_until(now)
+        self.state.lease().held_until(now)
     }
 
     /// Returns the epoch since which no other daemon has held the lease, while this one holds it.
     pub const fn tenure(&self) -> u64 {
-        self.lease.tenure()
+        self.state.lease().tenure()
     }
 
     /// Returns the lease while it is safely held, for the heartbeats to other daemons.
     pub fn held_lease(&self, now: Millis) -> Option<Row> {
-        self.fencing_token(now)?;
-        self.row.clone()
+        self.state.held_lease(now)
     }
 
-    /// Acquires or renews the lease where that is due.
-    ///
-    /// `observed` is the lease in another daemon's heartbeat. A daemon that doesn't hold the lease
-    /// reads the store only after a whole term without a renewal in a heartbeat.
+    /// Acquires or renews the lease where that is due; `observed` is the lease in another daemon's
+    /// heartbeat.
     pub async fn acquire_or_renew(&mut self, clock: Clock, observed: Option<Row>) {
-        let now = clock.now();
-        let is_own = self
-            .row
-            .as_ref()
-            .is_some_and(|row| row.holder == self.holder);
-        if let Some(observed) = observed.filter(|_| !is_own) {
-            self.lease.observe(now, Some(observed));
-            self.log_transition(now);
-            return;
-        }
-        let is_held = is_own && self.fencing_token(now).is_some();
-        let is_due = is_held || is_own || self.must_read || self.lease.is_stale(now);
-        // The holder knows the row that it wrote; any other daemon has to read it.
-        if !is_due || (!is_held && !self.read(clock).await) {
-            self.log_transition(clock.now());
-            return;
+        let mut step = self.state.begin(clock.now(), observed);
+        if step == Step::Read {
+            step = self.read(clock).await;
         }
-        let now = clock.now();
-        let row = self.row.clone();
-        if let Action::Write(next) = self.lease.observe(now, row) {
-            self.write(clock, next).await;
+        if let Step::Write(row, revision) = step {
+            self.write(clock, row, revision).await;
         }
         self.log_transition(clock.now());
     }
 
-    /// Reads the row from the store; returns whether that succeeded.
-    async fn read(&mut self, clock: Clock) -> bool {
+    /// Reads the row from the store and returns the next step.
+    async fn read(&mut self, clock: Clock) -> Step {
         match self.store.rows(TABLE).await {
             Ok(table) => {
-                self.must_read = false;
-                self.lease.enter_era(clock.now(), table.revision.era);
-                self.revision = table.revision_of(KEY);
                 let row = table.rows.iter().find(|row| row.key == KEY);
-                self.row = row.and_then(|row| serde_json::from_slice(&row.value).ok());
-                true
+                let row = row.and_then(|row| serde_json::from_slice(&row.value).ok());
+                self.state.read(clock.now(), row, table.revision_of(KEY))
             }
             Err(error) => {
                 warn!(self.log, "lease_unread"; "reason" => %error);
-                false
+                Step::Wait
             }
         }
     }
 
-    /// Writes the row, provided that it is still as last read or written.
-    async fn write(&mut self, clock: Clock, next: Row) {
-        let Ok(value) = serde_json::to_vec(&next) else {
+    /// Writes the row, provided that the stored one has the revision.
+    async fn write(&mut self, clock: Clock, row: Row, revision: Revision) {
+        let Ok(value) = serde_json::to_vec(&row) else {
             return;
         };
         let write = Write {
             table: TABLE,
             key: KEY.to_owned(),
-            expect: Some(self.revision),
+            expect: Some(revision),
             value,
         };
         let sent_at = clock.now();
-        match self.store.commit(vec![write]).await {
-            Ok(Some(revision)) => {
-                self.lease.confirm(sent_at, next.clone());
-                self.row = Some(next);
-                self.revision = revision;
-            }
-            Ok(None) => {
-                self.lease.deny();
-                self.must_read = true;
-                self.row = None;
-            }
+        let outcome = match self.store.commit(vec![write]).await {
+            Ok(Some(revision)) => Outcome::Applied(revision),
+            Ok(None) => Outcome::Denied,
             Err(error) => {
-                // The write may have taken effect; the next read shows whether it did.
                 warn!(self.log, "lease_unwritten"; "reason" => %error);
-                self.must_read = true;
-                self.row = None;
+                Outcome::Unknown
             }
-        }
+        };
+        self.state.written(sent_at, row, &outcome);
     }
 
     /// Logs when the lease has been taken or lost since the last call.
@@ -175,7 +126,7 @@
             } else {
                 "lease_lost"
             };
-            let epoch = self.row.as_ref().map_or(0, |row| row.epoch);
+            let epoch = self.state.row().map_or(0, |row| row.epoch);
             info!(self.log, "duties"; "what" => event, "fence" => epoch);
         }
     }
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -10,9 +10,16 @@
 //! era. The epochs of an era are greater than those of all eras before, and a row from before is
 //! taken over only by the daemon that still holds the lease, or after a whole term.
 
+mod election;
+
 use cactusglade_core::row::Lease as Row;
 use cactusglade_core::units::Millis;
 
+pub use election::Election;
+pub use election::Outcome;
+pub use election::Step;
+pub use election::TIMING;
+
 /// Default of [`Timing::term`].
 pub const TERM: Millis = Millis(6_000);
 /// Number of epochs in an era, far more than there are changes of the holder. Tokens stay below the
