Act under a greater epoch only after the calls of a lapsed one have ended

What callers saw: not seen by callers; found by a random test of the election. After a restoration of the store a holder could call the provider under its new token while a call under its old one, cut off when the lease lapsed, was still on its way; the provider saw the token fall.

Cause: between the lapse (2.3 s after the last renewal) and the end of the term (4 s) the last holder claims a restored row with a greater epoch, and acted at once. A successor waits for the end of the term, by which calls of before have ended; the holder itself did not.

Change: where a lapsed lease is confirmed with a greater epoch, it counts as held only from the end of the lapsed renewal's term on. A holder that goes on before its lease lapses is not affected.

--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -92,6 +92,8 @@
     greatest: u64,
     /// First epoch of this daemon's tenure.
     tenure: u64,
+    /// Time at which all writes under an earlier epoch of this daemon have taken effect or failed.
+    quiet_from: Millis,
 }
 
 impl Lease {
@@ -116,6 +118,7 @@
             era: 0,
             greatest: 0,
             tenure: 0,
+            quiet_from: Millis(0),
         }
     }
 
@@ -190,6 +193,12 @@
     /// Records that a write which was sent at `sent` has taken effect.
     pub fn confirm(&mut self, sent: Millis, row: Row) {
         self.greatest = self.greatest.max(row.epoch);
+        let span = self.timing.term - self.timing.margin;
+        let lapsed = self.renewed.filter(|last| sent - last.sent >= span);
+        // Writes that the lapse cut off may still take effect until the end of the term.
+        if let Some(last) = lapsed.filter(|last| last.epoch < row.epoch) {
+            self.quiet_from = last.sent + self.timing.term;
+        }
         self.renewed = Some(Renewal {
             sent,
             epoch: row.epoch,
@@ -212,7 +221,7 @@
     pub fn held_until(&self, now: Millis) -> Option<Millis> {
         let span = self.timing.term - self.timing.margin;
         let renewal = self.renewed_within(now, span);
-        let renewal = renewal.filter(|_| !self.is_denied);
+        let renewal = renewal.filter(|_| !self.is_denied && now >= self.quiet_from);
         renewal.map(|renewal| renewal.sent + span)
     }
 
--- a/cactusglade-policy/tests/lease.rs
+++ b/cactusglade-policy/tests/lease.rs
@@ -193,6 +193,26 @@
     }
 }
 
+/// Guards against a call that was cut off when the lease lapsed, and arrives after one that the same
+/// holder made under the greater epoch of after a restoration.
+#[test]
+fn a_holder_acts_under_a_greater_epoch_only_after_the_calls_of_its_lapsed_one() {
+    let mut simulation = Simulation::new();
+    simulation.era = 1;
+    simulation.observe(0);
+    simulation.now = TERM;
+    simulation.observe(0);
+    simulation.deliver(0, true);
+    let before = simulation.leases[0].epoch(simulation.now);
+    simulation.restore(1);
+    simulation.now = TERM + Millis(4_500);
+    simulation.observe(0);
+    simulation.deliver(0, true);
+    assert_eq!(simulation.leases[0].epoch(simulation.now), None);
+    simulation.now = TERM + TERM;
+    assert!(simulation.leases[0].epoch(simulation.now) > before);
+}
+
 #[test]
 fn a_failed_holder_is_replaced_with_a_greater_epoch() {
     let mut simulation = Simulation::new();
