Derive the first epoch on a restored row from its revision

Cause: a renewal was sent before a restoration and took effect 6 s later, after it. Conditions name a revision's number, not its era, and the restored store had given the number out again, so the renewal replaced the row of the holder of after the restoration. Another daemon, restarted since, saw only that earlier row, waited for a term and took over with the era's first epoch, which had been used.

Change: an epoch of an era is greater than the number of the revision that its write is conditional on. Numbers rise within an era, so no epoch is given out twice, whatever the row says.

Not run on this change: the daemon's and the platform's tests.

--- a/cactusglade-policy/src/lease/election.rs
+++ b/cactusglade-policy/src/lease/election.rs
@@ -114,6 +114,7 @@
     pub fn read(&mut self, now: Millis, row: Option<Row>, revision: Revision) -> Step {
         self.must_read = false;
         self.lease.enter_era(now, revision.era);
+        self.lease.expect(revision.number);
         self.revision = revision;
         self.row = row;
         self.observe(now)
--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -90,6 +90,8 @@
     era: u64,
     /// Greatest epoch that this daemon has seen.
     greatest: u64,
+    /// Number of epochs of the era that may have been given out, by the revision of the row.
+    given: u64,
     /// First epoch of this daemon's tenure.
     tenure: u64,
     /// Time at which all writes under an earlier epoch of this daemon have taken effect or failed.
@@ -117,6 +119,7 @@
             started: None,
             era: 0,
             greatest: 0,
+            given: 0,
             tenure: 0,
             quiet_from: Millis(0),
         }
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Records the number of the revision on which the next write is conditional. The epochs of an era
+    /// up to it may have been given out: a write that was delayed across a restoration can replace
+    /// the row that has the greatest.
+    pub fn expect(&mut self, number: u64) {
+        self.given = number.min(EPOCHS_PER_ERA / 2);
+    }
+
     /// Records the row that the table holds now and returns the next action.
     pub fn observe(&mut self, now: Millis, row: Option<Row>) -> Action {
         self.is_denied = false;
@@ -261,9 +271,11 @@
     }
 
     fn claim(&self) -> Row {
+        // A store without eras is never restored.
+        let given = if self.era > 0 { self.given } else { 0 };
         Row {
             holder: self.holder.clone(),
-            epoch: self.greatest.max(self.epochs_before()) + 1,
+            epoch: self.greatest.max(self.epochs_before() + given) + 1,
             renewal: 0,
         }
     }
--- a/cactusglade-policy/tests/election.rs
+++ b/cactusglade-policy/tests/election.rs
@@ -426,3 +426,10 @@
     let changes_of_holder = changes_of_holder.get();
     assert!(changes_of_holder >= runs, "{changes_of_holder} changes");
 }
+
+/// A write that was delayed across a restoration replaced the row of the holder of after it, since
+/// the revision had been given out again; the next holder got the same token.
+#[test]
+fn no_token_is_given_out_twice_where_a_write_is_delayed_across_a_restoration() {
+    Simulation::new(2_387_379_848_005_974_940).run();
+}
