--- a/cactusglade-policy/src/lease/mod.rs
+++ b/cactusglade-policy/src/lease/mod.rs
@@ -10,9 +10,16 @@
 //! era. The epochs of an era are greater than those of all eras before, and a row from before is
 //! taken over only by the daemon that still holds the lease, or after a whole term.
 
+mod election;
+
 use cactusglade_core::row::Lease as Row;
 use cactusglade_core::units::Millis;
 
+pub use election::Election;
+pub use election::Outcome;
+pub use election::Step;
+pub use election::TIMING;
+
 /// Default of [`Timing::term`].
 pub const TERM: Millis = Millis(6_000);
 /// Number of epochs in an era, far more than there are changes of the holder. Tokens stay below the
@@ -83,8 +90,12 @@
     era: u64,
     /// Greatest epoch that this daemon has seen.
     greatest: u64,
+    /// Number of epochs of the era that may have been given out, by the revision of the row.
+    given: u64,
     /// First epoch of this daemon's tenure.
     tenure: u64,
+    /// Time at which all writes under an earlier epoch of this daemon have taken effect or failed.
+    quiet_from: Millis,
 }
 
 impl Lease {
@@ -108,7 +119,9 @@
             started: None,
             era: 0,
             greatest: 0,
+            given: 0,
             tenure: 0,
+            quiet_from: Millis(0),
         }
     }
 
@@ -123,6 +136,13 @@
         }
     }
 
+    /// Records the number of the revision on which the next write is conditional. The epochs of an era
+    /// up to it may have been given out: a write that was delayed across a restoration can replace
+    /// the row that has the greatest.
+    pub fn expect(&mut self, number: u64) {
+        self.given = number.min(EPOCHS_PER_ERA / 2);
+    }
+
     /// Records the row that the table holds now and returns the next action.
     pub fn observe(&mut self, now: Millis, row: Option<Row>) -> Action {
         self.is_denied = false;
@@ -183,6 +203,12 @@
     /// Records that a write which was sent at `sent` has taken effect.
     pub fn confirm(&mut self, sent: Millis, row: Row) {
         self.greatest = self.greatest.max(row.epoch);
+        let span = self.timing.term - self.timing.margin;
+        let lapsed = self.renewed.filter(|last| sent - last.sent >= span);
+        // Writes that the lapse cut off may still take effect until the end of the term.
+        if let Some(last) = lapsed.filter(|last| last.epoch < row.epoch) {
+            self.quiet_from = last.sent + self.timing.term;
+        }
         self.renewed = Some(Renewal {
             sent,
             epoch: row.epoch,
@@ -205,7 +231,7 @@
     pub fn held_until(&self, now: Millis) -> Option<Millis> {
         let span = self.timing.term - self.timing.margin;
         let renewal = self.renewed_within(now, span);
-        let renewal = renewal.filter(|_| !self.is_denied);
+        let renewal = renewal.filter(|_| !self.is_denied && now >= self.quiet_from);
         renewal.map(|renewal| renewal.sent + span)
     }
 
@@ -245,9 +271,11 @@
     }
 
     fn claim(&self) -> Row {
+        // A store without eras is never restored.
+        let given = if self.era > 0 { self.given } else { 0 };
         Row {
             holder: self.holder.clone(),
-            epoch: self.greatest.max(self.epochs_before()) + 1,
+            epoch: self.greatest.max(self.epochs_before() + given) + 1,
             renewal: 0,
         }
     }
