--- a/cactusglade-standin/src/link/mod.rs
+++ b/cactusglade-standin/src/link/mod.rs
@@ -42,6 +42,8 @@
     cut: bool,
     /// Source addresses whose connections alone are closed.
     cut_sources: BTreeSet<IpAddr>,
+    /// Number of times that all open connections went silent for good.
+    silenced: u64,
 }
 
 impl State {
@@ -102,9 +104,19 @@
         });
     }
 
-    /// Ends the injected fault and all cuts.
+    /// Forwards nothing more on the connections that are open, without closing them; new ones work.
+    pub fn silence_open(&self) {
+        self.state.send_modify(|state| state.silenced += 1);
+    }
+
+    /// Ends the injected fault and all cuts; connections that are silent for good remain so.
     pub fn heal(&self) {
-        self.state.send_replace(State::default());
+        self.state.send_modify(|state| {
+            *state = State {
+                silenced: state.silenced,
+                ..State::default()
+            };
+        });
     }
 }
 
@@ -142,6 +154,7 @@
     if states.borrow().fault == Fault::Reset {
         return;
     }
+    let silenced = states.borrow().silenced;
     let Ok(outbound) = TcpStream::connect(target).await else {
         return;
     };
@@ -149,8 +162,20 @@
     let _ = (socket.set_nodelay(true), outbound.set_nodelay(true));
     let ((from_client, to_client), (from_target, to_target)) =
         (socket.into_split(), outbound.into_split());
-    let outward = relay(from_client, to_target, states.clone(), Fault::Outward);
-    let inward = relay(from_target, to_client, states.clone(), Fault::Inward);
+    let outward = relay(
+        from_client,
+        to_target,
+        states.clone(),
+        Fault::Outward,
+        silenced,
+    );
+    let inward = relay(
+        from_target,
+        to_client,
+        states.clone(),
+        Fault::Inward,
+        silenced,
+    );
     let cut = async {
         // The loop also ends when the link has been dropped.
         while states.changed().await.is_ok() {
@@ -166,12 +191,14 @@
     }
 }
 
-/// Forwards one direction until either side closes it. `direction` is the fault that holds it.
+/// Forwards one direction until either side closes it. `direction` is the fault that holds it, and
+/// the connection is silent for good once [`State::silenced`] differs from `silenced`.
 async fn relay(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut states: watch::Receiver<State>,
     direction: Fault,
+    silenced: u64,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -184,7 +211,10 @@
         if let Fault::Delay(delay) = fault {
             tokio::time::sleep(delay).await;
         }
-        let passes = |state: &State| state.fault != direction && state.fault != Fault::Silent;
+        let passes = |state: &State| {
+            let is_held = state.fault == direction || state.fault == Fault::Silent;
+            !is_held && state.silenced == silenced
+        };
         if states.wait_for(passes).await.is_err() || to.write_all(&buffer[..read]).await.is_err() {
             return;
         }
