Bound the bytes that all bodies of one kind hold together

What callers saw: an operator of a system like ours saw a machine run out of memory because a faulty server sent bytes without end; the requests of other clients on it ended.

Cause: a bound on each body and none on all of them.

Evidence: cactusglade-link/tests/memory.rs failed before with "the process took 1055096 KiB". platform/tests/memory.rs, long_bodies, with the budget removed (resize returns at once): "the process took 664652 KiB". Its first red, 385000 KiB on the old code, is void: the stand-in itself kept 2 MB for each connection.

Change: body::Budget is the memory for bodies of one kind; a body holds its share until its last byte is dropped, and is given up where there is too little left. Bodies are kept in pieces of one size: with a buffer that grew, a test process that had run other floods took 306,672 KiB. Answers to a client have at most 16 MiB instead of 64.

Test of the store flooding in the running daemon passed before as well. Not measured: all budgets full at once, an optimised build, the product's own interfaces.

--- a/cactusglade-daemon/src/boot/mod.rs
+++ b/cactusglade-daemon/src/boot/mod.rs
@@ -44,6 +44,7 @@
 use crate::store::Store;
 use crate::work;
 use crate::work::Work;
+use cactusglade_link::body::Budget;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
 use cactusglade_link::link::Client;
@@ -393,6 +394,8 @@
             platform: platform.clone(),
             ledger: Ledger::new(kernel.find(store::NAME)?, platform.clone()),
             clock: self.clock,
+            bodies: Budget::default(),
+            answers: Budget::default(),
             log: self.log.clone(),
             metrics: self.metrics.clone(),
             requests: TaskTracker::new(),
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -11,6 +11,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_kernel::kernel::Fault;
 use cactusglade_kernel::kernel::Kernel;
+use cactusglade_link::body::Budget;
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::budget;
@@ -389,6 +390,8 @@
             catalogs: self.catalogs.clone(),
             phase: self.phases.clone(),
             clock: self.clock,
+            requests: Budget::default(),
+            answers: Budget::default(),
             log: self.log.clone(),
             metrics: self.metrics.clone(),
         };
--- a/cactusglade-daemon/src/edge/front/context.rs
+++ b/cactusglade-daemon/src/edge/front/context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cactusglade_core::catalog::Catalog;
+use cactusglade_link::body::Budget;
 use cactusglade_link::clock::Clock;
 use kameo::actor::ActorRef;
 use slog::Logger;
@@ -38,6 +39,10 @@
     pub phase: watch::Receiver<Phase>,
     /// Monotonic clock of the daemon.
     pub clock: Clock,
+    /// Memory for the bodies of requests.
+    pub requests: Budget,
+    /// Memory for answers that are buffered.
+    pub answers: Budget,
     /// Log of the daemon.
     pub log: Logger,
     /// Metrics of the daemon.
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -64,7 +64,8 @@
         .filter(|_| !exchange.attempt.may_have_run());
     reservation.begin(organisation).await;
     let deadline = entry.context.clock.instant(entry.deadline);
-    let body = tokio::time::timeout_at(deadline, body::collect(body, MAX_ANSWER_BYTES));
+    let body = body::collect(body, MAX_ANSWER_BYTES, &entry.context.answers);
+    let body = tokio::time::timeout_at(deadline, body);
     let body = match body.await {
         Ok(Ok(body)) => body,
         failed => {
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -10,6 +10,7 @@
 use cactusglade_core::errors::Kind;
 use cactusglade_core::units::Millis;
 use cactusglade_link::body;
+use cactusglade_link::body::Budget;
 use cactusglade_wire::port;
 use cactusglade_wire::port::Refusal;
 use futures::Stream;
@@ -123,11 +124,11 @@
     let (route, organisation) = match resolved {
         Ok(resolved) => resolved,
         Err(kind) => {
-            discard_body(body).await;
+            discard_body(body, &context.requests).await;
             return Err(rejection(kind));
         }
     };
-    let body = read_body(body, catalog.limits.body_bytes)
+    let body = read_body(body, catalog.limits.body_bytes, &context.requests)
         .await
         .map_err(rejection)?;
     // The body may have come long after the head.
@@ -177,16 +178,17 @@
 
 /// Reads the body of a request that is refused: closing a connection with unread bytes resets it,
 /// and the caller may lose the answer.
-async fn discard_body(body: Incoming) {
+async fn discard_body(body: Incoming, budget: &Budget) {
     // The request is refused in any case.
-    let _ = body::collect_within(body, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+    let _ = body::collect_within(body, MAX_DISCARDED_BYTES, budget, DISCARD_TIMEOUT).await;
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Kind> {
-    let body = body::collect_within(body, max_bytes, BODY_TIMEOUT).await;
+async fn read_body(body: Incoming, max_bytes: usize, budget: &Budget) -> Result<Bytes, Kind> {
+    let body = body::collect_within(body, max_bytes, budget, BODY_TIMEOUT).await;
     body.map_err(|error| match error {
         body::Error::TooLong => Kind::BodyTooLarge,
         body::Error::TooFragmented | body::Error::Broken => Kind::BadRequest,
+        body::Error::OverBudget => Kind::Overloaded,
         body::Error::Timeout => Kind::SlowRequest,
     })
 }
--- a/cactusglade-daemon/src/gate/context.rs
+++ b/cactusglade-daemon/src/gate/context.rs
@@ -4,6 +4,7 @@
 
 use cactusglade_core::set::Set;
 use cactusglade_core::settings::Limits;
+use cactusglade_link::body::Budget;
 use cactusglade_link::clock::Clock;
 use kameo::actor::ActorRef;
 use slog::Logger;
@@ -54,6 +55,10 @@
     pub ledger: Ledger,
     /// The daemon's monotonic clock.
     pub clock: Clock,
+    /// Memory for the bodies of requests.
+    pub bodies: Budget,
+    /// Memory for answers of plain services.
+    pub answers: Budget,
     /// The daemon's log.
     pub log: Logger,
     /// The daemon's metrics.
--- a/cactusglade-daemon/src/gate/plain.rs
+++ b/cactusglade-daemon/src/gate/plain.rs
@@ -345,7 +345,8 @@
     if !is_framed {
         return Err(Error::Lost);
     }
-    let body = body::collect(body, inbound.context.limits.answer_bytes).await;
+    let context = &inbound.context;
+    let body = body::collect(body, context.limits.answer_bytes, &context.answers).await;
     let body = body.map_err(|_| Error::Lost)?;
     let content_type = parts
         .headers
--- a/cactusglade-daemon/src/gate/request.rs
+++ b/cactusglade-daemon/src/gate/request.rs
@@ -166,10 +166,12 @@
 
 async fn read_body(body: Incoming, context: &Context) -> Result<Bytes> {
     let timeout = Duration::from_millis(context.limits.body_timeout.0);
-    let body = body::collect_within(body, context.limits.body_bytes, timeout).await;
+    let max_bytes = context.limits.body_bytes;
+    let body = body::collect_within(body, max_bytes, &context.bodies, timeout).await;
     body.map_err(|error| match error {
         body::Error::TooLong => Refusal(Kind::BodyTooLarge, "the body is longer than the limit"),
         body::Error::TooFragmented => Refusal(Kind::BadRequest, "the body has too many chunks"),
+        body::Error::OverBudget => Refusal(Kind::Overloaded, "other bodies use up the memory"),
         body::Error::Broken => Refusal(Kind::BadRequest, "the body broke off"),
         body::Error::Timeout => Refusal(Kind::SlowRequest, "the body took too long"),
     })
--- a/cactusglade-link/src/body/mod.rs
+++ b/cactusglade-link/src/body/mod.rs
@@ -2,7 +2,10 @@
 //!
 //! A peer chooses the size of the chunks in which it sends a body. Each of them costs a task switch
 //! and, where chunks are kept as they come, memory beyond its data, so that a bound on the data
-//! alone would not limit either. See `docs/incidents/small-chunks.md`.
+//! alone would not limit either. See `docs/incidents/small-chunks.md`. Nor does a bound on each body
+//! limit what many hold together, which a [`Budget`] does: see `docs/incidents/many-bodies.md`.
+
+mod budget;
 
 use std::time::Duration;
 
@@ -11,6 +14,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
+pub use budget::Budget;
+pub use budget::Share;
+
 /// Chunks that a body of any length may have.
 const MIN_CHUNKS: usize = 4_096;
 /// Mean length in bytes of the chunks of a longer body, below which it has too many of them.
@@ -21,6 +27,10 @@
 /// and what it reads ahead.
 const SPARE_BYTES: usize = 128 << 10;
 
+/// Bytes of the pieces in which a body is kept until it is whole. Pieces of one size leave no gaps in the
+/// heap, as buffers that grow with their bodies do.
+const PIECE_BYTES: usize = 64 << 10;
+
 /// Error of reading a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -30,6 +40,9 @@
     /// The body has more chunks than a body of its greatest length needs.
     #[error("the body has too many chunks")]
     TooFragmented,
+    /// Other bodies hold the rest of the budget.
+    #[error("the body exceeds what is left of the budget for all bodies")]
+    OverBudget,
     /// The body broke off.
     #[error("the body broke off")]
     Broken,
@@ -39,10 +52,10 @@
 }
 
 impl Error {
-    /// Whether the peer sent more than a body may have.
+    /// Whether the peer sent more than a body may have, or than there is room for.
     #[must_use]
     pub const fn is_flood(self) -> bool {
-        matches!(self, Self::TooLong | Self::TooFragmented)
+        matches!(self, Self::TooLong | Self::TooFragmented | Self::OverBudget)
     }
 }
 
@@ -68,12 +81,13 @@
     max_bytes.saturating_add(beside) as u64
 }
 
-/// Reads a body of at most `max_bytes` bytes.
+/// Reads a body of at most `max_bytes` bytes, which holds its share of the budget until it is dropped.
 ///
 /// # Errors
 ///
-/// Fails where the body breaks off, is longer, or has far more chunks than it needs.
-pub async fn collect<B>(mut body: B, max_bytes: usize) -> Result<Bytes>
+/// Fails where the body breaks off, is longer, has far more chunks than it needs, or exceeds what is
+/// left of the budget.
+pub async fn collect<B>(mut body: B, max_bytes: usize, budget: &Budget) -> Result<Bytes>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -83,32 +97,52 @@
     }
     let mut first = Bytes::new();
     // Further chunks are copied, since each would keep the buffer that it was read into.
-    let mut whole = BytesMut::new();
+    let mut pieces = Vec::new();
+    let mut length = 0;
     let mut chunks = 0;
+    let mut share = budget.share();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
             // Trailers, which the HTTP library bounds.
             continue;
         };
         chunks += 1;
-        if first.len() + whole.len() + data.len() > max_bytes {
+        length += data.len();
+        if length > max_bytes {
             return Err(Error::TooLong);
         }
         if chunks > max_chunks(max_bytes) {
             return Err(Error::TooFragmented);
         }
+        share.resize(length)?;
         if chunks == 1 {
             first = data;
         } else {
-            whole.extend_from_slice(&std::mem::take(&mut first));
-            whole.extend_from_slice(&data);
+            append(&mut pieces, &std::mem::take(&mut first));
+            append(&mut pieces, &data);
+        }
+    }
+    let bytes = match pieces.len() {
+        0 => first,
+        1 => pieces.remove(0).freeze(),
+        _ => pieces.concat().into(),
+    };
+    Ok(share.attach(bytes))
+}
+
+/// Appends bytes to the last piece and to further ones.
+fn append(pieces: &mut Vec<BytesMut>, mut bytes: &[u8]) {
+    while !bytes.is_empty() {
+        if pieces.last().is_none_or(|last| last.len() == PIECE_BYTES) {
+            let capacity = bytes.len().min(PIECE_BYTES);
+            pieces.push(BytesMut::with_capacity(capacity));
+        }
+        if let Some(last) = pieces.last_mut() {
+            let (fitting, rest) = bytes.split_at(bytes.len().min(PIECE_BYTES - last.len()));
+            last.extend_from_slice(fitting);
+            bytes = rest;
         }
     }
-    Ok(if whole.is_empty() {
-        first
-    } else {
-        whole.freeze()
-    })
 }
 
 /// Reads a body as [`collect`] does, within a time limit.
@@ -116,10 +150,15 @@
 /// # Errors
 ///
 /// As for [`collect`], and where the body is not complete in time.
-pub async fn collect_within<B>(body: B, max_bytes: usize, timeout: Duration) -> Result<Bytes>
+pub async fn collect_within<B>(
+    body: B,
+    max_bytes: usize,
+    budget: &Budget,
+    timeout: Duration,
+) -> Result<Bytes>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let collected = tokio::time::timeout(timeout, collect(body, max_bytes)).await;
+    let collected = tokio::time::timeout(timeout, collect(body, max_bytes, budget)).await;
     collected.unwrap_or(Err(Error::Timeout))
 }
--- a/cactusglade-link/src/link/client.rs
+++ b/cactusglade-link/src/link/client.rs
@@ -11,13 +11,17 @@
 use tokio::sync::oneshot;
 
 use crate::body;
+use crate::body::Budget;
 use crate::link::Connection;
 use crate::link::Error;
 use crate::link::Result;
 
 const MAILBOX_CAPACITY: usize = 64;
 const MAX_IDLE: usize = 8;
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Longest answer in bytes: several times what the rows of the largest fleet have.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Bytes that the answers to all calls of a client hold together.
+const MAX_HELD_BYTES: usize = 24 << 20;
 
 /// `Answer` is the answer to a call, with its whole body.
 #[derive(Clone, Debug)]
@@ -41,6 +45,7 @@
     address: SocketAddr,
     timeout: Duration,
     idle: mpsc::Sender<Message>,
+    answers: Budget,
 }
 
 impl Client {
@@ -53,6 +58,7 @@
             address,
             timeout,
             idle,
+            answers: Budget::new(MAX_HELD_BYTES),
         }
     }
 
@@ -124,7 +130,7 @@
         };
         let response = connection.send(request).await?;
         let (head, body) = response.into_parts();
-        let body = body::collect(body, MAX_ANSWER_BYTES).await;
+        let body = body::collect(body, MAX_ANSWER_BYTES, &self.answers).await;
         let body = body.map_err(|error| {
             if error.is_flood() {
                 Error::Flooded
