Take the incomplete events of streams from the budget of answers

What callers saw: nothing yet; memory of the daemon in proportion to the streams whose upstreams send most of a long event and then a byte now and then, up to 1 MiB each, until their deadlines.

Cause: as for bodies, a bound on each event and none on all.

Change: a stream holds a share of the length of its incomplete event; where there is none left, the upstream is given up as for an event that is too long. Events that come whole take no share.

--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use cactusglade_core::units::Millis;
+use cactusglade_link::body::Share;
 use cactusglade_policy::attempt::Outcome;
 use cactusglade_wire::event::Event;
 use cactusglade_wire::event::Splitter;
@@ -101,6 +102,8 @@
     /// had an event. Otherwise the upstream may have crashed, which looks the same.
     may_end: bool,
     splitter: Splitter,
+    /// Memory of the incomplete event.
+    share: Share,
     /// Fault after the events that were returned last.
     fault: Option<Fault>,
     /// Number of the last event that was forwarded to the caller.
@@ -120,6 +123,7 @@
             may_end: exchange.entry.call.last_event.is_some() || is_framed(&started.head.headers),
             cursor: exchange.entry.call.last_event,
             splitter: Splitter::new(exchange.entry.context.codec.event_fields()),
+            share: exchange.entry.context.answers.share(),
             exchange,
             body: started.body,
             reservation: Some(started.reservation),
@@ -195,6 +199,14 @@
                     Err(fault) if bytes.is_empty() => return Err(fault),
                     popped => self.fault = popped.err(),
                 }
+                let resized = self.share.resize(self.splitter.buffered());
+                if resized.is_err() && self.fault.is_none() {
+                    let fault = Fault::flood(Outcome::Broken);
+                    if bytes.is_empty() {
+                        return Err(fault);
+                    }
+                    self.fault = Some(fault);
+                }
                 Ok(Some(bytes.freeze()))
             }
             Some(Err(_)) => Err(Fault::cut(Outcome::Broken)),
--- a/cactusglade-wire/src/event/mod.rs
+++ b/cactusglade-wire/src/event/mod.rs
@@ -70,6 +70,12 @@
         Ok(())
     }
 
+    /// Returns the length of the buffer in bytes.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer has bytes of an incomplete event.
     #[must_use]
     pub fn has_partial(&self) -> bool {
