Close windows after a restoration by the latest time of day known, not the successor's

What callers saw: nothing yet; found by reading. A usage window that an earlier holder had reported could be reported again with other counts.

Cause: after a restoration that loses the sums, or a malformed row, a successor closed windows up to the newest one by its own time of day. Where that was behind the earlier holder's by more than a take-over takes, the later windows of that holder stayed open. Class: trust in one host's clock.

Change: `Windows::latest_time` forms the latest time of day that any daemon is known to have reached, from the windows in which daemons have counted: those of the stored ledgers, the one under way for their writers, and those in the heartbeats of the zone. A counted window is taken for a time of day at its end, so that clocks that agree close at most one window more than before. Windows over 10 s ahead are ignored, not clamped, since a ledger keeps them: one wrong row would otherwise close windows at each restoration. The ledgers are read only where sums are lost; where they can't be read, nothing is closed or reported.

What the heartbeats contribute has no test in the daemon.

--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -174,7 +174,7 @@
         let catalog = self.options.catalogs.borrow().clone();
         let tenure = self.election.tenure();
         self.usage
-            .report(&provider, &holder, tenure, &catalog)
+            .report(&provider, &holder, tenure, &catalog, &fleet.counted)
             .await;
         let orders = self
             .capacity
--- a/cactusglade-daemon/src/edge/duty/usage.rs
+++ b/cactusglade-daemon/src/edge/duty/usage.rs
@@ -4,6 +4,7 @@
 //! them up, writes the sums to the store, and reports them to the provider.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::units::Millis;
@@ -60,6 +61,15 @@
     windows: BTreeMap<u64, BTreeMap<String, Counts>>,
 }
 
+impl Record {
+    /// Returns the windows in which daemons have counted requests, and the one that was under way for
+    /// the writer.
+    fn counted(&self) -> impl Iterator<Item = u64> {
+        let under_way = self.through.saturating_add(1);
+        self.windows.keys().copied().chain([under_way])
+    }
+}
+
 /// `Closing` is the value of the row of the settlement.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 struct Closing {
@@ -173,20 +183,21 @@
     }
 
     /// Reports the next window that has ended; `tenure` is the epoch since which no other daemon has held
-    /// the lease.
+    /// the lease, and `counted` are the windows in which daemons of the zone have counted requests.
     pub async fn report(
         &mut self,
         provider: &impl Provider,
         holder: &Holder,
         tenure: u64,
         catalog: &Catalog,
+        counted: &BTreeSet<u64>,
     ) {
         if tenure != self.tenure {
             self.tenure = tenure;
             self.own.clear();
         }
         let unix_now = clock::unix_time();
-        let newest = self.windows.window(unix_now - SUM_DELAY).saturating_sub(1);
+        let newest = self.newest(unix_now);
         let next = self
             .last_reported
             .map_or(self.first_window, |window| window + 1);
@@ -194,7 +205,7 @@
         let Some(window) = (next..=newest).find(|window| is_due(*window)) else {
             return;
         };
-        let counts = match self.final_sums(window, unix_now, catalog).await {
+        let counts = match self.final_sums(window, unix_now, catalog, counted).await {
             Final::Sums(counts) => counts,
             Final::Unknown => return,
             Final::Closed => {
@@ -217,12 +228,23 @@
         }
     }
 
+    /// Returns the last window whose sums may be made final at a time of day.
+    fn newest(&self, unix: Millis) -> u64 {
+        self.windows.window(unix - SUM_DELAY).saturating_sub(1)
+    }
+
     /// Returns the final sums of a window.
     ///
     /// They are written to the store before the first report, so that all reports of a window are
     /// equal, whichever daemon sends them. Where they may be lost, since the store was restored from a
     /// copy or a row is malformed, it gets this daemon's own ones again.
-    async fn final_sums(&mut self, window: u64, unix_now: Millis, catalog: &Catalog) -> Final {
+    async fn final_sums(
+        &mut self,
+        window: u64,
+        unix_now: Millis,
+        catalog: &Catalog,
+        counted: &BTreeSet<u64>,
+    ) -> Final {
         let table = match self.store.rows(SUM_TABLE).await {
             Ok(table) => table,
             Err(error) => {
@@ -239,14 +261,19 @@
             era: closing.era,
             closed_through: closing.closed_through,
         };
-        let newest = self.windows.window(unix_now - SUM_DELAY).saturating_sub(1);
-        let last = self.own.keys().next_back().copied();
-        let is_restored = settlement.enter_era(table.revision.era, last, newest);
-        if is_malformed {
-            settlement.close(last, newest);
-        }
-        let is_lost = is_restored || is_malformed;
+        let is_lost = is_malformed || settlement.precedes(table.revision.era);
         if is_lost {
+            let Some(records) = self.records().await else {
+                return Final::Unknown;
+            };
+            let stored = records.iter().flat_map(Record::counted);
+            let counted = stored.chain(counted.iter().copied());
+            let newest = self.newest(self.windows.latest_time(unix_now, counted));
+            let last = self.own.keys().next_back().copied();
+            settlement.enter_era(table.revision.era, last, newest);
+            if is_malformed {
+                settlement.close(last, newest);
+            }
             sums.extend(self.own.clone());
         }
         let known = sums.get(&window).cloned();
@@ -305,18 +332,7 @@
     /// Sums up the counts of all daemons, once every zone has written its ledger or the time to
     /// wait for them is over.
     async fn sum(&self, window: u64, unix_now: Millis, catalog: &Catalog) -> Option<Sums> {
-        let table = match self.store.rows(LEDGER_TABLE).await {
-            Ok(table) => table,
-            Err(error) => {
-                warn!(self.log, "usage_unread"; "reason" => %error);
-                return None;
-            }
-        };
-        let records = table
-            .rows
-            .iter()
-            .filter_map(|row| serde_json::from_slice(&row.value).ok());
-        let records = records.collect::<Vec<Record>>();
+        let records = self.records().await?;
         let is_waiting = records.iter().any(|record| {
             record.through < window && record.through + ABANDONED_AFTER_WINDOWS > window
         });
@@ -335,6 +351,22 @@
         });
         Some(sums.collect())
     }
+
+    /// Reads the ledgers; those that are malformed are left out.
+    async fn records(&self) -> Option<Vec<Record>> {
+        let table = match self.store.rows(LEDGER_TABLE).await {
+            Ok(table) => table,
+            Err(error) => {
+                warn!(self.log, "usage_unread"; "reason" => %error);
+                return None;
+            }
+        };
+        let records = table
+            .rows
+            .iter()
+            .filter_map(|row| serde_json::from_slice(&row.value).ok());
+        Some(records.collect())
+    }
 }
 
 /// Decodes a row; one that is absent counts as empty, and one that is malformed is `None`.
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -1,5 +1,6 @@
 //! Messages that the mesh handles, and the state that it publishes.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use cactusglade_core::fleet::Change;
@@ -57,6 +58,8 @@
     pub lease: Option<Lease>,
     /// Request counts of the zone's daemons, where this daemon writes them to the store.
     pub ledger: Option<Ledger>,
+    /// Windows in which daemons of the zone have counted requests.
+    pub counted: BTreeSet<u64>,
 }
 
 /// `Members` lists the addresses and zones of the daemons that have a row in the store.
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -342,6 +342,7 @@
                 .roster
                 .is_ledger_writer(now)
                 .then(|| self.ledger.clone()),
+            counted: self.ledger.windows().keys().copied().collect(),
         }
     }
 }
--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -14,6 +14,8 @@
 /// Windows that a ledger keeps beyond those whose reports may still be due: the one under way, and
 /// one for clocks that differ.
 const FURTHER_WINDOWS: u64 = 2;
+/// Difference of two daemons' times of day up to which both are trusted; each may jump by seconds.
+pub const MAX_CLOCK_DIFFERENCE: Millis = Millis(10_000);
 
 /// `Windows` counts requests per window, numbered from the Unix epoch.
 #[derive(Clone, Debug, Default)]
@@ -44,6 +46,21 @@
         Millis((window + 1) * self.length)
     }
 
+    /// Returns the latest time of day that any daemon is known to have reached, for a daemon whose own
+    /// is `unix_now`.
+    ///
+    /// `counted` are windows in which some daemon has counted; its time of day may have reached their
+    /// ends. Windows beyond [`MAX_CLOCK_DIFFERENCE`] are ignored, since otherwise a single wrong row
+    /// would close all windows for good.
+    #[must_use]
+    pub fn latest_time(&self, unix_now: Millis, counted: impl IntoIterator<Item = u64>) -> Millis {
+        let bound = self.window(unix_now + MAX_CLOCK_DIFFERENCE);
+        let newest = counted.into_iter().filter(|window| *window <= bound).max();
+        newest.map_or(unix_now, |window| {
+            unix_now.max(self.end(window) - Millis(1))
+        })
+    }
+
     /// Counts a request that started.
     pub fn record_request(&mut self, unix: Millis, organisation: &str) {
         let window = self.window(unix);
@@ -142,13 +159,19 @@
 }
 
 impl Settlement {
+    /// Returns whether this was written in an earlier era of the store than `era`.
+    #[must_use]
+    pub const fn precedes(&self, era: u64) -> bool {
+        self.era < era
+    }
+
     /// Closes windows where the store answers in a later era; returns whether it does.
     ///
     /// `own` is the last window that this daemon has summed up if it has performed the duties without
     /// a break, so that no other daemon has reported a later one. `newest` is the last window that
-    /// may be reported now.
+    /// any daemon may have reported, by the [latest time](Windows::latest_time) of day.
     pub fn enter_era(&mut self, era: u64, own: Option<u64>, newest: u64) -> bool {
-        if era <= self.era {
+        if !self.precedes(era) {
             return false;
         }
         self.era = era;
--- a/cactusglade-policy/tests/usage.rs
+++ b/cactusglade-policy/tests/usage.rs
@@ -5,7 +5,9 @@
 use cactusglade_core::units::Millis;
 use cactusglade_policy::usage::Counts;
 use cactusglade_policy::usage::Ledger;
+use cactusglade_policy::usage::MAX_CLOCK_DIFFERENCE;
 use cactusglade_policy::usage::Settlement;
+use cactusglade_policy::usage::Windows;
 
 /// The daemon that reports may have taken the lease seconds after the window has ended.
 #[test]
@@ -69,3 +71,29 @@
     assert!(sums.keys().copied().eq(42..48));
     assert!(!settlement.is_open(41), "a closed window stays closed");
 }
+
+/// Windows were closed up to the newest one by the successor's time of day, so that those that an
+/// earlier holder with a later time of day had reported were summed up anew.
+#[test]
+fn windows_are_closed_by_the_latest_time_of_day() {
+    let (length, unix_now) = (Millis(1_000), Millis(100_500));
+    let windows = Windows::new(length);
+    assert_eq!(windows.latest_time(unix_now, []), unix_now);
+    assert_eq!(windows.latest_time(unix_now, [90, 99]), unix_now);
+    let ahead = windows.latest_time(unix_now, [99, 107, 104]);
+    assert_eq!(windows.window(ahead), 107);
+    let mut settlement = Settlement::default();
+    settlement.enter_era(1, None, windows.window(ahead));
+    assert!(!settlement.is_open(107) && settlement.is_open(108));
+}
+
+/// Guards against a time of day that is off by hours, or a malformed row, that closes all windows.
+#[test]
+fn windows_far_ahead_are_ignored() {
+    let (length, unix_now) = (Millis(1_000), Millis(100_500));
+    let windows = Windows::new(length);
+    let last = windows.window(unix_now + MAX_CLOCK_DIFFERENCE);
+    let latest = windows.latest_time(unix_now, [last, last + 1, 50_000, u64::MAX]);
+    assert_eq!(windows.window(latest), last);
+    assert_eq!(windows.latest_time(unix_now, [u64::MAX]), unix_now);
+}
