--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -14,8 +14,8 @@
 /// Windows that a ledger keeps beyond those whose reports may still be due: the one under way, and
 /// one for clocks that differ.
 const FURTHER_WINDOWS: u64 = 2;
-/// Difference of two daemons' times of day up to which both are trusted; each may jump by seconds.
-pub const MAX_CLOCK_DIFFERENCE: Millis = Millis(10_000);
+/// Difference of two daemons' times of day up to which both are trusted.
+pub const MAX_CLOCK_DIFFERENCE: Millis = Millis(60_000);
 
 /// `Windows` counts requests per window, numbered from the Unix epoch.
 #[derive(Clone, Debug, Default)]
