--- a/cactusglade-core/src/edge/mod.rs
+++ b/cactusglade-core/src/edge/mod.rs
@@ -67,6 +67,10 @@
     pub usage_window_s: f64,
     /// Seconds from the end of a window until its report is due.
     pub usage_late_s: f64,
+    /// Latency target in milliseconds of a route for streams up to which its service counts as
+    /// latency-critical; `None` if no service does. See `docs/HARD-LOAD.md`.
+    #[serde(default)]
+    pub tight_target_ms: Option<f64>,
 }
 
 impl Settings {
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -419,9 +419,16 @@
             slack: settings.quota_slack,
             detection: MAX_DETECTION_TIME,
         },
+        tight_target: settings.tight_target_ms.map(from_millis),
     }
 }
 
+/// Converts milliseconds with a fraction; negative ones count as zero.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+const fn from_millis(milliseconds: f64) -> Millis {
+    Millis(milliseconds.max(0.0) as u64)
+}
+
 /// Converts seconds to milliseconds, at least one.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn from_seconds(seconds: f64) -> Millis {
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -114,6 +114,7 @@
                 slack: 0.0,
                 detection: DETECTION_TIME,
             },
+            tight_target: None,
         };
         let mut broker = Broker::new(policy, strategy());
         broker.adopt(Millis(0), catalog.clone());
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -58,6 +58,8 @@
     pub retries: budget::Bounds,
     /// Amount by which quotas may be exceeded.
     pub tolerance: Tolerance,
+    /// Latency target of a route for streams up to which its service counts as latency-critical.
+    pub tight_target: Option<Millis>,
 }
 
 /// `Query` describes a request for which an upstream is to be selected.
@@ -150,6 +152,8 @@
     own: u32,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
+    /// Latency-critical services of the catalog in force.
+    tight: BTreeSet<arena::Service>,
     /// Versions that receive no requests, by service.
     withheld: BTreeMap<String, String>,
     /// Organisations by the hashes that identify them between daemons.
@@ -184,6 +188,7 @@
             quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
+            tight: BTreeSet::new(),
             withheld: BTreeMap::new(),
             hashes: BTreeMap::new(),
             daemons: ASSUMED_DAEMONS,
@@ -208,10 +213,27 @@
         }
         let is_first = self.catalog.version == 0;
         self.catalog = catalog;
+        self.tight = self
+            .options
+            .tight_target
+            .map_or_else(BTreeSet::new, |target| {
+                let routes = self.catalog.routes.iter().map(|(_, route)| route);
+                let routes = routes
+                    .filter(|route| route.semantics.is_stream() && route.latency_target <= target);
+                let split = routes.flat_map(|route| &route.split);
+                split.map(|(service, _)| *service).collect()
+            });
         self.update_buckets(now, is_first);
         true
     }
 
+    /// Returns whether a service has a route for streams with a latency target so short that a wait
+    /// behind one long prompt misses it.
+    #[must_use]
+    pub fn is_tight(&self, service: arena::Service) -> bool {
+        self.tight.contains(&service)
+    }
+
     /// Sets the number of daemons, the number that this one reaches, itself included, and the time
     /// within which a partition is detected.
     #[allow(clippy::cast_precision_loss)]
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -99,6 +99,7 @@
             slack: 0.0,
             detection: Millis(1_200),
         },
+        tight_target: None,
     };
     Broker::new(options, Fastest)
 }
