Daemons tell each other of long prompts that they have sent to engines

Cause: an engine that reads a prompt of 50,000 tokens makes short requests wait for the better part of a second; a daemon knew of its own prompts only, one in 77 to 90. Change: policy::prefill keeps what an upstream has still to read of other daemons' prompts; statements of 100 ms and more go with the heartbeats, in a new last variant of the datagrams, for latency-critical services only.

--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -151,6 +151,26 @@
     }
 }
 
+/// `Prefill` is what a daemon shares about a long prompt that it has sent to an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Prefill {
+    /// Hash of the upstream's name.
+    pub upstream: u32,
+    /// Tokens that the upstream has to read.
+    pub tokens: u64,
+    /// Milliseconds since the prompt was sent.
+    pub age_ms: u64,
+}
+
+impl Prefill {
+    /// Returns the same statement some time later.
+    #[must_use]
+    pub const fn aged(mut self, span: Millis) -> Self {
+        self.age_ms += span.0;
+        self
+    }
+}
+
 /// `Suspicion` is what a daemon shares about parts of prompts that may crash upstreams.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Suspicion {
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -11,6 +11,7 @@
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Pace;
+use cactusglade_core::fleet::Prefill;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
@@ -211,6 +212,8 @@
     pub limits: Vec<Limit>,
     /// Paces of upstreams that other daemons are to be told.
     pub paces: Vec<Pace>,
+    /// Long prompts that other daemons are to be told of.
+    pub prefills: Vec<Prefill>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -429,6 +432,7 @@
             sightings: self.policy.take_sightings(),
             limits: self.policy.take_limits(now),
             paces: self.policy.take_paces(now),
+            prefills: self.policy.take_prefills(now),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -55,6 +55,7 @@
 pub use statements::Curb;
 pub use statements::Follow;
 pub use statements::Observe;
+pub use statements::Reading;
 pub use statements::Rearrange;
 
 /// Name of the service.
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -35,6 +35,10 @@
 #[derive(Clone, Debug)]
 pub struct Follow(pub Vec<fleet::Pace>);
 
+/// `Reading` passes on the long prompts that other daemons have sent to upstreams.
+#[derive(Clone, Debug)]
+pub struct Reading(pub Vec<fleet::Prefill>);
+
 /// `Rearrange` sets the daemons among which the limits of upstreams are divided.
 #[derive(Clone, Debug)]
 pub struct Rearrange(pub Layout);
@@ -90,6 +94,17 @@
     }
 }
 
+impl Message<Reading> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, reading: Reading, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        for prefill in &reading.0 {
+            self.policy.learn_prefill(now, prefill);
+        }
+    }
+}
+
 impl Message<Rearrange> for Broker {
     type Reply = ();
 
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -16,6 +16,7 @@
 
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Pace;
+use cactusglade_core::fleet::Prefill;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
@@ -144,6 +145,8 @@
     limits: Backlog<Limit>,
     /// What the relay has still to pass on about paces of upstreams.
     paces: Backlog<Pace>,
+    /// What the relay has still to pass on about long prompts.
+    prefills: Backlog<Prefill>,
     /// Daemons among which limits are divided, as last reported to the broker.
     layout: Option<Layout>,
     reachable: u64,
@@ -221,6 +224,7 @@
         self.send_statements(now, &statistics.suspicions).await;
         self.send_statements(now, &statistics.limits).await;
         self.send_statements(now, &statistics.paces).await;
+        self.send_statements(now, &statistics.prefills).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -273,6 +277,10 @@
                 self.receive_limits(now, limits).await;
                 return;
             }
+            Datagram::Prefills(prefills) => {
+                self.receive_prefills(now, prefills).await;
+                return;
+            }
             Datagram::Paces(paces) => {
                 self.receive_paces(now, paces).await;
                 return;
@@ -394,6 +402,7 @@
             suspicions: Backlog::default(),
             limits: Backlog::default(),
             paces: Backlog::default(),
+            prefills: Backlog::default(),
             layout: None,
             reachable: 0,
             daemons: 0,
--- a/cactusglade-daemon/src/edge/mesh/statements.rs
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -3,11 +3,13 @@
 
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Pace;
+use cactusglade_core::fleet::Prefill;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Limits;
 use cactusglade_wire::gossip::Paces;
+use cactusglade_wire::gossip::Prefills;
 use cactusglade_wire::gossip::Suspicions;
 
 use super::Mesh;
@@ -87,6 +89,21 @@
     }
 }
 
+impl Statement for Prefill {
+    fn aged(self, span: Millis) -> Self {
+        self.aged(span)
+    }
+
+    fn encode(zone: &str, is_forwarded: bool, statements: &[Self]) -> Vec<Datagram> {
+        let parts = Prefills::split(zone, is_forwarded, statements);
+        parts.into_iter().map(Datagram::Prefills).collect()
+    }
+
+    fn backlog(mesh: &mut Mesh) -> &mut Backlog<Self> {
+        &mut mesh.prefills
+    }
+}
+
 /// `Backlog` keeps statements, with the time of their receipt, until the next heartbeat.
 #[derive(Debug)]
 pub struct Backlog<T> {
@@ -197,4 +214,16 @@
         // Fails only while the daemon stops.
         let _ = self.broker.tell(broker::Follow(entries)).await;
     }
+
+    /// Passes the long prompts that others have sent on to the broker, and keeps them for the relay.
+    pub(super) async fn receive_prefills(&mut self, now: Millis, received: Prefills) {
+        let Prefills {
+            zone,
+            is_forwarded,
+            entries,
+        } = received;
+        self.keep_statements(now, &zone, is_forwarded, &entries);
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(broker::Reading(entries)).await;
+    }
 }
--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -9,6 +9,7 @@
 use super::Query;
 use super::Strategy;
 use super::Upstream;
+use super::prefills::reading_speed;
 use super::sample;
 use crate::affinity;
 
@@ -83,7 +84,8 @@
             is_same_zone: upstream.instance.zone == self.options.zone,
             load: upstream.load(now),
             slots: upstream.instance.slots as f64,
-            backlog: upstream.backlog as f64,
+            backlog: upstream.backlog as f64
+                + upstream.reading.tokens(now, reading_speed(now, upstream)),
             uncached,
             pace: upstream.pace.factor(now),
             failures: upstream.failures(now),
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -6,6 +6,7 @@
 mod candidates;
 mod limits;
 mod paces;
+mod prefills;
 mod quotas;
 mod registry;
 mod sample;
@@ -31,6 +32,7 @@
 use crate::budget::Budget;
 use crate::pace;
 use crate::pace::Allowance;
+use crate::prefill;
 use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
@@ -155,6 +157,11 @@
     unshared_paces: BTreeSet<arena::Upstream>,
     /// How many paces this daemon may still tell.
     allowance: Allowance,
+    /// Hashes of the upstreams to which long prompts were sent that other daemons are to be told of,
+    /// with their tokens to read and when they were sent.
+    unshared_prefills: Vec<(u32, u64, Millis)>,
+    /// How many long prompts this daemon may still tell of.
+    prefill_allowance: prefill::Allowance,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
     /// Hash of this daemon's name.
@@ -196,6 +203,8 @@
             unshared_limits: BTreeSet::new(),
             unshared_paces: BTreeSet::new(),
             allowance: Allowance::default(),
+            unshared_prefills: Vec::new(),
+            prefill_allowance: prefill::Allowance::default(),
             quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
@@ -343,6 +352,7 @@
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
             pace,
         };
+        self.announce_prefill(now, service, candidate.upstream, uncached);
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.in_flight += 1;
             upstream.backlog += uncached;
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -15,7 +15,8 @@
     pub load: f64,
     /// Number of requests that the upstream runs concurrently.
     pub slots: f64,
-    /// Prompt tokens of this daemon's requests that the upstream has not yet read.
+    /// Prompt tokens that the upstream has not yet read: of this daemon's requests, and of long ones
+    /// that other daemons have told of.
     pub backlog: f64,
     /// Estimated number of prompt tokens that the upstream has not cached.
     pub uncached: f64,
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -6,6 +6,7 @@
 use crate::affinity;
 use crate::affinity::Cache;
 use crate::pace::Estimate;
+use crate::prefill::Queue;
 use crate::retry::Backoff;
 use crate::throttle::Throttle;
 
@@ -46,6 +47,8 @@
     pub throttle: Throttle,
     /// Time that work takes at the upstream, relative to the usual time.
     pub pace: Estimate,
+    /// What the upstream has still to read of other daemons' long prompts.
+    pub reading: Queue,
     /// Backoff after failures.
     pub backoff: Backoff,
     /// Prompt parts that the upstream has recently read.
@@ -78,6 +81,7 @@
             spared_until: Millis(0),
             throttle: Throttle::default(),
             pace: Estimate::default(),
+            reading: Queue::default(),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`lag`], [`pace`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`] and [`usage`]; the
+//! [`lag`], [`pace`], [`prefill`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`] and [`usage`]; the
 //! dispatch for the daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
 //! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
@@ -25,6 +25,7 @@
 pub mod limit;
 pub mod pace;
 pub mod pool;
+pub mod prefill;
 pub mod prefix;
 pub mod quarantine;
 pub mod quota;
--- /dev/null
+++ b/cactusglade-policy/tests/prefill.rs
@@ -0,0 +1,204 @@
+//! Guards against short requests that wait behind a long prompt of another daemon, against statements
+//! about prompts that take up the links between daemons, and against false ones.
+
+use std::sync::Arc;
+
+use cactusglade_core::arena;
+use cactusglade_core::call::Prompt;
+use cactusglade_core::catalog::Catalog;
+use cactusglade_core::catalog::Draft;
+use cactusglade_core::catalog::Path;
+use cactusglade_core::catalog::Route;
+use cactusglade_core::catalog::Rule;
+use cactusglade_core::catalog::Semantics;
+use cactusglade_core::catalog::Service;
+use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Instance;
+use cactusglade_core::fleet::Phase;
+use cactusglade_core::fleet::Prefill;
+use cactusglade_core::units::Millis;
+use cactusglade_policy::affinity;
+use cactusglade_policy::broker::Broker;
+use cactusglade_policy::broker::Fastest;
+use cactusglade_policy::broker::Options;
+use cactusglade_policy::broker::Query;
+use cactusglade_policy::budget::Bounds;
+use cactusglade_policy::prefill::Queue;
+use cactusglade_policy::quota::Tolerance;
+
+/// Tokens that the engines of the tests read per millisecond.
+const SPEED: f64 = 56.6;
+/// A prompt that takes about 0.9 s to read.
+const LONG: u64 = 50_000;
+
+fn catalog(target: Millis) -> Arc<Catalog> {
+    let route = Route {
+        name: "brief".to_owned(),
+        semantics: Semantics::Resumable,
+        timeout: Millis(15_000),
+        latency_target: target,
+        max_gap: Millis(500),
+        priority: 0,
+        max_attempts: 2,
+        is_public: false,
+        split: Vec::new(),
+    };
+    let draft = Draft {
+        version: 1,
+        services: vec![Service {
+            name: "pool".to_owned(),
+            tokens_per_event: 8,
+            scale: None,
+        }],
+        routes: vec![Rule {
+            path: Path {
+                host: "h".to_owned(),
+                prefix: "/".to_owned(),
+            },
+            route,
+            split: vec![("pool".to_owned(), 1)],
+        }],
+        ..Draft::default()
+    };
+    Arc::new(Catalog::try_new(draft, &Catalog::default()).expect("the draft is valid"))
+}
+
+struct Fixture {
+    broker: Broker<Fastest>,
+    route: arena::Route,
+}
+
+/// A daemon before two engines, of a service whose route has the given latency target.
+fn set_up(name: &str, target: Millis) -> Fixture {
+    let options = Options {
+        name: name.to_owned(),
+        zone: "a".to_owned(),
+        retries: Bounds {
+            ratio: 0.2,
+            window: Millis(10_000),
+            slack: 54.0,
+        },
+        tolerance: Tolerance {
+            window: Millis(8_000),
+            overshoot: 0.1,
+            slack: 0.0,
+            detection: Millis(1_200),
+        },
+        tight_target: Some(Millis(600)),
+    };
+    let mut broker = Broker::new(options, Fastest);
+    let catalog = catalog(target);
+    let route = catalog.routes.find("brief").expect("the route is there");
+    broker.adopt(Millis(0), catalog);
+    let instance = |name: &str| Instance {
+        name: name.to_owned(),
+        started_unix_ms: 1,
+        service: "pool".to_owned(),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        zone: "a".to_owned(),
+        version: "v1".to_owned(),
+        slots: 16,
+        phase: Phase::Ready,
+        reclaimable: false,
+    };
+    let instances = ["x", "y"].map(|name| Change::Put(Box::new(instance(name))));
+    broker.apply(Millis(0), instances);
+    Fixture { broker, route }
+}
+
+impl Fixture {
+    /// Places a request with a prompt of its own, and returns the name of the engine.
+    fn place(&mut self, at: u64, tokens: u64) -> String {
+        let prompt = Prompt {
+            input_tokens: tokens,
+            ..Prompt::default()
+        };
+        let query = Query {
+            route: self.route,
+            prompt: Some(&prompt),
+            tried: &[],
+            is_retry: false,
+            draw: 0.5,
+        };
+        let grant = self.broker.place(Millis(at), &query);
+        let key = grant.expect("an engine is available").upstream;
+        let upstream = self.broker.upstream(key).expect("the engine is known");
+        upstream.instance.name.clone()
+    }
+}
+
+/// Without the statement the second daemon takes both engines for idle, and every other short request
+/// would wait for 0.9 s with a latency target of half a second.
+#[test]
+fn short_requests_avoid_an_engine_that_reads_a_long_prompt_of_another_daemon() {
+    let mut one = set_up("one", Millis(500));
+    let mut other = set_up("other", Millis(500));
+    let busy = one.place(0, LONG);
+    for mut prefill in one.broker.take_prefills(Millis(60)) {
+        prefill = prefill.aged(Millis(140));
+        other.broker.learn_prefill(Millis(200), &prefill);
+    }
+    for at in [200, 300, 400, 500] {
+        assert_ne!(other.place(at, 800), busy, "at {at} ms");
+    }
+}
+
+/// An engine that has read the prompt gets its share again, without a further statement.
+#[test]
+fn an_engine_is_free_when_the_prompt_is_read() {
+    let mut queue = Queue::default();
+    queue.add(Millis(1_200), Millis(200), LONG, SPEED);
+    let left = queue.tokens(Millis(1_200), SPEED);
+    assert!((left - (50_000.0 - 200.0 * SPEED)).abs() < 1.0, "{left}");
+    assert!(queue.tokens(Millis(1_800), SPEED) > 0.0);
+    assert!(queue.tokens(Millis(1_900), SPEED) <= 0.0);
+}
+
+/// Prompts that are sent to one engine are read one after the other.
+#[test]
+fn prompts_add_up() {
+    let mut queue = Queue::default();
+    queue.add(Millis(1_000), Millis(0), LONG, SPEED);
+    queue.add(Millis(1_100), Millis(100), LONG, SPEED);
+    let left = queue.tokens(Millis(1_100), SPEED);
+    assert!((left - (100_000.0 - 100.0 * SPEED)).abs() < 1.0, "{left}");
+}
+
+/// A statement with a wrong number of tokens must not keep requests away from an engine for good.
+#[test]
+fn a_false_statement_holds_for_seconds_only() {
+    let mut fixture = set_up("one", Millis(500));
+    let statement = Prefill {
+        upstream: affinity::short_hash("x"),
+        tokens: u64::MAX,
+        age_ms: 0,
+    };
+    fixture.broker.learn_prefill(Millis(0), &statement);
+    assert_eq!(fixture.place(1_000, 100), "y");
+    let names = (0..20).map(|at| fixture.place(4_100 + at, 100));
+    assert!(names.collect::<Vec<_>>().contains(&"x".to_owned()));
+}
+
+/// Deployments with longer latency targets are served as before, without further datagrams.
+#[test]
+fn a_service_with_longer_latency_targets_tells_nothing() {
+    let mut fixture = set_up("one", Millis(800));
+    fixture.place(0, LONG);
+    assert!(fixture.broker.take_prefills(Millis(10)).is_empty());
+}
+
+/// A burst of long prompts must not fill the links between daemons with statements.
+#[test]
+fn statements_have_a_bound() {
+    let mut fixture = set_up("one", Millis(500));
+    fixture
+        .broker
+        .set_membership(Millis(0), 80, 80, Millis(1_200));
+    let mut told = 0;
+    for at in 0..100 {
+        fixture.place(at * 100, LONG);
+        told += fixture.broker.take_prefills(Millis(at * 100)).len();
+    }
+    // Eighty a second over all daemons are one a second for each, after the first eight.
+    assert!((10..=19).contains(&told), "{told} in ten seconds");
+}
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -11,6 +11,7 @@
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Pace;
+use cactusglade_core::fleet::Prefill;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::revision::Revision;
@@ -235,6 +236,33 @@
     }
 }
 
+/// `Prefills` is what the daemons of one zone tell of the long prompts that they have sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Prefills {
+    /// Name of the zone.
+    pub zone: String,
+    /// Whether the relay of another zone forwards them to its own zone.
+    pub is_forwarded: bool,
+    /// Statements, in the order in which they were made.
+    pub entries: Vec<Prefill>,
+}
+
+/// Prefills in one datagram, each at most eighteen bytes long.
+const PREFILLS_PER_PART: usize = 60;
+
+impl Prefills {
+    /// Splits statements into parts that each fit a datagram.
+    #[must_use]
+    pub fn split(zone: &str, is_forwarded: bool, entries: &[Prefill]) -> Vec<Self> {
+        let parts = entries.chunks(PREFILLS_PER_PART).map(|entries| Self {
+            zone: zone.to_owned(),
+            is_forwarded,
+            entries: entries.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Version` states the newest configuration that is known to be in force at a daemon.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Version {
@@ -267,6 +295,8 @@
     Limits(Limits),
     /// Sent between daemons of one zone, and between relays.
     Paces(Paces),
+    /// Sent between daemons of one zone, and between relays.
+    Prefills(Prefills),
 }
 
 impl Datagram {
