Latency-critical services: measured speeds of upstreams, and the cost of being late

The time per uncached token of answers now gives the service's typical speed and, where engines state no pace, each engine's lasting one, as a low quantile that waits don't move. Daemons share one measured time a second each. The cost uses the speed, and adds up to one latency target for an answer that is expected late, so that a request goes to an upstream that can serve it in time although that one is busier.

Other services keep the constant and get no such cost (nothing_is_measured_for_services_that_are_not_latency_critical). Tests also show that an upstream that fails part of its requests loses its share and gets it back slowly, and that none is refused where all fail; the code of that is unchanged. Metrics: cactusglade_pace and cactusglade_prefill_tokens_per_ms.

--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -106,8 +106,8 @@
     }
 }
 
-/// `Pace` is what a daemon shares about the time that work takes at an upstream, in percent of the
-/// usual time.
+/// `Pace` is what a daemon shares about the time that work takes at an upstream; paces are in percent of
+/// the usual time.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Pace {
     /// The upstream stated its pace.
@@ -127,8 +127,8 @@
     Measured {
         /// Hash of the upstream's name.
         upstream: u32,
-        /// Time to read the prompt in percent of the time that the service typically takes.
-        percent: u64,
+        /// Time per token, in nanoseconds.
+        token_ns: u64,
     },
 }
 
--- a/cactusglade-daemon/src/edge/broker/inventory.rs
+++ b/cactusglade-daemon/src/edge/broker/inventory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use cactusglade_core::units::Millis;
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::capacity;
@@ -67,6 +68,40 @@
 }
 
 impl Broker {
+    /// Records the spread of paces in the metrics, for services of the catalog where one is known.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn record_paces(&self, now: Millis) {
+        let mut paces = BTreeMap::<&str, Vec<f64>>::new();
+        let upstreams = self.policy.upstreams();
+        for (_, upstream) in upstreams.filter(|(_, one)| one.is_available(now)) {
+            if upstream.pace.is_known() {
+                let paces = paces.entry(&upstream.instance.service).or_default();
+                paces.push(upstream.pace.factor(now));
+            }
+        }
+        for (key, service) in self.policy.catalog().services.iter() {
+            let gauge = |statistic: &str, value: f64| {
+                let labels = [service.name.as_str(), statistic];
+                self.metrics
+                    .paces
+                    .spread
+                    .with_label_values(&labels)
+                    .set(value);
+            };
+            if let Some(paces) = paces.get(service.name.as_str()) {
+                let least = paces.iter().copied().fold(f64::INFINITY, f64::min);
+                let greatest = paces.iter().copied().fold(0.0, f64::max);
+                gauge("least", least);
+                gauge("mean", paces.iter().sum::<f64>() / paces.len() as f64);
+                gauge("greatest", greatest);
+            }
+            if let Some(speed) = self.policy.prefill_speed(key) {
+                let speeds = &self.metrics.paces.prefill_speeds;
+                speeds.with_label_values(&[&service.name]).set(speed);
+            }
+        }
+    }
+
     /// Counts an attempt to the grant's service.
     pub(super) fn count_attempt(&mut self, grant: &Grant) {
         if let Some(object) = self.policy.catalog().services.get(grant.service) {
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -439,6 +439,7 @@
     async fn handle(&mut self, _: Sweep, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.policy.remove_expired(now);
+        self.record_paces(now);
         self.idle.retain(|_, idle| {
             idle.retain(|one| one.is_alive(now));
             !idle.is_empty()
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 //! The values of labels come from the object set and from fixed lists, which bounds the number of
 //! time series; `docs/OPERATIONS.md` lists all metrics.
 
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -65,6 +66,8 @@
     pub generation: IntGauge,
     /// Times at which another daemon stated a newer configuration than this one has.
     pub behind: IntCounter,
+    /// Speed of upstreams.
+    pub paces: Paces,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -75,6 +78,37 @@
     pub loop_lateness: Histogram,
 }
 
+/// `Paces` holds the metrics on the speed of upstreams.
+#[derive(Clone, Debug)]
+pub struct Paces {
+    /// Expected times for work at upstreams relative to the usual time: least, mean and greatest
+    /// of each service of which one is known.
+    pub spread: GaugeVec,
+    /// Prompt tokens that upstreams of usual pace read per millisecond, by latency-critical service.
+    pub prefill_speeds: GaugeVec,
+}
+
+impl Paces {
+    fn try_new(registry: &Registry) -> Result<Self> {
+        let spread = Opts::new(
+            "cactusglade_pace",
+            "Expected times for work at upstreams relative to the usual time",
+        );
+        let spread = GaugeVec::new(spread, &["service", "statistic"])?;
+        registry.register(Box::new(spread.clone()))?;
+        let speeds = Opts::new(
+            "cactusglade_prefill_tokens_per_ms",
+            "Prompt tokens that upstreams of usual pace read per millisecond",
+        );
+        let prefill_speeds = GaugeVec::new(speeds, &["service"])?;
+        registry.register(Box::new(prefill_speeds.clone()))?;
+        Ok(Self {
+            spread,
+            prefill_speeds,
+        })
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -131,6 +165,7 @@
                 "cactusglade_configuration_behind_total",
                 "Times at which another daemon had a newer configuration",
             )?,
+            paces: Paces::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -31,6 +31,7 @@
 use crate::budget::Budget;
 use crate::pace;
 use crate::pace::Allowance;
+use crate::pace::Speed;
 use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
@@ -40,6 +41,7 @@
 pub use strategy::Candidate;
 pub use strategy::Fastest;
 pub use strategy::Strategy;
+pub use strategy::Terms;
 pub use upstream::Upstream;
 
 /// Prompt tokens that an engine reads per millisecond, from the deployments' data sheets.
@@ -153,6 +155,12 @@
     unshared_limits: BTreeSet<arena::Upstream>,
     /// Upstreams whose paces other daemons are to be told.
     unshared_paces: BTreeSet<arena::Upstream>,
+    /// Speed at which prompts are read, by latency-critical service.
+    speeds: BTreeMap<arena::Service, Speed>,
+    /// The last measured time per prompt token in milliseconds that was chosen to be shared, where
+    /// and when it was measured.
+    measured: Option<(arena::Upstream, f64, Millis)>,
+    is_measured_unshared: bool,
     /// How many paces this daemon may still tell.
     allowance: Allowance,
     /// Parts of prompts that crash upstreams.
@@ -195,6 +203,9 @@
             sightings: BTreeMap::new(),
             unshared_limits: BTreeSet::new(),
             unshared_paces: BTreeSet::new(),
+            speeds: BTreeMap::new(),
+            measured: None,
+            is_measured_unshared: false,
             allowance: Allowance::default(),
             quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
@@ -234,6 +245,7 @@
                 let split = routes.flat_map(|route| &route.split);
                 split.map(|(service, _)| *service).collect()
             });
+        self.forget_measured();
         self.update_buckets(now, is_first);
         true
     }
@@ -307,7 +319,8 @@
         let service = pick_service(&route.split, query.draw).ok_or(Kind::NoUpstream)?;
         let target = catalog.services.get(service).ok_or(Kind::NoUpstream)?;
         let (candidates, usable) = self.candidates(now, &target.name, query);
-        let index = self.strategy.choose(&candidates, query.draw);
+        let terms = self.terms(service, query);
+        let index = self.strategy.choose(&candidates, &terms, query.draw);
         let candidate = index.map(|index| candidates[index]);
         let Some(candidate) = candidate else {
             return Err(self.denied(now, service, &target.name, query));
@@ -405,6 +418,7 @@
         if grant.uncached == 0 {
             return;
         }
+        self.measure_prompt(now, grant, latency);
         let delay = latency - Millis(self.prefill_ms(grant));
         if let Some(upstream) = self.upstreams.get_mut(grant.upstream) {
             upstream.record_delay(now, delay);
--- a/cactusglade-policy/src/broker/paces.rs
+++ b/cactusglade-policy/src/broker/paces.rs
@@ -1,13 +1,22 @@
 //! Paces of upstreams: recorded from answers and from what other daemons share.
 
+use std::collections::BTreeSet;
+
 use cactusglade_core::arena;
 use cactusglade_core::fleet::Pace;
 use cactusglade_core::units::Millis;
 
 use super::Broker;
+use super::Grant;
+use super::PREFILL_TOKENS_PER_MS;
+use super::Query;
 use super::Strategy;
+use super::Terms;
 use crate::affinity;
 use crate::pace;
+use crate::pace::Speed;
+
+const NANOS_PER_MILLI: f64 = 1_000_000.0;
 
 impl<R: Strategy> Broker<R> {
     /// Records the pace that an answer states, in percent of the usual time.
@@ -40,10 +49,113 @@
                     .pace
                     .learn(now, percent, at, lasting, Millis(span_ms));
             }
-            Pace::Measured { .. } => {}
+            Pace::Measured { token_ns, .. } => {
+                let service = upstream.instance.service.clone();
+                let service = self.catalog.services.find(&service);
+                if let (Some(key), Some(service)) = (key, service) {
+                    #[allow(clippy::cast_precision_loss)]
+                    let token_ms = token_ns as f64 / NANOS_PER_MILLI;
+                    self.measure(now, key, service, token_ms);
+                }
+            }
+        }
+    }
+
+    /// Records the time to the first event of a request with a prompt, for services that are
+    /// latency-critical.
+    pub(super) fn measure_prompt(&mut self, now: Millis, grant: &Grant, latency: Millis) {
+        let token_ms = pace::token_ms(grant.uncached, latency);
+        let Some(token_ms) = token_ms.filter(|_| self.is_tight(grant.service)) else {
+            return;
+        };
+        self.measure(now, grant.upstream, grant.service, token_ms);
+        let upstream = self.upstreams.get(grant.upstream);
+        let is_stated = upstream.is_none_or(|upstream| upstream.pace.is_stated());
+        let is_due = self
+            .measured
+            .is_none_or(|(_, _, at)| now - at >= pace::MEASURED_INTERVAL);
+        if !is_stated && is_due {
+            self.measured = Some((grant.upstream, token_ms, now));
+            self.is_measured_unshared = true;
+        }
+    }
+
+    fn measure(
+        &mut self,
+        now: Millis,
+        key: arena::Upstream,
+        service: arena::Service,
+        token_ms: f64,
+    ) {
+        let is_tight = self.is_tight(service);
+        let Some(upstream) = self.upstreams.get_mut(key).filter(|_| is_tight) else {
+            return;
+        };
+        let is_stated = upstream.pace.is_stated();
+        let usual = if is_stated {
+            token_ms / upstream.pace.factor(now)
+        } else {
+            token_ms
+        };
+        let speed = self.speeds.entry(service);
+        let speed = speed.or_insert_with(|| Speed::new(PREFILL_TOKENS_PER_MS));
+        if let Some(ratio) = speed.record(usual).filter(|_| !is_stated) {
+            upstream.pace.measure(ratio);
         }
     }
 
+    /// Forgets what was measured at services that are not latency-critical in the catalog in force.
+    pub(super) fn forget_measured(&mut self) {
+        self.speeds
+            .retain(|service, _| self.tight.contains(service));
+        let tight = self.tight.iter();
+        let tight = tight.filter_map(|key| self.catalog.services.get(*key));
+        let names = tight.map(|service| service.name.clone());
+        let names = names.collect::<BTreeSet<_>>();
+        let keys = self.upstreams.iter().map(|(key, _)| key);
+        for key in keys.collect::<Vec<_>>() {
+            if let Some(upstream) = self.upstreams.get_mut(key)
+                && !names.contains(&upstream.instance.service)
+            {
+                upstream.pace.forget_measured();
+            }
+        }
+    }
+
+    /// Returns the speed at which the upstreams of a latency-critical service read prompts, in tokens
+    /// per millisecond, once it is measured.
+    #[must_use]
+    pub fn prefill_speed(&self, service: arena::Service) -> Option<f64> {
+        self.speeds.get(&service).map(Speed::tokens_per_ms)
+    }
+
+    /// Returns what the strategy is to know of a request.
+    pub(super) fn terms(&self, service: arena::Service, query: &Query<'_>) -> Terms {
+        if !self.is_tight(service) {
+            return Terms::default();
+        }
+        let speed = self.speeds.get(&service);
+        let route = self.catalog.routes.get(query.route);
+        let target = route.filter(|_| query.prompt.is_some());
+        Terms {
+            tokens_per_ms: speed.map_or(PREFILL_TOKENS_PER_MS, Speed::tokens_per_ms),
+            target: target.map(|route| route.latency_target),
+        }
+    }
+
+    /// Returns the newest measured time that other daemons are to be told.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn take_measured(&mut self, now: Millis) -> Option<Pace> {
+        let (key, token_ms, _) = self.measured.filter(|_| self.is_measured_unshared)?;
+        self.is_measured_unshared = false;
+        let upstream = self.upstreams.get(key)?;
+        let is_allowed = self.allowance.take(now, self.daemons);
+        is_allowed.then(|| Pace::Measured {
+            upstream: affinity::short_hash(&upstream.instance.name),
+            token_ns: (token_ms * NANOS_PER_MILLI) as u64,
+        })
+    }
+
     /// Returns the paces that other daemons are to be told.
     ///
     /// One that another daemon has told meanwhile is left out. Those beyond the allowance wait.
@@ -71,6 +183,7 @@
                 span_ms: lasting.span as u64,
             }));
         }
+        paces.extend(self.take_measured(now));
         paces
     }
 }
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -1,8 +1,10 @@
 //! Strategies that select one upstream for a request.
 
 use cactusglade_core::arena::Upstream;
+use cactusglade_core::units::Millis;
 
 use super::PREFILL_TOKENS_PER_MS;
+use crate::pace::FIRST_EVENT;
 
 /// `Candidate` describes an upstream that could serve the request.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +33,25 @@
 /// `Strategy` selects one of the candidates; it is fixed when the daemon starts.
 pub trait Strategy: Send + 'static {
     /// Returns the index of the selected candidate, or `None` if there are no candidates.
-    fn choose(&self, candidates: &[Candidate], draw: f64) -> Option<usize>;
+    fn choose(&self, candidates: &[Candidate], terms: &Terms, draw: f64) -> Option<usize>;
+}
+
+/// `Terms` is what the cost of a request depends on besides the candidate.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Prompt tokens that an upstream of usual pace reads per millisecond.
+    pub tokens_per_ms: f64,
+    /// Latency target of a request with a prompt, for latency-critical services.
+    pub target: Option<Millis>,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            target: None,
+        }
+    }
 }
 
 /// Cost per running or waiting request, in milliseconds: each lengthens an engine's step by about
@@ -49,6 +69,9 @@
 const OTHER_ZONE_COST_MS: f64 = 6.0;
 /// Cost of an upstream that fails every request, in milliseconds: the time until a caller gives up.
 const FAILURE_COST_MS: f64 = 3_000.0;
+/// Expected time to the first event relative to the latency target, at which an answer is probably in
+/// time and probably late.
+const LATENESS_RAMP: (f64, f64) = (0.8, 1.2);
 /// Difference of costs in milliseconds up to which the selection is random, so that not all daemons
 /// select the same upstream.
 const TIE_THRESHOLD_MS: f64 = 1.0;
@@ -58,10 +81,10 @@
 pub struct Fastest;
 
 impl Fastest {
-    fn cost(candidate: &Candidate) -> f64 {
+    fn cost(candidate: &Candidate, terms: &Terms) -> f64 {
         let waiting = (candidate.load + 1.0 - candidate.slots).max(0.0);
         let prefill =
-            (candidate.backlog + PREFILL_WEIGHT * candidate.uncached) / PREFILL_TOKENS_PER_MS;
+            (candidate.backlog + PREFILL_WEIGHT * candidate.uncached) / terms.tokens_per_ms;
         let busy = candidate.load / candidate.slots.max(1.0) * candidate.latency;
         let other_zone = if candidate.is_same_zone {
             0.0
@@ -73,12 +96,31 @@
             + waiting * QUEUE_COST_MS
             + other_zone
             + candidate.failures * FAILURE_COST_MS
+            + terms
+                .target
+                .map_or(0.0, |target| Self::lateness(candidate, terms, target))
+    }
+
+    /// Returns the cost of being late: callers get as little from a late answer as from one that
+    /// takes another target's time. It rises around the target, since times are estimates.
+    #[allow(clippy::cast_precision_loss)]
+    fn lateness(candidate: &Candidate, terms: &Terms, target: Millis) -> f64 {
+        let waiting = (candidate.load + 1.0 - candidate.slots).max(0.0);
+        let read = (candidate.backlog + candidate.uncached) / terms.tokens_per_ms;
+        let expected = FIRST_EVENT.0 as f64
+            + candidate.pace * (read + candidate.load * LOAD_COST_MS)
+            + waiting * QUEUE_COST_MS;
+        let target = target.0.max(1) as f64;
+        let (earliest, latest) = LATENESS_RAMP;
+        let share = (expected / target - earliest) / (latest - earliest);
+        share.clamp(0.0, 1.0) * target
     }
 }
 
 impl Strategy for Fastest {
-    fn choose(&self, candidates: &[Candidate], draw: f64) -> Option<usize> {
-        let costs = candidates.iter().map(Self::cost).collect::<Vec<_>>();
+    fn choose(&self, candidates: &[Candidate], terms: &Terms, draw: f64) -> Option<usize> {
+        let costs = candidates.iter().map(|one| Self::cost(one, terms));
+        let costs = costs.collect::<Vec<_>>();
         let least = costs.iter().copied().min_by(f64::total_cmp)?;
         let cheapest = (0..costs.len()).filter(|index| costs[*index] <= least + TIE_THRESHOLD_MS);
         let cheapest = cheapest.collect::<Vec<_>>();
--- a/cactusglade-policy/src/pace/mod.rs
+++ b/cactusglade-policy/src/pace/mod.rs
@@ -43,6 +43,23 @@
 const STATEMENTS_PER_S: f64 = 140.0;
 /// Statements that a daemon may make at once, when it has made none for a while.
 const BURST: f64 = 20.0;
+/// Quantile of measured times that counts as the time without a wait. It is above the least ones,
+/// which come from prompts of which more was cached than a daemon knew.
+const QUANTILE: f64 = 0.3;
+/// Step of the first sample on the logarithm of a time; that of a later one falls with the root of
+/// their number. A factor of 1.7 is learned from about ten samples.
+const FIRST_STEP: f64 = 0.3;
+/// Least step, so that a change of speed is followed within a minute at a sample per second.
+const LEAST_STEP: f64 = 0.03;
+/// Samples of a service after which its typical speed is known well enough to compare upstreams.
+const KNOWN_COUNT: u32 = 20;
+/// Least uncached tokens of a prompt whose time shows the speed: reading them takes 9 to 18 ms or
+/// more, as long as what else happens before the first event.
+const LEAST_TOKENS: u64 = 1_000;
+/// Time to the first event of a request whose prompt is cached.
+pub const FIRST_EVENT: Millis = Millis(20);
+/// Interval at which a daemon tells others a measured time.
+pub const MEASURED_INTERVAL: Millis = Millis(1_000);
 const MILLIS_PER_S: f64 = 1_000.0;
 const PERCENT: f64 = 100.0;
 
@@ -79,6 +96,9 @@
 pub struct Estimate {
     newest: Option<(f64, Millis)>,
     lasting: Mean,
+    /// Logarithm of the time to read prompts relative to the service's typical time, where it was
+    /// measured.
+    measured: Quantile,
     /// The pace of which daemons were last told, by this one or another, and when.
     told: Option<(f64, Millis)>,
 }
@@ -91,6 +111,7 @@
                 factor: 1.0,
                 span: PRIOR_SPAN_MS,
             },
+            measured: Quantile::default(),
             told: None,
         }
     }
@@ -171,18 +192,103 @@
         self.newest.is_some()
     }
 
+    /// Records a measured time to read a prompt relative to the service's typical time. It counts
+    /// while the upstream states no pace.
+    pub fn measure(&mut self, ratio: f64) {
+        self.measured.record(ratio.ln());
+    }
+
+    /// Forgets the measured times.
+    pub fn forget_measured(&mut self) {
+        self.measured = Quantile::default();
+    }
+
+    /// Returns whether anything is known of the upstream's pace.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.is_stated() || self.measured.count > 0
+    }
+
     /// Returns the expected time for work relative to the usual time, 1 if nothing is known.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
     pub fn factor(&self, now: Millis) -> f64 {
         let Some((newest, at)) = self.newest else {
-            return 1.0;
+            let (least, greatest) = BOUNDS;
+            return self.measured.value.exp().clamp(least, greatest);
         };
         let weight = (-((now - at).0 as f64) / MOMENTARY_HALF_LIFE_MS).exp2();
         self.lasting.factor + (newest - self.lasting.factor) * weight
     }
 }
 
+/// `Quantile` follows a low quantile of a sequence of numbers, which waits in some of the samples don't
+/// move.
+#[derive(Clone, Copy, Debug, Default)]
+struct Quantile {
+    value: f64,
+    count: u32,
+}
+
+impl Quantile {
+    fn record(&mut self, sample: f64) {
+        self.count = self.count.saturating_add(1);
+        let step = (FIRST_STEP / f64::from(self.count).sqrt()).max(LEAST_STEP);
+        if sample > self.value {
+            self.value += step * QUANTILE;
+        } else if sample < self.value {
+            self.value -= step * (1.0 - QUANTILE);
+        }
+    }
+}
+
+/// `Speed` is the typical speed at which a service's upstreams read prompts.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    /// Speed before any was measured, in tokens per millisecond.
+    initial: f64,
+    /// Logarithm of the time per token relative to the initial one.
+    time: Quantile,
+}
+
+impl Speed {
+    /// Creates the estimate from the speed that is assumed at first, in tokens per millisecond.
+    #[must_use]
+    pub fn new(initial: f64) -> Self {
+        Self {
+            initial,
+            time: Quantile::default(),
+        }
+    }
+
+    /// Records the time that an upstream of usual pace took per token, in milliseconds; returns its
+    /// ratio to the typical time, once that is known.
+    pub fn record(&mut self, token_ms: f64) -> Option<f64> {
+        let typical = 1.0 / self.tokens_per_ms();
+        let (least, greatest) = BOUNDS;
+        let sample = (token_ms * self.initial).clamp(least, greatest);
+        self.time.record(sample.ln());
+        let ratio = (token_ms / typical).clamp(least, greatest);
+        (self.time.count > KNOWN_COUNT).then_some(ratio)
+    }
+
+    /// Returns the typical speed in tokens per millisecond.
+    #[must_use]
+    pub fn tokens_per_ms(&self) -> f64 {
+        let (least, greatest) = BOUNDS;
+        self.initial / self.time.value.exp().clamp(least, greatest)
+    }
+}
+
+/// Returns the time per token of a prompt in milliseconds, by the time to the first event; `None` for
+/// a prompt so short that other work takes most of the time.
+#[must_use]
+#[allow(clippy::cast_precision_loss)]
+pub fn token_ms(uncached: u64, latency: Millis) -> Option<f64> {
+    let time = (latency - FIRST_EVENT).0.max(1) as f64;
+    (uncached >= LEAST_TOKENS).then_some(time / uncached as f64)
+}
+
 /// `Allowance` bounds the statements on paces that one daemon makes.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -1,6 +1,7 @@
 //! Guards against requests that go to slow upstreams while quick ones have room: an engine that is
-//! slow for good, a server that turns slow for half a second, an upstream that states a false pace, a
-//! daemon that starts, and statements that take up the links between daemons.
+//! slow for good, a server that turns slow for half a second, an upstream that states a false pace or
+//! fails part of its requests, a daemon that starts, and statements that take up the links between
+//! daemons.
 
 use std::sync::Arc;
 
@@ -20,11 +21,14 @@
 use cactusglade_core::units::Millis;
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker::Broker;
+use cactusglade_policy::broker::Candidate;
 use cactusglade_policy::broker::Fastest;
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::broker::Options;
 use cactusglade_policy::broker::Query;
 use cactusglade_policy::broker::Report;
+use cactusglade_policy::broker::Strategy;
+use cactusglade_policy::broker::Terms;
 use cactusglade_policy::budget::Bounds;
 use cactusglade_policy::pace::Estimate;
 use cactusglade_policy::quota::Tolerance;
@@ -35,7 +39,13 @@
     latency: Some(Millis(60)),
 };
 
-/// A fleet of daemons and upstreams, in which each daemon is told what another one shares.
+const FAILED: Report = Report {
+    is_good: Some(false),
+    is_lost: false,
+    latency: None,
+};
+
+/// The state of one daemon.
 struct Fixture {
     broker: Broker<Fastest>,
     route: arena::Route,
@@ -136,6 +146,10 @@
 
     /// Sends one request without a prompt that is answered at once; returns the upstream's name.
     fn serve(&mut self, at: u64) -> String {
+        self.serve_with(at, &GOOD)
+    }
+
+    fn serve_with(&mut self, at: u64, report: &Report) -> String {
         self.draws += 1;
         let query = Query {
             route: self.route,
@@ -146,12 +160,16 @@
         };
         let grant = self.broker.place(Millis(at), &query);
         let grant = grant.expect("an upstream is available");
-        self.broker.finish(Millis(at), grant.upstream, &GOOD, 0.5);
+        self.broker.finish(Millis(at), grant.upstream, report, 0.5);
         self.name(grant.upstream)
     }
 
     /// Sends one request with a prompt of which no part is cached.
     fn place_prompt(&mut self, at: u64, tokens: u64) -> Grant {
+        self.place_untried(at, tokens, &[])
+    }
+
+    fn place_untried(&mut self, at: u64, tokens: u64, tried: &[arena::Upstream]) -> Grant {
         self.draws += 1;
         let prompt = Prompt {
             input_tokens: tokens,
@@ -161,7 +179,7 @@
         let query = Query {
             route: self.route,
             prompt: Some(&prompt),
-            tried: &[],
+            tried,
             is_retry: false,
             draw: draw(self.draws),
         };
@@ -271,9 +289,7 @@
     for _ in 0..20 {
         let chosen = new.place_prompt(2_000, 12_000);
         assert_eq!(new.name(chosen.upstream), "y");
-        new.broker.finish_prefill(&chosen);
-        new.broker
-            .finish(Millis(2_000), chosen.upstream, &GOOD, 0.5);
+        new.end(2_000, &chosen);
     }
 }
 
@@ -344,3 +360,156 @@
         assert!((fixture.factor(10_000, name) - 1.0).abs() < f64::EPSILON);
     }
 }
+
+/// Engines of a service for streams with a latency target of half a second.
+fn engines(names: &[&str]) -> Fixture {
+    set_up(names, route(Semantics::Resumable, Millis(500)))
+}
+
+impl Fixture {
+    /// Has requests with prompts answered by three engines in turn that read 112 tokens per
+    /// millisecond, `x` in 1.7 times the time; every fourth one waits for another prompt.
+    fn read_prompts(&mut self, from: u64, count: u64) {
+        for number in 0..count {
+            let at = from + number * 100;
+            let turn = usize::try_from(self.draws % 3).expect("it is small");
+            let mut others = ["x", "y", "z"].map(|name| self.key(name)).to_vec();
+            others.remove(turn);
+            let tokens = 2_000 + number % 7 * 1_000;
+            let grant = self.place_untried(at, tokens, &others);
+            let tenths = if turn == 0 { 17 } else { 10 };
+            let wait = if self.draws.is_multiple_of(4) { 200 } else { 0 };
+            let latency = 20 + grant.uncached * tenths / 1_120 + wait;
+            self.broker
+                .begin_answer(Millis(at), &grant, Millis(latency));
+            self.end(at, &grant);
+        }
+    }
+
+    fn end(&mut self, at: u64, grant: &Grant) {
+        self.broker.finish_prefill(grant);
+        self.broker.finish(Millis(at), grant.upstream, &GOOD, 0.5);
+    }
+}
+
+/// Engines of a third of the service took 1.3 to 2.4 times the time of the others without saying so,
+/// and got as many long prompts.
+#[test]
+fn an_engine_that_states_no_pace_is_found_to_be_slow() {
+    let mut fixture = engines(&["x", "y", "z"]);
+    fixture.read_prompts(0, 600);
+    let (x, y) = (fixture.factor(60_000, "x"), fixture.factor(60_000, "y"));
+    assert!((1.4..=2.1).contains(&(x / y)), "{x} {y}");
+    let grants = (0..20).map(|_| {
+        let grant = fixture.place_prompt(60_000, 20_000);
+        fixture.end(60_000, &grant);
+        fixture.name(grant.upstream)
+    });
+    assert!(grants.collect::<Vec<_>>().iter().all(|name| name != "x"));
+}
+
+/// A daemon that starts measured for a minute what the others knew.
+#[test]
+fn measured_times_are_shared_once_a_second() {
+    let (mut old, mut new) = (engines(&["x", "y", "z"]), engines(&["x", "y", "z"]));
+    let mut told = 0;
+    for second in 0..120 {
+        old.read_prompts(second * 1_000, 10);
+        let now = Millis(second * 1_000 + 950);
+        let paces = old.broker.take_paces(now);
+        told += paces.len();
+        for pace in &paces {
+            new.broker.learn_pace(now, pace);
+        }
+    }
+    assert!((100..=120).contains(&told), "{told}");
+    let ratio = new.factor(120_000, "x") / new.factor(120_000, "y");
+    assert!(ratio > 1.2, "{ratio}");
+}
+
+/// A false statement of one time to read a prompt, or waits behind other prompts, made an engine a
+/// quarter or four times as fast.
+#[test]
+fn single_samples_move_an_estimate_little() {
+    let mut fixture = engines(&["x", "y", "z"]);
+    fixture.read_prompts(0, 600);
+    let before = fixture.factor(60_000, "y");
+    for token_ns in [1, u64::MAX] {
+        let pace = Pace::Measured {
+            upstream: affinity::short_hash("y"),
+            token_ns,
+        };
+        fixture.broker.learn_pace(Millis(60_000), &pace);
+    }
+    let after = fixture.factor(60_000, "y");
+    assert!((0.9..=1.1).contains(&(after / before)), "{before} {after}");
+}
+
+/// Services whose routes have longer targets are to be served as before.
+#[test]
+fn nothing_is_measured_for_services_that_are_not_latency_critical() {
+    let mut fixture = set_up(&["x", "y", "z"], route(Semantics::Resumable, Millis(800)));
+    fixture.read_prompts(0, 600);
+    assert_eq!(fixture.broker.take_paces(Millis(60_000)), []);
+    for name in ["x", "y", "z"] {
+        assert!((fixture.factor(60_000, name) - 1.0).abs() < f64::EPSILON);
+    }
+}
+
+/// Long prompts went to an engine where they waited behind others for longer than their target,
+/// since one that could read them in time was a bit busier.
+#[test]
+fn a_request_goes_to_an_upstream_that_can_serve_it_in_time() {
+    let fixture = engines(&["x", "y"]);
+    let candidate = |name, backlog, uncached, load| Candidate {
+        upstream: fixture.key(name),
+        is_same_zone: true,
+        load,
+        slots: 16.0,
+        backlog,
+        uncached,
+        pace: 1.0,
+        failures: 0.0,
+        latency: 0.0,
+    };
+    // 377 ms to the first event at x, and 300 ms at y.
+    let candidates = [
+        candidate("x", 30_000.0, 10_000.0, 0.0),
+        candidate("y", 0.0, 30_000.0, 8.0),
+    ];
+    let mut terms = Terms {
+        tokens_per_ms: 112.0,
+        target: None,
+    };
+    assert_eq!(Fastest.choose(&candidates, &terms, 0.5), Some(0));
+    terms.target = Some(Millis(330));
+    assert_eq!(Fastest.choose(&candidates, &terms, 0.5), Some(1));
+}
+
+/// Servers that fail every second request got their share of them until the registry dropped them.
+#[test]
+fn an_upstream_that_fails_half_of_its_requests_loses_its_share_and_gets_it_back_slowly() {
+    let mut fixture = servers(&["x", "y", "z"]);
+    for at in (0..1_000).step_by(50) {
+        fixture.serve(at);
+    }
+    let x = fixture.key("x");
+    for at in [1_100, 1_500] {
+        fixture.broker.finish(Millis(at), x, &FAILED, 0.5);
+        fixture.broker.finish(Millis(at + 50), x, &GOOD, 0.5);
+    }
+    assert_eq!(fixture.share(2_000, "x"), 0);
+    assert_eq!(fixture.share(4_000, "x"), 0);
+    assert!(fixture.share(30_000, "x") > 20);
+}
+
+/// Where all upstreams of a service failed, requests were refused although each could be served.
+#[test]
+fn upstreams_that_all_fail_are_still_sent_requests() {
+    let mut fixture = servers(&["x", "y"]);
+    let names = (0..200).map(|number| fixture.serve_with(number * 20, &FAILED));
+    let names = names.collect::<Vec<_>>();
+    for name in ["x", "y"] {
+        assert!(names.iter().any(|one| one == name), "{name}");
+    }
+}
