--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -9,7 +9,6 @@
 use super::Query;
 use super::Strategy;
 use super::Upstream;
-use super::prefills::reading_speed;
 use super::sample;
 use crate::affinity;
 
@@ -85,7 +84,9 @@
             load: upstream.load(now),
             slots: upstream.instance.slots as f64,
             backlog: upstream.backlog as f64
-                + upstream.reading.tokens(now, reading_speed(now, upstream)),
+                + upstream
+                    .reading
+                    .tokens(now, self.reading_speed(now, upstream)),
             uncached,
             pace: upstream.pace.factor(now),
             failures: upstream.failures(now),
--- a/cactusglade-policy/src/broker/prefills.rs
+++ b/cactusglade-policy/src/broker/prefills.rs
@@ -27,7 +27,7 @@
         let Some(upstream) = self.upstreams.get(key).filter(|_| self.is_tight(service)) else {
             return;
         };
-        let is_due = prefill::is_long(tokens, reading_speed(now, upstream))
+        let is_due = prefill::is_long(tokens, self.reading_speed(now, upstream))
             && self.unshared_prefills.len() < MAX_UNSHARED;
         let hash = affinity::short_hash(&upstream.instance.name);
         if is_due && self.prefill_allowance.take(now, self.daemons) {
@@ -38,8 +38,12 @@
     /// Records a long prompt that another daemon has sent to an upstream.
     pub fn learn_prefill(&mut self, now: Millis, prefill: &Prefill) {
         let key = self.upstream_hashes.get(&prefill.upstream).copied();
-        if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(key)) {
-            let speed = reading_speed(now, upstream);
+        let Some((key, upstream)) = key.and_then(|key| Some((key, self.upstreams.get(key)?)))
+        else {
+            return;
+        };
+        let speed = self.reading_speed(now, upstream);
+        if let Some(upstream) = self.upstreams.get_mut(key) {
             let age = Millis(prefill.age_ms);
             upstream.reading.add(now, age, prefill.tokens, speed);
         }
@@ -55,9 +59,11 @@
         });
         prefills.collect()
     }
-}
 
-/// Returns the tokens per millisecond that an upstream is expected to read.
-pub(super) fn reading_speed(now: Millis, upstream: &Upstream) -> f64 {
-    PREFILL_TOKENS_PER_MS / upstream.pace.factor(now)
+    /// Returns the tokens per millisecond that an upstream is expected to read.
+    pub(super) fn reading_speed(&self, now: Millis, upstream: &Upstream) -> f64 {
+        let service = self.catalog.services.find(&upstream.instance.service);
+        let usual = service.and_then(|service| self.prefill_speed(service));
+        usual.unwrap_or(PREFILL_TOKENS_PER_MS) / upstream.pace.factor(now)
+    }
 }
