throttle: make a daemon's token share a type of its own

Cold upstreams need the same share of a rate as stated limits do. Capacity, rate and level move from Throttle to throttle::Share; what Throttle decides does not change.

--- a/cactusglade-policy/src/throttle/mod.rs
+++ b/cactusglade-policy/src/throttle/mod.rs
@@ -6,12 +6,14 @@
 
 mod layout;
 mod schedule;
+mod share;
 
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 
 pub use layout::Layout;
 pub use schedule::Schedule;
+pub use share::Share;
 
 /// Lowest rate at which an upstream is sent requests, so that the end of a limit of zero is noticed.
 const MIN_RATE: Rate = Rate(200);
@@ -42,13 +44,7 @@
     stated: Statement,
     /// When this daemon last told others.
     shared: Millis,
-    /// Number of requests that the share holds if none is sent.
-    capacity: f64,
-    /// Requests per second of the share.
-    share: f64,
-    /// Requests that may be sent now.
-    level: f64,
-    updated: Millis,
+    share: Share,
 }
 
 /// Returns the number of slots into which a rate is divided.
@@ -103,51 +99,35 @@
     /// upstream's name.
     #[allow(clippy::cast_precision_loss)]
     pub fn allot(&mut self, now: Millis, upstream: u64, layout: &Layout) {
-        self.refill(now);
         let Some(rate) = self.stated.rate else {
             // Nothing is saved up until the next limit.
-            (self.level, self.share, self.capacity) = (0.0, 0.0, 0.0);
+            self.share.resize(now, 0.0, 0.0);
             return;
         };
         let rate = rate.max(MIN_RATE);
         let count = slots(rate);
         let own = layout.share(upstream, count);
-        self.capacity = own.max(0.0);
-        self.share = rate.per_second() * own / count as f64;
-        self.level = self.level.min(self.capacity);
+        let own_rate = rate.per_second() * own / count as f64;
+        self.share.resize(now, own, own_rate);
     }
 
     /// Returns whether a request may be sent now.
     #[must_use]
     pub fn admits(&self, now: Millis) -> bool {
-        self.stated.rate.is_none() || self.level(now) >= 1.0
+        self.stated.rate.is_none() || self.share.admits(now)
     }
 
     /// Returns the time until a request may be sent; `None` where this daemon owns no slot.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn wait(&self, now: Millis) -> Option<Millis> {
         if self.admits(now) {
             return Some(Millis(0));
         }
-        let missing = 1.0 - self.level(now);
-        (self.capacity >= 1.0).then(|| Millis((missing / self.share * 1_000.0).ceil() as u64))
+        self.share.wait(now)
     }
 
     /// Records that a request is sent.
     pub fn take(&mut self, now: Millis) {
-        self.refill(now);
-        self.level = (self.level - 1.0).max(0.0);
-    }
-
-    fn refill(&mut self, now: Millis) {
-        self.level = self.level(now);
-        self.updated = now;
-    }
-
-    #[allow(clippy::cast_precision_loss)]
-    fn level(&self, now: Millis) -> f64 {
-        let span = (now - self.updated).0 as f64 / 1_000.0;
-        (self.level + span * self.share).min(self.capacity)
+        self.share.take(now);
     }
 }
