warmup: keep all daemons within what a cold upstream tolerates

An upstream that has just started, or turned cold again, crashes well above a limited rate of requests, and daemons sent it their usual share.

The registry entry's cold time and the service's cold rate reach the policy. While an upstream is cold, its rate is divided into slots by rendezvous hashing, as stated limits are; a slot saves up one request and begins empty. Slots stay with daemons that can't be reached, and a daemon uses its share only while it knows the fleet (warmup::Standing), so that cuts, suspensions and restarts don't double a slot. A cold upstream without a request left in the share is no candidate; callers are told when the share or the end of the cold time allows another request. Nothing takes effect without the settings cold_overshoot and cold_slack and a rate of the service.

Entries of the registry are sent to other daemons as a new kind of datagram, since they state the cold time; a daemon of another build drops them and reads the store.

--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -11,6 +11,7 @@
 use crate::arena;
 use crate::arena::Table;
 use crate::units::Millis;
+use crate::units::Rate;
 
 /// Error of building a catalog.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -104,6 +105,13 @@
     pub tokens_per_event: u64,
     /// Bounds on its number of upstreams, where it can be scaled.
     pub scale: Option<Scale>,
+    /// Requests that a cold upstream tolerates from all daemons together; `None` where upstreams
+    /// are never cold.
+    #[serde(default)]
+    pub cold_rate: Option<Rate>,
+    /// Time for which an upstream is cold after it starts.
+    #[serde(default)]
+    pub cold_time: Millis,
 }
 
 /// `Quota` limits the use of an organisation over all daemons.
--- a/cactusglade-core/src/edge/mod.rs
+++ b/cactusglade-core/src/edge/mod.rs
@@ -14,6 +14,16 @@
     /// The text is not TOML, or a setting is missing or of another type.
     #[error(transparent)]
     Toml(#[from] toml::de::Error),
+    /// A setting is below its least value.
+    #[error("{name} is {value}, expected at least {least}")]
+    Bound {
+        /// Name of the setting.
+        name: &'static str,
+        /// Its value.
+        value: f64,
+        /// Its least value.
+        least: f64,
+    },
 }
 
 /// Result of reading settings.
@@ -71,6 +81,14 @@
     /// latency-critical; `None` if no service does. See `docs/HARD-LOAD.md`.
     #[serde(default)]
     pub tight_target_ms: Option<f64>,
+    /// Factor of its rate by which the requests to a cold upstream may exceed it in any second.
+    /// Without this and [`Self::cold_slack`] no upstream counts as cold. See
+    /// `docs/design/warmup.md`.
+    #[serde(default)]
+    pub cold_overshoot: Option<f64>,
+    /// Requests to a cold upstream beyond that factor in any second.
+    #[serde(default)]
+    pub cold_slack: Option<f64>,
 }
 
 impl Settings {
@@ -78,9 +96,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Toml`] if the text is not TOML, or a setting is missing or of another type.
+    /// Returns [`Error::Toml`] if the text is not TOML, or a setting is missing or of another type,
+    /// and [`Error::Bound`] if a setting is below its least value.
     pub fn try_new(text: &str) -> Result<Self> {
-        Ok(toml::from_str(text)?)
+        let settings: Self = toml::from_str(text)?;
+        check_least("cold_overshoot", settings.cold_overshoot, 1.0)?;
+        check_least("cold_slack", settings.cold_slack, 0.0)?;
+        Ok(settings)
     }
 
     /// Whether a settings file selects the platform's adapter.
@@ -90,3 +112,13 @@
         table.is_ok_and(|table| table.get("adapter").and_then(toml::Value::as_str) == Some(ADAPTER))
     }
 }
+
+/// Fails if a setting is below its least value, or not a number.
+fn check_least(name: &'static str, value: Option<f64>, least: f64) -> Result<()> {
+    match value {
+        Some(value) if !value.is_finite() || value < least => {
+            Err(Error::Bound { name, value, least })
+        }
+        _ => Ok(()),
+    }
+}
--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -38,6 +38,8 @@
     pub phase: Phase,
     /// Whether its host may be reclaimed.
     pub reclaimable: bool,
+    /// Time for which it is still cold, as stated when the entry was written.
+    pub cold_left: Millis,
 }
 
 /// `Change` is one change of the registry.
--- a/cactusglade-core/tests/catalog.rs
+++ b/cactusglade-core/tests/catalog.rs
@@ -44,6 +44,8 @@
             name: "app".to_owned(),
             tokens_per_event: 0,
             scale: None,
+            cold_rate: None,
+            cold_time: Millis(0),
         }],
         routes,
         organisations: vec![(
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -18,6 +18,7 @@
 use cactusglade_policy::lag::Notice;
 use cactusglade_policy::quota::Tolerance;
 use cactusglade_policy::usage::Ledger;
+use cactusglade_policy::warmup;
 use cactusglade_wire::port::Platform;
 use cactusglade_wire::port::Rollout;
 use kameo::actor::ActorRef;
@@ -420,6 +421,10 @@
             detection: MAX_DETECTION_TIME,
         },
         tight_target: settings.tight_target_ms.map(from_millis),
+        cold: settings
+            .cold_overshoot
+            .zip(settings.cold_slack)
+            .map(|(overshoot, slack)| warmup::Bounds { overshoot, slack }),
     }
 }
 
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -18,6 +18,7 @@
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::broker::Grant;
+use cactusglade_policy::broker::Reason;
 use cactusglade_policy::broker::Report;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Counts;
@@ -72,6 +73,8 @@
     /// When the request may be sent to see whether the parts of its prompt still crash upstreams,
     /// if it is placed again then.
     pub trial: Option<Millis>,
+    /// What keeps the available upstreams from taking the request.
+    pub reason: Option<Reason>,
 }
 
 impl From<Kind> for Refused {
@@ -80,6 +83,7 @@
             kind,
             retry_after: kind.answer().retry_after,
             trial: None,
+            reason: None,
         }
     }
 }
@@ -230,6 +234,7 @@
         };
         let grant = self.policy.place(now, &query).map_err(|denied| Refused {
             retry_after: denied.retry_after,
+            reason: denied.reason,
             ..denied.kind.into()
         })?;
         self.add_work(&grant, self.policy.prefill_ms(&grant));
@@ -337,6 +342,7 @@
             let version = i64::try_from(adopt.0.version).unwrap_or(i64::MAX);
             self.metrics.generation.set(version);
             self.catalogs.send_replace(adopt.0);
+            self.log_turns(self.clock.now());
         }
     }
 }
@@ -354,6 +360,7 @@
             self.policy.apply(now, apply.changes)
         };
         self.retire(&leaving);
+        self.log_turns(now);
     }
 }
 
@@ -416,6 +423,8 @@
         let now = self.clock.now();
         let judgements = self.policy.quarantine.judge(now);
         self.log_judgements(&judgements);
+        self.policy.check_cold(now);
+        self.log_turns(now);
         let quarantine = &mut self.policy.quarantine;
         let suspicions = quarantine.take_unshared(now, meter.restates_holds);
         Statistics {
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -5,6 +5,7 @@
 mod inventory;
 mod messages;
 mod statements;
+mod warmups;
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -10,6 +10,7 @@
 use cactusglade_policy::attempt::Attempt;
 use cactusglade_policy::attempt::Next;
 use cactusglade_policy::attempt::Outcome;
+use cactusglade_policy::broker::Reason;
 use cactusglade_wire::port;
 use kameo::error::SendError;
 use slog::info;
@@ -172,7 +173,7 @@
                 self.log_placement(&placement);
                 Ok(placement)
             }
-            Err(refused) => Err(self.give_up(refused.kind, refused.retry_after)),
+            Err(refused) => Err(self.give_up(&refused)),
         }
     }
 
@@ -216,7 +217,8 @@
     }
 
     /// Ends the exchange because the request can't be placed at an upstream.
-    fn give_up(&self, kind: Kind, retry_after: Option<Millis>) -> Ending {
+    fn give_up(&self, refused: &Refused) -> Ending {
+        let (kind, retry_after) = (refused.kind, refused.retry_after);
         let ending = Ending {
             next: self.attempt.give_up(kind),
             retry_after,
@@ -224,7 +226,8 @@
         let prompt = self.entry.prompt.as_ref();
         let parts = prompt.filter(|_| kind == Kind::Quarantined);
         info!(self.entry.context.log, "not_placed"; "id" => &self.entry.call.id,
-            "kind" => ?kind, "next" => ?ending.next, "tried" => self.tried.len(),
+            "kind" => ?kind, "reason" => refused.reason.map(Reason::as_str),
+            "next" => ?ending.next, "tried" => self.tried.len(),
             "parts" => parts.map(|prompt| prompt.shared_ids()));
         ending
     }
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -257,6 +257,7 @@
                 let _ = self.entries.try_send(entries);
                 return;
             }
+            Datagram::Undated => return,
             Datagram::Sightings(sightings) => {
                 self.receive_sightings(now, sightings).await;
                 return;
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -51,6 +51,8 @@
     pub platform_calls: HistogramVec,
     /// Parts of prompts found to crash upstreams, each time that one is held.
     pub held_parts: IntCounter,
+    /// Upstreams that take few requests because they are cold.
+    pub cold_upstreams: IntGauge,
     /// Streams moved away from an upstream that shuts down.
     pub moves: IntCounter,
     /// Answers from upstreams that belonged to another attempt.
@@ -115,6 +117,7 @@
                 "cactusglade_held_parts_total",
                 "Parts of prompts found to crash upstreams",
             )?,
+            cold_upstreams: gauge("cactusglade_upstreams_cold", "Upstreams that are cold")?,
             moves: counter(
                 "cactusglade_moves_total",
                 "Streams moved off leaving upstreams",
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -49,6 +49,8 @@
             name: SERVICE.to_owned(),
             tokens_per_event: 6,
             scale: None,
+            cold_rate: None,
+            cold_time: Millis(0),
         }],
         routes: vec![Rule {
             path: Path {
@@ -96,6 +98,7 @@
             slots: options.profile.slots as u64,
             phase: Phase::Ready,
             reclaimable: false,
+            cold_left: Millis(0),
         }))
     });
     let instances = instances.collect::<Vec<_>>();
@@ -115,6 +118,7 @@
                 detection: DETECTION_TIME,
             },
             tight_target: None,
+            cold: None,
         };
         let mut broker = Broker::new(policy, strategy());
         broker.adopt(Millis(0), catalog.clone());
--- a/cactusglade-policy/src/broker/limits.rs
+++ b/cactusglade-policy/src/broker/limits.rs
@@ -9,10 +9,13 @@
 use super::Broker;
 use super::Denied;
 use super::Query;
+use super::Reason;
 use super::Strategy;
+use super::Upstream;
 use crate::affinity;
 use crate::throttle::Layout;
 use crate::throttle::Statement;
+use crate::warmup;
 
 impl<R: Strategy> Broker<R> {
     /// Records what an answer says of its upstream's limit; returns whether the limit changes.
@@ -61,6 +64,7 @@
         for key in keys.collect::<Vec<_>>() {
             self.allot(now, key);
         }
+        self.allot_all_cold(now);
     }
 
     fn allot(&mut self, now: Millis, key: arena::Upstream) {
@@ -90,16 +94,33 @@
         }
         // They take no request now, or one of them would have been chosen.
         let openings = available.iter().filter_map(|one| {
-            let wait = one.throttle.wait(now)?;
+            let wait = one.throttle.wait(now)?.max(one.warmup.wait(now));
             Some(one.spared_until.max(now + wait))
         });
-        let rates = available.iter().filter_map(|one| one.throttle.rate());
-        let rate = rates.map(Rate::per_second).sum::<f64>();
+        let even = |rate: Rate| rate.per_second() / self.daemons;
+        let rates = available.iter().filter_map(|one| {
+            let limit = one.throttle.rate().map(even);
+            let cold = one.warmup.rate(now).map(even);
+            let own = cold.map(|even| {
+                Some(one.warmup.share())
+                    .filter(|own| *own > 0.0)
+                    .unwrap_or(even)
+            });
+            limit.into_iter().chain(own).min_by(f64::total_cmp)
+        });
+        let rate = rates.sum::<f64>();
+        let cold = available.iter().filter(|one| one.warmup.is_cold(now));
+        let ends = cold.map(|one| now + one.warmup.left(now));
+        let warm_at = ends.min();
+        let reason = reason(now, &available);
         let earliest = openings.min().unwrap_or(now);
         let schedule = self.returns.entry(key).or_default();
+        let due = schedule.admit(now, earliest, rate);
+        let due = warm_at.map_or(due, |warm_at| warmup::advance(due, warm_at));
         Denied {
             kind: Kind::Overloaded,
-            retry_after: Some(schedule.admit(now, earliest, rate / self.daemons) - now),
+            retry_after: Some(due - now),
+            reason: Some(reason),
         }
     }
 
@@ -122,3 +143,14 @@
         limits.collect()
     }
 }
+
+/// Returns what keeps available upstreams from taking a request.
+fn reason(now: Millis, available: &[&Upstream]) -> Reason {
+    if available.iter().any(|one| !one.warmup.admits(now)) {
+        Reason::Cold
+    } else if available.iter().any(|one| !one.throttle.admits(now)) {
+        Reason::Limit
+    } else {
+        Reason::Spared
+    }
+}
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -11,6 +11,7 @@
 mod sighting;
 mod strategy;
 mod upstream;
+mod warmups;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -33,11 +34,14 @@
 use crate::quota::Tolerance;
 use crate::throttle::Layout;
 use crate::throttle::Schedule;
+use crate::warmup;
+use crate::warmup::Standing;
 
 pub use strategy::Candidate;
 pub use strategy::Fastest;
 pub use strategy::Strategy;
 pub use upstream::Upstream;
+pub use warmups::Turn;
 
 /// Prompt tokens that an engine reads per millisecond, from the deployments' data sheets.
 const PREFILL_TOKENS_PER_MS: f64 = 56.6;
@@ -60,6 +64,8 @@
     pub tolerance: Tolerance,
     /// Latency target of a route for streams up to which its service counts as latency-critical.
     pub tight_target: Option<Millis>,
+    /// How far requests to a cold upstream may exceed its rate; without it no upstream is cold.
+    pub cold: Option<warmup::Bounds>,
 }
 
 /// `Query` describes a request for which an upstream is to be selected.
@@ -110,6 +116,31 @@
     pub kind: Kind,
     /// Time after which a retry by the caller may succeed, where it is known.
     pub retry_after: Option<Millis>,
+    /// What keeps upstreams that are available from taking the request.
+    pub reason: Option<Reason>,
+}
+
+/// `Reason` is what keeps the available upstreams of a service from taking a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Some are cold.
+    Cold,
+    /// Some have stated a limit, and none is cold.
+    Limit,
+    /// All have asked for no requests for some time.
+    Spared,
+}
+
+impl Reason {
+    /// Returns the name of the reason in the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Cold => "cold",
+            Self::Limit => "limit",
+            Self::Spared => "spared",
+        }
+    }
 }
 
 impl From<Kind> for Denied {
@@ -117,6 +148,7 @@
         Self {
             kind,
             retry_after: kind.answer().retry_after,
+            reason: None,
         }
     }
 }
@@ -165,6 +197,12 @@
     layout: Option<Layout>,
     /// When callers may return that were refused because no upstream of the service takes more.
     returns: BTreeMap<arena::Service, Schedule>,
+    /// Upstreams that are cold, and why.
+    cold: BTreeMap<arena::Upstream, warmup::Origin>,
+    /// Upstreams that have turned cold or warm since this was last taken.
+    turns: Vec<Turn>,
+    /// Whether this daemon may use its shares of what cold upstreams take.
+    standing: Standing,
     /// Whether the store is unreachable.
     store_unreachable: bool,
     /// When the store was last reachable again.
@@ -195,6 +233,9 @@
             reachable_share: 1.0 / ASSUMED_DAEMONS,
             layout: None,
             returns: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            turns: Vec::new(),
+            standing: Standing::default(),
             store_unreachable: false,
             store_regained: None,
         }
@@ -224,6 +265,7 @@
                 split.map(|(service, _)| *service).collect()
             });
         self.update_buckets(now, is_first);
+        self.allot_all_cold(now);
         true
     }
 
@@ -334,6 +376,7 @@
             upstream.in_flight += 1;
             upstream.backlog += uncached;
             upstream.throttle.take(now);
+            upstream.warmup.take(now);
             if let Some(prompt) = prompt {
                 upstream.cache.insert(now, &prompt.parts);
             }
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -12,6 +12,7 @@
 use super::Strategy;
 use super::Upstream;
 use crate::affinity;
+use crate::warmup::Origin;
 
 /// Time after an outage of the store within which upstreams renew entries that expired during it.
 const STORE_GRACE: Millis = Millis(2_000);
@@ -91,6 +92,7 @@
 
     fn put(&mut self, now: Millis, instance: Instance) -> Option<arena::Upstream> {
         let leaves = instance.phase == Phase::Leaving;
+        let cold_left = instance.cold_left;
         let name = instance.name.clone();
         let key = self.upstreams.get_or_insert_with(
             &name,
@@ -100,6 +102,8 @@
         let upstream = self.upstreams.get_mut(key)?;
         upstream.instance = instance;
         upstream.removal = None;
+        self.chill(now, key, cold_left, Origin::Registry);
+        let upstream = self.upstreams.get_mut(key)?;
         if leaves && upstream.leaving.is_none() {
             upstream.leaving = Some(now);
             return Some(key);
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -7,6 +7,7 @@
 use crate::affinity::Cache;
 use crate::retry::Backoff;
 use crate::throttle::Throttle;
+use crate::warmup::Warmup;
 
 /// Half-life of the load reported by an upstream, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 1_000.0;
@@ -43,6 +44,8 @@
     pub spared_until: Millis,
     /// Limit that the upstream has stated, and this daemon's share of it.
     pub throttle: Throttle,
+    /// Until when the upstream is cold, and this daemon's share of what it takes meanwhile.
+    pub warmup: Warmup,
     /// Backoff after failures.
     pub backoff: Backoff,
     /// Prompt parts that the upstream has recently read.
@@ -74,6 +77,7 @@
             removal: None,
             spared_until: Millis(0),
             throttle: Throttle::default(),
+            warmup: Warmup::default(),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
@@ -99,7 +103,7 @@
     /// Returns whether the upstream takes a request of this daemon now.
     #[must_use]
     pub fn takes_requests(&self, now: Millis) -> bool {
-        now >= self.spared_until && self.throttle.admits(now)
+        now >= self.spared_until && self.throttle.admits(now) && self.warmup.admits(now)
     }
 
     /// Records the reported load; requests beyond this daemon's own are those of other daemons.
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`lag`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`] and [`usage`]; the
-//! dispatch for the daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
+//! [`lag`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`], [`usage`] and
+//! [`warmup`]; the dispatch for the daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
 //! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
 pub mod affinity;
@@ -34,3 +34,4 @@
 pub mod stream;
 pub mod throttle;
 pub mod usage;
+pub mod warmup;
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -247,6 +247,18 @@
             .extend(zones.map(|(name, daemons)| (name.clone(), daemons)));
         layout.zones.insert(self.zone.clone(), self.count_in_zone());
         layout.neighbours = self.neighbours(now).collect();
+        // Addresses that never answered may be of another zone, or of hosts that are gone.
+        let peers = self.peers.iter();
+        let heard = peers.filter(|(_, peer)| peer.last_heartbeat.is_some());
+        layout.zone_members = heard.map(|(address, _)| *address).collect();
+        for zone in self.members.values() {
+            match layout.listed.get_mut(zone) {
+                Some(count) => *count += 1,
+                None => {
+                    layout.listed.insert(zone.clone(), 1);
+                }
+            }
+        }
         layout
     }
 
--- a/cactusglade-policy/src/throttle/layout.rs
+++ b/cactusglade-policy/src/throttle/layout.rs
@@ -21,6 +21,11 @@
     pub zones: BTreeMap<String, u64>,
     /// Other daemons of this zone that can be reached.
     pub neighbours: BTreeSet<SocketAddr>,
+    /// Other daemons of this zone, also those that have been silent for a while.
+    pub zone_members: BTreeSet<SocketAddr>,
+    /// Number of daemons in each zone by the list in the store, which counts those of a zone from
+    /// which nothing was heard.
+    pub listed: BTreeMap<String, u64>,
 }
 
 impl Layout {
@@ -32,26 +37,66 @@
             zone: zone.to_owned(),
             zones: BTreeMap::from([(zone.to_owned(), 1)]),
             neighbours: BTreeSet::new(),
+            zone_members: BTreeSet::new(),
+            listed: BTreeMap::new(),
         }
     }
 
+    /// Returns whether all other daemons of this zone can be reached. A daemon that has heard from
+    /// none although some are listed doesn't know.
+    #[must_use]
+    pub fn is_zone_whole(&self) -> bool {
+        let has_heard = self.zones.values().sum::<u64>() > 1;
+        let knows_all = has_heard || self.listed.is_empty();
+        knows_all && self.zone_members.is_subset(&self.neighbours)
+    }
+
     /// Returns how many of an upstream's slots belong to this daemon.
     ///
     /// Where there is at least one for each daemon, all have the same number, which need not be
     /// whole. Otherwise the slots go to daemons that differ between upstreams.
     #[must_use]
-    #[allow(clippy::cast_precision_loss)]
     pub fn share(&self, upstream: u64, slots: u64) -> f64 {
-        let daemons = self.zones.values().sum::<u64>().max(1);
+        self.divide(upstream, slots, &self.zones, &self.neighbours)
+    }
+
+    /// Returns how many of an upstream's slots belong to this daemon, where the slots of daemons that
+    /// can't be reached stay with them.
+    ///
+    /// A daemon that is cut off or suspended for some seconds finds its slots unused. A zone from
+    /// which nothing was heard counts as the list in the store says.
+    #[must_use]
+    pub fn lasting_share(&self, upstream: u64, slots: u64) -> f64 {
+        let mut zones = self.zones.clone();
+        for (zone, daemons) in &self.listed {
+            zones.entry(zone.clone()).or_insert(*daemons);
+        }
+        self.divide(upstream, slots, &zones, &self.zone_members)
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn divide(
+        &self,
+        upstream: u64,
+        slots: u64,
+        zones: &BTreeMap<String, u64>,
+        others: &BTreeSet<SocketAddr>,
+    ) -> f64 {
+        let daemons = zones.values().sum::<u64>().max(1);
         if slots >= daemons {
             return slots as f64 / daemons as f64;
         }
         let slots = (0..slots).map(|slot| affinity::weight(slot, upstream));
-        slots.filter(|slot| self.owns(*slot)).count() as f64
+        slots.filter(|slot| self.owns(*slot, zones, others)).count() as f64
     }
 
-    fn owns(&self, slot: u64) -> bool {
-        let zones = self.zones.iter().flat_map(|(zone, daemons)| {
+    fn owns(
+        &self,
+        slot: u64,
+        zones: &BTreeMap<String, u64>,
+        others: &BTreeSet<SocketAddr>,
+    ) -> bool {
+        let zones = zones.iter().flat_map(|(zone, daemons)| {
             let hash = affinity::hash(zone);
             let ranks = (0..*daemons).map(move |index| affinity::weight(index, hash));
             ranks.map(move |rank| (affinity::weight(slot, rank), zone))
@@ -64,6 +109,6 @@
             affinity::weight(slot, hash)
         };
         let own = rank(&self.own);
-        self.neighbours.iter().all(|one| rank(one) < own)
+        others.iter().all(|one| rank(one) < own)
     }
 }
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -37,6 +37,8 @@
             name: "pool".to_owned(),
             tokens_per_event: 5,
             scale: None,
+            cold_rate: None,
+            cold_time: Millis(0),
         }],
         routes: vec![Rule {
             path: Path {
@@ -72,6 +74,7 @@
         slots: 8,
         phase,
         reclaimable: false,
+        cold_left: Millis(0),
     }
 }
 
@@ -100,6 +103,7 @@
             detection: Millis(1_200),
         },
         tight_target: None,
+        cold: None,
     };
     Broker::new(options, Fastest)
 }
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -227,8 +227,10 @@
     /// Sent by the relay of another zone, or forwarded by the relay of the own zone.
     #[serde(rename = "Digest")]
     Summary(Summary),
-    /// Sent by the relay of the own zone.
-    Entries(Entries),
+    /// Sent in place of [`Self::Entries`] by builds to which upstreams have no cold time. It is not
+    /// decoded, so that a daemon reads these entries from the store, with the cold times.
+    #[serde(rename = "Entries")]
+    Undated,
     /// Sent between daemons of one zone, and between relays.
     Sightings(Sightings),
     /// Sent to the relay of the zone, by which it is passed on to the zone and to other relays.
@@ -237,6 +239,9 @@
     Suspicions(Suspicions),
     /// Sent between daemons of one zone, and between relays.
     Limits(Limits),
+    /// Sent by the relay of the own zone.
+    #[serde(rename = "DatedEntries")]
+    Entries(Entries),
 }
 
 impl Datagram {
--- a/cactusglade-wire/tests/beat.rs
+++ b/cactusglade-wire/tests/beat.rs
@@ -7,6 +7,7 @@
 use cactusglade_core::fleet::Instance;
 use cactusglade_core::fleet::Phase;
 use cactusglade_core::fleet::Sighting;
+use cactusglade_core::units::Millis;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::gossip::Heartbeat;
@@ -61,6 +62,7 @@
             slots: 64,
             phase: Phase::Ready,
             reclaimable: true,
+            cold_left: Millis(60_000),
         }))
     };
     let changes = (0..95).map(change).collect::<Vec<_>>();
