model: fleets that send to a cold upstream

Plays up to 100 daemons in up to 4 zones with the product's membership and broker: cuts, suspensions, restarts and an upstream that turns cold again and again, with daemons that always have requests.

--- a/cactusglade-model/src/lib.rs
+++ b/cactusglade-model/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod engine;
 pub mod fleet;
 pub mod load;
+pub mod warmup;
