--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -9,6 +9,7 @@
 use crate::prefill::Queue;
 use crate::retry::Backoff;
 use crate::throttle::Throttle;
+use crate::warmup::Warmup;
 
 /// Half-life of the load reported by an upstream, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 1_000.0;
@@ -49,6 +50,8 @@
     pub pace: Estimate,
     /// What the upstream has still to read of other daemons' long prompts.
     pub reading: Queue,
+    /// Until when the upstream is cold, and this daemon's share of what it takes meanwhile.
+    pub warmup: Warmup,
     /// Backoff after failures.
     pub backoff: Backoff,
     /// Prompt parts that the upstream has recently read.
@@ -82,6 +85,7 @@
             throttle: Throttle::default(),
             pace: Estimate::default(),
             reading: Queue::default(),
+            warmup: Warmup::default(),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
@@ -107,7 +111,7 @@
     /// Returns whether the upstream takes a request of this daemon now.
     #[must_use]
     pub fn takes_requests(&self, now: Millis) -> bool {
-        now >= self.spared_until && self.throttle.admits(now)
+        now >= self.spared_until && self.throttle.admits(now) && self.warmup.admits(now)
     }
 
     /// Records the reported load; requests beyond this daemon's own are those of other daemons.
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -77,6 +77,7 @@
         slots: 6,
         phase: Phase::Ready,
         reclaimable: false,
+        cold_left: Millis(0),
     }
 }
 
@@ -96,6 +97,7 @@
             detection: Millis(1_200),
         },
         tight_target: Some(Millis(600)),
+        cold: None,
     }
 }
 
@@ -106,6 +108,8 @@
             name: "pool".to_owned(),
             tokens_per_event: 5,
             scale: None,
+            cold_rate: None,
+            cold_time: Millis(0),
         }],
         routes: vec![Rule {
             path: Path {
--- a/cactusglade-policy/tests/prefill.rs
+++ b/cactusglade-policy/tests/prefill.rs
@@ -49,6 +49,8 @@
             name: "pool".to_owned(),
             tokens_per_event: 8,
             scale: None,
+            cold_rate: None,
+            cold_time: Millis(0),
         }],
         routes: vec![Rule {
             path: Path {
@@ -85,6 +87,7 @@
             detection: Millis(1_200),
         },
         tight_target: Some(Millis(600)),
+        cold: None,
     };
     let mut broker = Broker::new(options, Fastest);
     let catalog = catalog(target);
@@ -100,6 +103,7 @@
         slots: 16,
         phase: Phase::Ready,
         reclaimable: false,
+        cold_left: Millis(0),
     };
     let instances = ["x", "y"].map(|name| Change::Put(Box::new(instance(name))));
     broker.apply(Millis(0), instances);
