Evacuate availability zones on the operators' orders

Operators need to empty an availability zone before it is lost, and had no way to do so: requests went to its upstreams until these left.

Each daemon now reads the rows evacuate/ZONE, keeps the order or its end of the greatest revision for each zone, and states it to other daemons. An upstream in an evacuated zone is not available, for any attempt; requests that run there go on.

Without orders nothing changes.

--- a/cactusglade-core/src/errors/mod.rs
+++ b/cactusglade-core/src/errors/mod.rs
@@ -62,6 +62,8 @@
     Draining,
     /// No upstream that could serve the route is known or reachable.
     NoUpstream,
+    /// All upstreams that could serve the route are in availability zones that are evacuated.
+    Evacuated,
     /// The platform's table, which at-most-once execution needs, does not answer.
     StoreUnavailable,
     /// Work may have been accepted, but the platform's answer was lost.
@@ -111,7 +113,7 @@
 
 impl Kind {
     /// All kinds, in the order of the table in `docs/INTERFACES.md`.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::BadRequest,
         Self::Unauthenticated,
         Self::UnknownWork,
@@ -126,6 +128,7 @@
         Self::NotReady,
         Self::Draining,
         Self::NoUpstream,
+        Self::Evacuated,
         Self::StoreUnavailable,
         Self::Unsettled,
         Self::Quarantined,
@@ -173,6 +176,7 @@
             Self::NotReady => answer(503, "not_ready", Ran::No, RETRY_AFTER_SHORT),
             Self::Draining => answer(503, "draining", Ran::No, RETRY_AFTER_SHORT),
             Self::NoUpstream => answer(503, "no_upstream", Ran::No, RETRY_AFTER_LONG),
+            Self::Evacuated => answer(503, "evacuated", Ran::No, RETRY_AFTER_LONG),
             Self::StoreUnavailable => answer(503, "store_unavailable", Ran::No, RETRY_AFTER_LONG),
             Self::Unsettled => answer(503, "unsettled", Ran::Maybe, None),
             Self::Quarantined => answer(503, "quarantined", Ran::No, RETRY_AFTER_LONG),
--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::revision::Revision;
 use crate::units::Millis;
 use crate::units::Rate;
 
@@ -106,6 +107,17 @@
     }
 }
 
+/// `Evacuation` says whether the operators have ordered the evacuation of an availability zone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuation {
+    /// Name of the zone.
+    pub zone: String,
+    /// Revision of the order, or of its end.
+    pub revision: Revision,
+    /// Whether the zone is to be evacuated; otherwise the evacuation is over.
+    pub is_ordered: bool,
+}
+
 /// `Suspicion` is what a daemon shares about parts of prompts that may crash upstreams.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Suspicion {
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -275,13 +275,15 @@
         let configuration = self
             .start_configuration(broker, &mesh, stated, missed)
             .await?;
+        let (has_read, has_orders) = watch::channel(false);
         let orders = Orders {
             configuration,
             broker: broker.clone(),
             rollouts,
             eras,
+            has_read,
         };
-        self.start_watches(operators, orders, registry, broker)
+        self.start_watches(operators, orders, registry, has_orders)
             .await?;
         Ok(mesh)
     }
@@ -328,8 +330,12 @@
         operators: Supervised<P::Operator>,
         orders: Orders,
         registry: Relayed<P::Directory>,
-        broker: &ActorRef<Broker>,
+        has_orders: watch::Receiver<bool>,
     ) -> Result<()> {
+        let entries = Entries {
+            broker: orders.broker.clone(),
+            has_orders,
+        };
         let orders = source_watch::Options {
             name: OPERATOR,
             source: operators,
@@ -339,9 +345,7 @@
         let entries = source_watch::Options {
             name: DIRECTORY,
             source: registry,
-            sink: Entries {
-                broker: broker.clone(),
-            },
+            sink: entries,
             log: self.log.clone(),
         };
         self.kernel
--- a/cactusglade-daemon/src/edge/broker/inventory.rs
+++ b/cactusglade-daemon/src/edge/broker/inventory.rs
@@ -1,6 +1,7 @@
 //! What the capacity plan needs to know of the upstreams.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker::Grant;
@@ -21,8 +22,10 @@
 /// `Inventory` is the number of upstreams that can be sent requests.
 #[derive(Clone, Debug, Default, Reply)]
 pub struct Inventory {
-    /// Upstreams that are neither leaving nor removed, by service and zone.
+    /// Upstreams that are neither leaving nor removed, outside the evacuated zones, by service and zone.
     pub available: BTreeMap<String, BTreeMap<String, Zone>>,
+    /// Zones that the operators evacuate; their upstreams are not counted.
+    pub evacuated: BTreeSet<String>,
     /// Mean time that prompts recently waited at these upstreams in milliseconds, by service.
     pub delays: BTreeMap<String, f64>,
     /// Upstreams' worth of work that limited ones of these don't take, by service.
@@ -35,7 +38,11 @@
     #[allow(clippy::cast_precision_loss)]
     async fn handle(&mut self, _: Survey, _: &mut Context<Self, Inventory>) -> Inventory {
         let now = self.clock.now();
-        let mut inventory = Inventory::default();
+        let evacuated = self.policy.evacuated_zones().map(str::to_owned);
+        let mut inventory = Inventory {
+            evacuated: evacuated.collect(),
+            ..Inventory::default()
+        };
         let upstreams = self.policy.upstreams();
         for (_, upstream) in upstreams.filter(|(_, one)| one.is_available(now)) {
             let instance = &upstream.instance;
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -9,6 +9,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
@@ -27,6 +28,7 @@
 use slog::info;
 
 use super::Broker;
+use super::evacuation::Origin;
 use super::idle::Idle;
 use super::idle::MAX_IDLE_CONNECTIONS;
 
@@ -208,6 +210,8 @@
     pub suspicions: Vec<Suspicion>,
     /// Limits of upstreams that other daemons are to be told.
     pub limits: Vec<Limit>,
+    /// Evacuations of zones that other daemons are to be told.
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -414,6 +418,8 @@
 
     async fn handle(&mut self, meter: Meter, _: &mut Context<Self, Statistics>) -> Statistics {
         let now = self.clock.now();
+        let changes = self.policy.settle_evacuations(now);
+        self.follow_evacuations(&changes, Origin::Restoration);
         let judgements = self.policy.quarantine.judge(now);
         self.log_judgements(&judgements);
         let quarantine = &mut self.policy.quarantine;
@@ -425,6 +431,7 @@
             counts: self.windows.counts().clone(),
             sightings: self.policy.take_sightings(),
             limits: self.policy.take_limits(now),
+            evacuations: self.policy.take_evacuations(now),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -1,5 +1,6 @@
 //! Service that owns the choice of upstreams, the quotas, and the idle connections to upstreams.
 
+mod evacuation;
 mod evidence;
 mod idle;
 mod inventory;
@@ -31,6 +32,8 @@
 
 use idle::Idle;
 
+pub use evacuation::Evacuate;
+pub use evacuation::Origin;
 pub use evidence::Heed;
 pub use evidence::Proved;
 pub use inventory::Inventory;
--- a/cactusglade-daemon/src/edge/duty/capacity.rs
+++ b/cactusglade-daemon/src/edge/duty/capacity.rs
@@ -88,6 +88,7 @@
             load.measure(now, total, pressure, &zones);
             let impaired = inventory.impaired.get(&service.name).copied();
             load.plan.set_impaired(impaired.unwrap_or_default());
+            load.plan.set_evacuated(&inventory.evacuated);
             let was_held = load.plan.is_held();
             let due = load.plan.orders(now, scale, &zones);
             if load.plan.is_held() && !was_held {
@@ -95,6 +96,11 @@
                 info!(self.log, "capacity_held"; "service" => &service.name,
                     "withheld" => withheld);
             }
+            if !due.is_empty() && !inventory.evacuated.is_empty() {
+                let evacuated = inventory.evacuated.iter().map(String::as_str);
+                info!(self.log, "capacity_left_out"; "service" => &service.name,
+                    "zones" => evacuated.collect::<Vec<_>>().join(","));
+            }
             orders.extend(due.into_iter().map(|order| port::Capacity {
                 service: service.name.clone(),
                 zone: order.zone,
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -217,6 +217,7 @@
         self.send_sightings(now, &statistics.sightings).await;
         self.send_statements(now, &statistics.suspicions).await;
         self.send_statements(now, &statistics.limits).await;
+        self.send_evacuations(now, &statistics.evacuations).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -269,6 +270,10 @@
                 self.receive_limits(now, limits).await;
                 return;
             }
+            Datagram::Evacuations(evacuations) => {
+                self.receive_evacuations(evacuations).await;
+                return;
+            }
             Datagram::Version(version) => {
                 self.receive_version(now, version).await;
                 return;
--- a/cactusglade-daemon/src/edge/mesh/statements.rs
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -1,10 +1,12 @@
 //! Statements of daemons that are as old as they say: sent to the zone, and passed on between zones by
 //! the relays.
 
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::gossip::Datagram;
+use cactusglade_wire::gossip::Evacuations;
 use cactusglade_wire::gossip::Limits;
 use cactusglade_wire::gossip::Suspicions;
 
@@ -154,4 +156,33 @@
         // Fails only while the daemon stops.
         let _ = self.broker.tell(broker::Curb(entries)).await;
     }
+
+    /// Sends what this daemon knows of evacuated zones to its zone, and the relay also to the other
+    /// relays.
+    ///
+    /// A daemon that hears of a change states it itself, so that the relay has nothing to pass on
+    /// that it doesn't know.
+    pub(super) async fn send_evacuations(&self, now: Millis, own: &[Evacuation]) {
+        if own.is_empty() {
+            return;
+        }
+        let mut targets = self.roster.neighbours(now).collect::<Vec<_>>();
+        if self.roster.is_relay(now) {
+            targets.extend(self.roster.relays(now));
+        }
+        for part in Evacuations::split(own) {
+            let part = Datagram::Evacuations(part);
+            self.send(&part, targets.iter().copied()).await;
+        }
+    }
+
+    /// Passes what others know of evacuated zones on to the broker.
+    pub(super) async fn receive_evacuations(&mut self, received: Evacuations) {
+        let evacuate = broker::Evacuate {
+            statements: received.entries,
+            origin: broker::Origin::Daemon,
+        };
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(evacuate).await;
+    }
 }
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::port::Error;
 use cactusglade_wire::port::Order;
@@ -54,6 +55,10 @@
 /// within which a change must be in force.
 const BATCH_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest time for which the registry waits for the first read of the operators' orders. Other
+/// daemons state evacuations every 3 s, so that a daemon whose reads fail hears of them before.
+const MAX_ORDER_WAIT: Duration = Duration::from_millis(3_500);
+
 /// `Receipt` describes an answer of a source.
 #[derive(Clone, Copy, Debug)]
 pub struct Receipt {
@@ -251,6 +256,8 @@
     pub rollouts: watch::Sender<BTreeMap<String, Rollout>>,
     /// Publishes the era of the store after it was restored from a copy.
     pub eras: watch::Sender<u64>,
+    /// Publishes that the orders to evacuate zones have been read.
+    pub has_read: watch::Sender<bool>,
 }
 
 impl Sink<Order> for Orders {
@@ -258,6 +265,7 @@
         if receipt.is_restored {
             self.eras.send_replace(receipt.revision.era);
         }
+        let mut evacuations = Vec::new();
         for order in items {
             match order {
                 Order::Configure(draft) => {
@@ -273,14 +281,31 @@
                 }
                 Order::Rollout(rollout) => self.withhold(rollout).await,
                 Order::Withdrawn(service) => self.release(service).await,
+                Order::Evacuate(evacuation) => evacuations.push(evacuation),
             }
         }
+        if receipt.is_all || !evacuations.is_empty() {
+            self.evacuate(evacuations, receipt).await;
+        }
     }
 
     async fn set_unreachable(&mut self, _: bool) {}
 }
 
 impl Orders {
+    /// Passes on the orders to evacuate zones.
+    async fn evacuate(&mut self, statements: Vec<Evacuation>, receipt: Receipt) {
+        let origin = if receipt.is_all {
+            broker::Origin::Read(receipt.revision)
+        } else {
+            broker::Origin::Feed
+        };
+        let evacuate = broker::Evacuate { statements, origin };
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(evacuate).await;
+        self.has_read.send_replace(true);
+    }
+
     /// Excludes the version that a rollout leads to from requests; the holder of the duties rolls
     /// the rollout back.
     async fn withhold(&mut self, rollout: Rollout) {
@@ -312,10 +337,15 @@
 pub struct Entries {
     /// Broker, which chooses among the upstreams.
     pub broker: ActorRef<Broker>,
+    /// Whether the orders to evacuate zones have been read.
+    pub has_orders: watch::Receiver<bool>,
 }
 
 impl Sink<Change> for Entries {
     async fn apply(&mut self, changes: Vec<Change>, receipt: Receipt) {
+        // Without the orders the daemon would send requests to upstreams of evacuated zones.
+        let has_orders = self.has_orders.wait_for(|has_read| *has_read);
+        let _ = tokio::time::timeout(MAX_ORDER_WAIT, has_orders).await;
         let apply = broker::Apply {
             changes,
             is_all: receipt.is_all,
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -63,6 +63,8 @@
     pub failed_fetches: IntCounter,
     /// Active generation.
     pub generation: IntGauge,
+    /// Availability zones that the operators evacuate.
+    pub evacuated: IntGauge,
     /// Times at which another daemon stated a newer configuration than this one has.
     pub behind: IntCounter,
     /// Open connections of callers.
@@ -127,6 +129,7 @@
             failed_fetches: counter("cactusglade_failed_fetches_total", "Fetches that failed")?,
             refused_sets: counter("cactusglade_refused_sets_total", "Object sets refused")?,
             generation: gauge("cactusglade_generation", "Generation in force")?,
+            evacuated: gauge("cactusglade_zones_evacuated", "Evacuated zones")?,
             behind: counter(
                 "cactusglade_configuration_behind_total",
                 "Times at which another daemon had a newer configuration",
--- a/cactusglade-policy/src/broker/limits.rs
+++ b/cactusglade-policy/src/broker/limits.rs
@@ -81,12 +81,17 @@
         let untried = keys.filter(|key| !query.tried.contains(key));
         let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
         let withheld = self.withheld_version(now, service);
-        let available = upstreams.filter(|one| {
-            one.is_available(now) && withheld.is_none_or(|version| one.instance.version != version)
+        let registered = upstreams.filter(|one| {
+            one.is_registered(now) && withheld.is_none_or(|version| one.instance.version != version)
         });
+        let registered = registered.collect::<Vec<_>>();
+        if registered.is_empty() {
+            return Kind::NoUpstream.into();
+        }
+        let available = registered.iter().filter(|one| one.is_available(now));
         let available = available.collect::<Vec<_>>();
         if available.is_empty() {
-            return Kind::NoUpstream.into();
+            return Kind::Evacuated.into();
         }
         // They take no request now, or one of them would have been chosen.
         let openings = available.iter().filter_map(|one| {
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
 mod candidates;
+mod evacuation;
 mod limits;
 mod quotas;
 mod registry;
@@ -28,6 +29,7 @@
 use crate::affinity;
 use crate::budget;
 use crate::budget::Budget;
+use crate::evacuation::Register;
 use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
@@ -148,6 +150,8 @@
     unshared_limits: BTreeSet<arena::Upstream>,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
+    /// Zones that the operators evacuate.
+    evacuations: Register,
     /// Hash of this daemon's name.
     own: u32,
     budgets: BTreeMap<arena::Service, Budget>,
@@ -186,6 +190,7 @@
             sightings: BTreeMap::new(),
             unshared_limits: BTreeSet::new(),
             quarantine: Quarantine::default(),
+            evacuations: Register::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -98,6 +98,7 @@
             || Upstream::new(instance.clone()),
         );
         let upstream = self.upstreams.get_mut(key)?;
+        upstream.is_evacuated = self.evacuations.is_evacuated(&instance.zone);
         upstream.instance = instance;
         upstream.removal = None;
         if leaves && upstream.leaving.is_none() {
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -39,6 +39,8 @@
     pub leaving: Option<Millis>,
     /// When the upstream counts as removed, unless its entry is renewed before.
     pub removal: Option<Millis>,
+    /// Whether the operators evacuate its zone.
+    pub is_evacuated: bool,
     /// Until when the upstream wants no requests from this daemon.
     pub spared_until: Millis,
     /// Limit that the upstream has stated, and this daemon's share of it.
@@ -72,6 +74,7 @@
             instance,
             leaving: None,
             removal: None,
+            is_evacuated: false,
             spared_until: Millis(0),
             throttle: Throttle::default(),
             backoff: Backoff::default(),
@@ -93,6 +96,12 @@
     /// Returns whether new requests may be sent to the upstream.
     #[must_use]
     pub fn is_available(&self, now: Millis) -> bool {
+        !self.is_evacuated && self.is_registered(now)
+    }
+
+    /// Returns whether the upstream is neither leaving nor removed.
+    #[must_use]
+    pub fn is_registered(&self, now: Millis) -> bool {
         self.leaving.is_none() && self.removal.is_none_or(|until| now < until)
     }
 
--- a/cactusglade-policy/src/capacity/mod.rs
+++ b/cactusglade-policy/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 //! those of the zones that may be reclaimed next, don't meet the need. See `docs/PLATFORM.md`.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cactusglade_core::catalog::Scale;
 use cactusglade_core::units::Millis;
@@ -111,6 +112,8 @@
     reclaimed: Option<Millis>,
     /// Number of reclaimable upstreams at the last call.
     reclaimable: u64,
+    /// Zones that the operators evacuate, where nothing counts and nothing is ordered.
+    evacuated: BTreeSet<String>,
     /// Since when there have been upstreams of a withheld version.
     held: Option<Millis>,
     ordered: BTreeMap<(String, bool), Ordered>,
@@ -154,6 +157,15 @@
         }
     }
 
+    /// Sets the zones that the operators evacuate.
+    pub fn set_evacuated(&mut self, zones: &BTreeSet<String>) {
+        if self.evacuated != *zones {
+            self.evacuated.clone_from(zones);
+            // Upstreams that count no more, or again, are neither reclaimed nor new.
+            self.reclaimable = 0;
+        }
+    }
+
     /// Returns the number of upstreams that are needed.
     #[must_use]
     pub const fn need(&self) -> f64 {
@@ -184,11 +196,17 @@
         {
             return Vec::new();
         }
+        let all_zones = zones;
+        let open = zones
+            .iter()
+            .filter(|(zone, _)| !self.evacuated.contains(*zone));
+        let open = open.map(|(zone, count)| (zone.clone(), *count));
+        let zones = &open.collect::<BTreeMap<_, _>>();
         if self.hold(now, zones) {
             return Vec::new();
         }
         self.detect_reclaim(now, zones);
-        let targets = self.targets(now, scale, zones);
+        let targets = self.targets(now, scale, zones, all_zones);
         let reorder_after = scale.boot_time + REORDER_DELAY;
         let mut orders = Vec::new();
         for (zone, existing) in zones {
@@ -241,6 +259,10 @@
         self.reclaimable = count;
     }
 
+    /// Returns the numbers of upstreams that the zones should have.
+    ///
+    /// Those that each zone has at all times are the same while some of `all_zones` are evacuated; the rest of
+    /// the need is covered by on-demand ones in the others, as after a reclaim.
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
@@ -251,14 +273,17 @@
         now: Millis,
         scale: &Scale,
         zones: &BTreeMap<String, Zone>,
+        all_zones: &BTreeMap<String, Zone>,
     ) -> BTreeMap<String, Zone> {
-        let remaining_zones = zones.len().saturating_sub(TOLERATED_ZONE_LOSSES).max(1) as f64;
-        let all_zones = zones.len().max(1) as f64;
+        let lasting_zones = all_zones.len().saturating_sub(TOLERATED_ZONE_LOSSES);
+        let remaining_zones = lasting_zones.max(1) as f64;
+        let evacuated_zones = all_zones.len() - zones.len();
+        let zone_count = all_zones.len().max(1) as f64;
         let can_reclaim = scale.spot_price.is_some();
         let reclaimable_per_zone = if can_reclaim {
-            let per_need = (1.0 / remaining_zones).max(MIN_RECLAIMABLE_PER_NEED / all_zones);
+            let per_need = (1.0 / remaining_zones).max(MIN_RECLAIMABLE_PER_NEED / zone_count);
             // What limited upstreams don't take uses up the surplus first.
-            let least = (self.planned_need + self.impaired) / all_zones;
+            let least = (self.planned_need + self.impaired) / zone_count;
             (self.planned_need * per_need).max(least).ceil()
         } else {
             0.0
@@ -268,13 +293,13 @@
         reclaimable.sort_unstable();
         // Further zones may be reclaimed before replacements have booted.
         if self.reclaimed.is_some_and(|at| now - at < RECLAIM_WAVE) {
-            reclaimable.truncate(zones.len().saturating_sub(TOLERATED_ZONE_LOSSES));
+            reclaimable.truncate(lasting_zones.saturating_sub(evacuated_zones));
         }
         let lasting = reclaimable.iter().sum::<u64>() as f64;
         let base = (self.planned_need * ON_DEMAND_SHARE).max(MIN_ON_DEMAND);
         let on_demand = base.max(self.planned_need - lasting).ceil() as u64;
         let wanted = (reclaimable_per_zone as u64).min(scale.max);
-        let base_by_zone = distribute(base.ceil() as u64, scale, zones, |_| scale.max);
+        let base_by_zone = distribute(base.ceil() as u64, scale, all_zones, |_| scale.max);
         // Beyond the base, on-demand upstreams don't take the places of reclaimable ones that serve:
         // these would be gone at once, and their replacements have to boot.
         let room = |zone: &String| {
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -16,7 +16,9 @@
 use cactusglade_core::catalog::Semantics;
 use cactusglade_core::catalog::Service;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::errors::Ran;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::fleet::Instance;
 use cactusglade_core::fleet::Phase;
 use cactusglade_core::fleet::Sighting;
@@ -407,3 +409,56 @@
         "one registered again, one did not"
     );
 }
+
+fn order(zone: &str, number: u64, is_ordered: bool) -> Evacuation {
+    Evacuation {
+        zone: zone.to_owned(),
+        revision: number.into(),
+        is_ordered,
+    }
+}
+
+fn put_in(name: &str, zone: &str) -> Change {
+    Change::Put(Box::new(Instance {
+        zone: zone.to_owned(),
+        ..instance(name, 1, Phase::Ready)
+    }))
+}
+
+/// Requests went on into a zone that was about to lose its power: first attempts, retries, and
+/// requests for upstreams that registered there meanwhile.
+#[test]
+fn an_evacuated_zone_gets_neither_first_attempts_nor_retries() {
+    let mut fixture = set_up(&["x"]);
+    fixture.broker.apply(Millis(0), [put_in("y", "b")]);
+    let changes = fixture
+        .broker
+        .learn_evacuations(Millis(5), &[order("a", 1, true)]);
+    assert_eq!(changes, [order("a", 1, true)]);
+    fixture.broker.apply(Millis(6), [put_in("z", "a")]);
+    for at in 10..30 {
+        assert_eq!(fixture.place(at, &[]), Ok("y".to_owned()));
+    }
+    let tried = [fixture.key("y")];
+    assert_eq!(fixture.place(40, &tried), Err(Kind::Evacuated));
+    fixture
+        .broker
+        .learn_evacuations(Millis(50), &[order("a", 2, false)]);
+    assert!(fixture.place(60, &tried).is_ok(), "the evacuation is over");
+}
+
+/// Where all zones are evacuated, callers waited or were told that their requests may have run.
+#[test]
+fn a_request_is_refused_truthfully_where_all_zones_are_evacuated() {
+    let mut fixture = set_up(&["x"]);
+    fixture.broker.apply(Millis(0), [put_in("y", "b")]);
+    let orders = [order("a", 1, true), order("b", 1, true)];
+    fixture
+        .broker
+        .read_evacuations(Millis(5), 1.into(), &orders);
+    assert_eq!(fixture.place(10, &[]), Err(Kind::Evacuated));
+    let answer = Kind::Evacuated.answer();
+    assert_eq!((answer.status, answer.ran), (503, Ran::No));
+    fixture.broker.read_evacuations(Millis(20), 2.into(), &[]);
+    assert!(fixture.place(30, &[]).is_ok());
+}
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -284,3 +284,43 @@
     assert_eq!(ordered(5_500, 11.0), limited, "a small change");
     assert_eq!(ordered(6_000, 0.0), before);
 }
+
+/// Upstreams that get no requests counted as capacity, so that the need was not met, and their
+/// disappearance from the count was taken for a wave of reclaims.
+#[test]
+fn an_evacuated_zone_counts_for_nothing_and_the_need_is_covered_elsewhere() {
+    let mut existing = zones(0, 6);
+    let mut plan = observed_plan(&existing);
+    let at = |second: u64| Millis(4_000 + second * 1_000);
+    let orders = plan.orders(at(0), &scale(), &existing);
+    carry_out(&mut existing, &orders);
+    plan.orders(at(1), &scale(), &existing);
+    let before = existing.clone();
+    let evacuated = ["a", "b", "c"].map(str::to_owned);
+    plan.set_evacuated(&evacuated.iter().cloned().collect());
+    for zone in &evacuated {
+        existing.insert(zone.clone(), Zone::default());
+    }
+    for second in 2..9 {
+        let orders = plan.orders(at(second), &scale(), &existing);
+        let is_open = orders.iter().all(|order| order.zone == "d");
+        assert!(is_open, "{orders:?}");
+        carry_out(&mut existing, &orders);
+    }
+    let open = existing["d"];
+    assert_eq!(open.on_demand + open.reclaimable, scale().max, "{open:?}");
+    assert_eq!(open.reclaimable, before["d"].reclaimable, "it serves");
+    // One zone less is covered by what the others have.
+    let mut existing = before.clone();
+    let mut plan = observed_plan(&existing);
+    plan.orders(at(0), &scale(), &existing);
+    plan.set_evacuated(&["a".to_owned()].into_iter().collect());
+    existing.insert("a".to_owned(), Zone::default());
+    let orders = plan.orders(at(1), &scale(), &existing);
+    let reclaimable = orders.iter().filter(|order| order.reclaimable);
+    assert_eq!(
+        reclaimable.count(),
+        0,
+        "the same number per zone: {orders:?}"
+    );
+}
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -9,6 +9,7 @@
 
 use bincode::Options;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
@@ -207,6 +208,30 @@
     }
 }
 
+/// `Evacuations` is what a daemon knows of the availability zones that are evacuated.
+///
+/// Daemons that have heard of a change state it themselves, so these are not forwarded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuations {
+    /// One entry for each zone.
+    pub entries: Vec<Evacuation>,
+}
+
+/// Evacuations in one datagram. Names of zones are a few bytes long; each entry has at most a
+/// hundred bytes where they have eighty.
+const EVACUATIONS_PER_PART: usize = 12;
+
+impl Evacuations {
+    /// Splits statements into parts that each fit a datagram.
+    #[must_use]
+    pub fn split(entries: &[Evacuation]) -> Vec<Self> {
+        let parts = entries.chunks(EVACUATIONS_PER_PART).map(|entries| Self {
+            entries: entries.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Version` states the newest configuration that is known to be in force at a daemon.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Version {
@@ -237,6 +262,8 @@
     Suspicions(Suspicions),
     /// Sent between daemons of one zone, and between relays.
     Limits(Limits),
+    /// Sent between daemons of one zone, and between relays.
+    Evacuations(Evacuations),
 }
 
 impl Datagram {
--- a/cactusglade-wire/src/port/mod.rs
+++ b/cactusglade-wire/src/port/mod.rs
@@ -11,6 +11,7 @@
 
 use cactusglade_core::catalog::Draft;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::units::Millis;
 
 pub use cactusglade_core::revision::Revision;
@@ -82,6 +83,8 @@
     Rollout(Rollout),
     /// Withdraw the rollout of the service with this name.
     Withdrawn(String),
+    /// Evacuate an availability zone, or end its evacuation.
+    Evacuate(Evacuation),
 }
 
 /// `Rollout` is an instruction to move the traffic of a service to a version.
