--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -9,6 +9,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Change;
+use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Prefill;
@@ -30,6 +31,7 @@
 use slog::info;
 
 use super::Broker;
+use super::evacuation::Origin;
 use super::idle::Idle;
 use super::idle::MAX_IDLE_CONNECTIONS;
 
@@ -218,6 +220,8 @@
     pub paces: Vec<Pace>,
     /// Long prompts that other daemons are to be told of.
     pub prefills: Vec<Prefill>,
+    /// Evacuations of zones that other daemons are to be told.
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -427,6 +431,8 @@
 
     async fn handle(&mut self, meter: Meter, _: &mut Context<Self, Statistics>) -> Statistics {
         let now = self.clock.now();
+        let changes = self.policy.settle_evacuations(now);
+        self.follow_evacuations(&changes, Origin::Restoration);
         let judgements = self.policy.quarantine.judge(now);
         self.log_judgements(&judgements);
         self.policy.check_cold(now);
@@ -442,6 +448,7 @@
             limits: self.policy.take_limits(now),
             paces: self.policy.take_paces(now),
             prefills: self.policy.take_prefills(now),
+            evacuations: self.policy.take_evacuations(now),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -225,6 +225,7 @@
         self.send_statements(now, &statistics.limits).await;
         self.send_statements(now, &statistics.paces).await;
         self.send_statements(now, &statistics.prefills).await;
+        self.send_evacuations(now, &statistics.evacuations).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -286,6 +287,10 @@
                 self.receive_paces(now, paces).await;
                 return;
             }
+            Datagram::Evacuations(evacuations) => {
+                self.receive_evacuations(evacuations).await;
+                return;
+            }
             Datagram::Version(version) => {
                 self.receive_version(now, version).await;
                 return;
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
 mod candidates;
+mod evacuation;
 mod limits;
 mod paces;
 mod prefills;
@@ -31,6 +32,7 @@
 use crate::affinity;
 use crate::budget;
 use crate::budget::Budget;
+use crate::evacuation::Register;
 use crate::pace;
 use crate::pace::Allowance;
 use crate::pace::Speed;
@@ -204,6 +206,8 @@
     prefill_allowance: prefill::Allowance,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
+    /// Zones that the operators evacuate.
+    evacuations: Register,
     /// Hash of this daemon's name.
     own: u32,
     budgets: BTreeMap<arena::Service, Budget>,
@@ -255,6 +259,7 @@
             unshared_prefills: Vec::new(),
             prefill_allowance: prefill::Allowance::default(),
             quarantine: Quarantine::default(),
+            evacuations: Register::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -100,6 +100,7 @@
             || Upstream::new(instance.clone()),
         );
         let upstream = self.upstreams.get_mut(key)?;
+        upstream.is_evacuated = self.evacuations.is_evacuated(&instance.zone);
         upstream.instance = instance;
         upstream.removal = None;
         self.chill(now, key, cold_left, Origin::Registry);
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`lag`], [`pace`], [`prefill`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`],
-//! [`usage`] and [`warmup`]; the dispatch for the daemon's own gate, together with [`choice`],
+//! [`evacuation`], [`lag`], [`pace`], [`prefill`], [`quarantine`], [`quota`], [`relay`], [`roster`],
+//! [`throttle`], [`usage`] and [`warmup`]; the dispatch for the daemon's own gate, together with [`choice`],
 //! [`fair`], [`gossip`], [`ledger`],
 //! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
@@ -18,6 +18,7 @@
 pub mod capacity;
 pub mod choice;
 pub mod dispatch;
+pub mod evacuation;
 pub mod fair;
 pub mod gossip;
 pub mod lag;
