Rank several upstreams for a session of a latency-critical service

A session had one preferred upstream. One that needs more than an engine can read piled up there before it went to engines at random, and an engine that appeared got all its sessions at once, with nothing cached.

For latency-critical services each daemon now estimates what a session needs, from its own requests and the number of daemons, and compares two at random of as many ranked upstreams. Other sessions compare their first three. Sessions whose upstream is still there move to a new one over 20 s; those whose upstream has left begin there at once. Parts that sessions share count as cached at upstreams that have served for 5 s.

The model has engines that are reclaimed and replaced, prompts of uneven length, the share of shared tokens found of those that some engine had, and two other rules for comparison.

--- a/cactusglade-model/src/engine/mod.rs
+++ b/cactusglade-model/src/engine/mod.rs
@@ -93,7 +93,9 @@
         }
     }
 
-    fn cached(&self, parts: &[Part]) -> u64 {
+    /// Returns the tokens at the head of a prompt that the cache holds.
+    #[must_use]
+    pub fn cached(&self, parts: &[Part]) -> u64 {
         let known = parts
             .iter()
             .take_while(|part| self.cache.contains_key(&part.id));
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Plays callers, daemons and engines against each other.
 
+mod churn;
+mod rule;
 mod setup;
 
 use std::collections::BTreeMap;
@@ -24,6 +26,9 @@
 use crate::load::Arrival;
 use crate::load::Class;
 
+pub use churn::Churn;
+pub use rule::Rule;
+
 /// Time after which a daemon gives up a request that it sent on a kept connection to an engine that
 /// does not answer, as a multiple of the latency target.
 const LOSS_TARGETS: f64 = 2.0;
@@ -71,6 +76,12 @@
     pub gossip_ms: Option<(f64, f64)>,
     /// Engines that stop answering, and when.
     pub dark: Option<(usize, f64)>,
+    /// Engines that are reclaimed and replaced.
+    pub churn: Option<Churn>,
+    /// Latency target up to which the service counts as latency-critical; the route's is 1,000 ms.
+    pub tight_target: Option<Millis>,
+    /// How engines are selected.
+    pub rule: Rule,
 }
 
 /// `Outcome` counts the requests of one class.
@@ -95,7 +106,11 @@
     pub prompt_tokens: u64,
     /// Prompt tokens that engines had cached.
     pub cached_tokens: u64,
-    /// Requests at the busiest engine over the mean.
+    /// Shared prompt tokens that the selected engines had cached.
+    pub shared_found: u64,
+    /// Shared prompt tokens that the best engine for each request had cached.
+    pub shared_possible: u64,
+    /// Requests per second at the busiest engine over the mean of all engines.
     pub imbalance: f64,
     /// Attempts at engines that did not answer.
     pub losses: u64,
@@ -130,6 +145,13 @@
     pub fn cached_share(&self) -> f64 {
         self.cached_tokens as f64 / self.prompt_tokens.max(1) as f64
     }
+
+    /// Returns the share of the shared tokens found cached, among those that some engine had cached.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn found_share(&self) -> f64 {
+        self.shared_found as f64 / self.shared_possible.max(1) as f64
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -156,6 +178,15 @@
     Deliver(Vec<(usize, Sighting)>),
     GoDark(usize),
     Remove(usize),
+    /// All engines of a zone are reclaimed.
+    Reclaim(usize),
+    /// Replacements of reclaimed engines are ready.
+    Replace(Vec<usize>),
+    /// A daemon learns of changes of the registry.
+    Learn {
+        daemon: usize,
+        changes: Vec<Change>,
+    },
 }
 
 /// Plays a run with the daemons' own strategy.
@@ -172,10 +203,14 @@
     route: arena::Route,
     brokers: Vec<Broker<R>>,
     engines: Vec<Engine>,
+    /// When each engine was ready, and when it was reclaimed.
+    lives: Vec<(f64, Option<f64>)>,
     requests: Vec<Arrival>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     random: StdRng,
+    /// Random numbers of reclaims, apart so that a run without them stays the same.
+    churn_random: StdRng,
     summary: Summary,
 }
 
@@ -210,15 +245,14 @@
                 self.schedule(at + REGISTRY_DELAY_MS, Event::Remove(engine));
             }
         }
+        self.schedule_reclaims();
         while let Some(((at, _), event)) = self.events.pop_first() {
             self.handle(at as f64 / 1_000.0, event);
         }
         for outcome in self.summary.classes.values_mut() {
             outcome.latencies.sort_by(f64::total_cmp);
         }
-        let accepted = self.engines.iter().map(|engine| engine.accepted);
-        let mean = accepted.clone().sum::<u64>() as f64 / self.engines.len().max(1) as f64;
-        self.summary.imbalance = accepted.max().unwrap_or_default() as f64 / mean.max(1.0);
+        self.summary.imbalance = self.imbalance();
         self.summary
     }
 
@@ -264,6 +298,13 @@
                     }
                 }
             }
+            Event::Reclaim(zone) => self.reclaim(now, zone),
+            Event::Replace(engines) => self.replace(now, engines),
+            Event::Learn { daemon, changes } => {
+                let broker = &mut self.brokers[daemon];
+                broker.apply(millis(now), changes);
+                broker.remove_expired(millis(now));
+            }
             Event::GoDark(engine) => self.engines[engine].is_dark = true,
             Event::Remove(engine) => {
                 let name = setup::engine_name(engine);
@@ -318,12 +359,13 @@
         let options = self.options;
         let class = &options.classes[arrival.class];
         let is_counted = arrival.at >= self.options.warm_up_ms;
+        let excluded = self.excluded(now, daemon, &arrival.prompt, &tried);
         let outcome = self.summary.classes.entry(class.name.clone()).or_default();
         outcome.asked += u64::from(is_counted && tried.is_empty());
         let query = Query {
             route: self.route,
             prompt: Some(&arrival.prompt),
-            tried: &tried,
+            tried: &excluded,
             is_retry: !tried.is_empty(),
             draw: self.random.random(),
         };
@@ -366,7 +408,12 @@
         let options = self.options;
         let arrival = &self.requests[request];
         let class = &options.classes[arrival.class];
+        let shared = arrival.prompt.shared();
+        let engines = self.engines.iter().zip(&self.lives);
+        let live = engines.filter(|(engine, (_, end))| !engine.is_dark && end.is_none());
+        let possible = live.map(|(engine, _)| engine.cached(shared)).max();
         let engine = &mut self.engines[engine];
+        let found = engine.cached(shared);
         let load = engine.load(now);
         let run = engine.accept(now, &arrival.prompt.parts, class.answer_tokens);
         if arrival.at >= options.warm_up_ms {
@@ -376,6 +423,8 @@
             outcome.on_time += u64::from(latency <= class.target_ms);
             self.summary.prompt_tokens += arrival.prompt.input_tokens;
             self.summary.cached_tokens += run.cached;
+            self.summary.shared_found += found;
+            self.summary.shared_possible += possible.unwrap_or_default().max(found);
         }
         let first_token = Event::FirstToken {
             daemon,
@@ -398,10 +447,12 @@
             route,
             brokers,
             engines: vec![Engine::new(options.profile); options.engines],
+            lives: vec![(0.0, None); options.engines],
             requests,
             events: BTreeMap::new(),
             sequence: 0,
             random,
+            churn_random: StdRng::seed_from_u64(options.seed + 1),
             summary: Summary::default(),
         })
     }
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -76,6 +76,25 @@
     ))
 }
 
+fn zone(options: &Options, index: usize) -> String {
+    format!("zone-{}", index % options.zones.max(1))
+}
+
+/// Returns the registry entry of an engine.
+pub fn entry(options: &Options, index: usize) -> Change {
+    Change::Put(Box::new(Instance {
+        name: engine_name(index),
+        started_unix_ms: 1,
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone(options, index),
+        version: "v1".to_owned(),
+        slots: options.profile.slots as u64,
+        phase: Phase::Ready,
+        reclaimable: false,
+    }))
+}
+
 /// Returns one broker for each daemon, all with the same catalog and registry.
 pub fn brokers<R: Strategy>(
     options: &Options,
@@ -84,25 +103,12 @@
     let catalog = catalog()?;
     let route = catalog.routes.find(ROUTE);
     let route = route.ok_or_else(|| Error::Catalog("it has no route".to_owned()))?;
-    let zone = |index: usize| format!("zone-{}", index % options.zones.max(1));
-    let instances = (0..options.engines).map(|index| {
-        Change::Put(Box::new(Instance {
-            name: engine_name(index),
-            started_unix_ms: 1,
-            service: SERVICE.to_owned(),
-            address: ([127, 0, 0, 1], 1).into(),
-            zone: zone(index),
-            version: "v1".to_owned(),
-            slots: options.profile.slots as u64,
-            phase: Phase::Ready,
-            reclaimable: false,
-        }))
-    });
+    let instances = (0..options.engines).map(|index| entry(options, index));
     let instances = instances.collect::<Vec<_>>();
     let brokers = (0..options.daemons).map(|index| {
         let policy = broker::Options {
             name: format!("daemon-{index}"),
-            zone: zone(index),
+            zone: zone(options, index),
             retries: Bounds {
                 ratio: 0.2,
                 window: Millis(10_000),
@@ -114,7 +120,7 @@
                 slack: 0.0,
                 detection: DETECTION_TIME,
             },
-            tight_target: None,
+            tight_target: options.tight_target,
         };
         let mut broker = Broker::new(policy, strategy());
         broker.adopt(Millis(0), catalog.clone());
--- a/cactusglade-model/src/load/mod.rs
+++ b/cactusglade-model/src/load/mod.rs
@@ -8,6 +8,10 @@
 /// Identifiers that are left for the parts of one class.
 const CLASS_STRIDE: u64 = 1 << 40;
 
+/// Most own tokens of a prompt, as a multiple of their mean: 54,600 prompt tokens at a mean of 6,610
+/// own and 5,382 shared ones.
+const MAX_OWN_RATIO: f64 = 7.4;
+
 /// `Class` is a kind of request.
 #[derive(Clone, Debug)]
 pub struct Class {
@@ -19,8 +23,10 @@
     pub common_tokens: u64,
     /// Tokens that the requests of one session share.
     pub session_tokens: u64,
-    /// Tokens of the request alone.
+    /// Tokens of the request alone, on average.
     pub own_tokens: u64,
+    /// Spread of the request's own tokens: sigma of their logarithm, zero if all are alike.
+    pub own_sigma: f64,
     /// Number of sessions.
     pub sessions: u64,
     /// Share of the requests that belong to one session.
@@ -43,21 +49,41 @@
 }
 
 impl Class {
+    /// Returns the own tokens of a request: log-normal, so that few requests are many times as long
+    /// as the mean.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    fn draw_own_tokens(&self, random: &mut StdRng) -> u64 {
+        if self.own_sigma <= 0.0 {
+            return self.own_tokens;
+        }
+        // The Box-Muller transform of two even draws is a normal one.
+        let radius = (-2.0 * random.random_range(f64::EPSILON..1.0).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * random.random::<f64>()).cos();
+        let sigma = self.own_sigma;
+        let ratio = (sigma.mul_add(normal, -sigma * sigma / 2.0)).exp();
+        (self.own_tokens as f64 * ratio.min(MAX_OWN_RATIO)) as u64
+    }
+
     fn prompt(&self, number: u64, class: u64, random: &mut StdRng) -> Prompt {
         let session = if random.random_bool(self.hot_share) {
             0
         } else {
             random.random_range(0..self.sessions)
         };
+        let own_tokens = self.draw_own_tokens(random);
         let base = CLASS_STRIDE * (class + 1);
         let part = |id, tokens| Part { id, tokens };
         Prompt {
-            input_tokens: self.common_tokens + self.session_tokens + self.own_tokens,
+            input_tokens: self.common_tokens + self.session_tokens + own_tokens,
             max_output_tokens: self.answer_tokens,
             parts: vec![
                 part(base, self.common_tokens),
                 part(base + 1 + session, self.session_tokens),
-                part(base + self.sessions + 1 + number, self.own_tokens),
+                part(base + self.sessions + 1 + number, own_tokens),
             ],
         }
     }
--- a/cactusglade-model/tests/choice.rs
+++ b/cactusglade-model/tests/choice.rs
@@ -4,6 +4,7 @@
 use cactusglade_model::engine::Profile;
 use cactusglade_model::fleet;
 use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Rule;
 use cactusglade_model::fleet::Summary;
 use cactusglade_model::load::Class;
 
@@ -18,6 +19,7 @@
         session_tokens: 4_870,
         own_tokens: 6_610,
         sessions: 823,
+        own_sigma: 0.0,
         hot_share: 0.0,
         answer_tokens: 384,
         target_ms: 1_000.0,
@@ -31,6 +33,7 @@
         session_tokens: 79,
         own_tokens: 628,
         sessions: 524,
+        own_sigma: 0.0,
         hot_share: 0.0,
         answer_tokens: 294,
         target_ms: 1_000.0,
@@ -44,6 +47,7 @@
         session_tokens: 227,
         own_tokens: 1_800,
         sessions: 974,
+        own_sigma: 0.0,
         hot_share: 0.0,
         answer_tokens: 24,
         target_ms: 1_500.0,
@@ -66,6 +70,9 @@
         warm_up_ms: 6_000.0,
         gossip_ms,
         dark: None,
+        churn: None,
+        tight_target: None,
+        rule: Rule::Product,
     }
 }
 
@@ -153,6 +160,7 @@
         session_tokens,
         own_tokens,
         sessions: 40,
+        own_sigma: 0.0,
         hot_share: 0.0,
         answer_tokens,
         target_ms,
@@ -176,6 +184,9 @@
         warm_up_ms: 6_000.0,
         gossip_ms: Some((100.0, 150.0)),
         dark: None,
+        churn: None,
+        tight_target: None,
+        rule: Rule::Product,
     }
 }
 
--- a/cactusglade-policy/src/affinity/mod.rs
+++ b/cactusglade-policy/src/affinity/mod.rs
@@ -1,19 +1,30 @@
 //! Estimates which upstreams have the head of a prompt in their cache.
 //!
 //! There are two sources: the requests that this daemon has sent, and rendezvous hashing of the
-//! session, by which daemons without communication send a session's requests to one upstream.
+//! session, by which daemons without communication send a session's requests to one upstream, or to
+//! as many as it needs. See `docs/design/affinity.md`.
+
+mod demand;
+mod ranks;
 
 use std::collections::BTreeMap;
 
 use cactusglade_core::call::Part;
+use cactusglade_core::call::Prompt;
 use cactusglade_core::units::Millis;
 
+pub use demand::Demand;
+pub use ranks::Ranks;
+
 /// Maximum number of parts remembered per upstream; a few hundred sessions share all upstreams.
 const MAX_PARTS: usize = 256;
 /// Time after its last use for which a part is assumed cached. Engines evict the least recently
 /// used parts, and the platform charges for reading a part again only within ten seconds.
 const CACHE_LIFETIME: Millis = Millis(30_000);
 
+/// Probability that an upstream that has served for a while has the parts that sessions share.
+const COMMON_SHARE: f64 = 0.95;
+
 /// `Cache` holds the prompt parts that were recently sent to one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
@@ -45,6 +56,27 @@
     }
 }
 
+/// Returns the tokens of a prompt that an upstream is assumed to have cached.
+///
+/// `share` is the probability that it has the session's part. An upstream that `has_served` other
+/// sessions for a while has the parts before it, which these share.
+#[must_use]
+#[allow(clippy::cast_precision_loss)]
+pub fn assumed(prompt: &Prompt, share: f64, has_served: bool) -> f64 {
+    let tokens = |parts: &[Part]| parts.iter().map(|part| part.tokens).sum::<u64>() as f64;
+    let common = prompt
+        .shared()
+        .split_last()
+        .map_or(&[][..], |(_, common)| common);
+    let common_share = if has_served {
+        share.max(COMMON_SHARE)
+    } else {
+        share
+    };
+    let common = tokens(common);
+    common * common_share + (tokens(prompt.shared()) - common) * share
+}
+
 /// Returns the rendezvous weight of an upstream for a session.
 ///
 /// The upstream with the greatest weight is the session's preferred one.
--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -6,14 +6,19 @@
 
 use super::Broker;
 use super::Candidate;
+use super::PREFILL_TOKENS_PER_MS;
 use super::Query;
 use super::Strategy;
 use super::Upstream;
 use super::sample;
 use crate::affinity;
+use crate::affinity::Ranks;
 
-/// Share of a session's shared tokens that its preferred upstream is assumed to have cached.
-const ASSUMED_CACHED_SHARE: f64 = 0.95;
+/// Share of an engine's time that the own tokens of one session's prompts may take. A session that
+/// needs more has several upstreams.
+const SESSION_SHARE: f64 = 0.3;
+/// Time after which an upstream has served requests of most routes.
+const SERVED: Millis = Millis(5_000);
 
 impl<R: Strategy> Broker<R> {
     /// Returns a sample of the upstreams that may serve the request, and the number of all of them.
@@ -23,6 +28,7 @@
         &self,
         now: Millis,
         service: &str,
+        is_tight: bool,
         query: &Query<'_>,
     ) -> (Vec<Candidate>, usize) {
         let keys = self.services.get(service).map(Vec::as_slice);
@@ -37,10 +43,16 @@
         let available = keys.unwrap_or_default().iter().filter_map(available);
         let mut available = available.collect::<Vec<_>>();
         let session = query.prompt.and_then(Prompt::session);
-        let preferred = session.and_then(|session| {
-            let weight = |upstream: &Upstream| affinity::weight(session, upstream.hash);
-            let keys = available.iter().map(|(key, one)| (weight(one), *key));
-            keys.max().map(|(_, key)| key)
+        let compared = session.map_or_else(Vec::new, |session| {
+            if !is_tight {
+                let mut ranks = Ranks::new(session, 1);
+                for (key, upstream) in &available {
+                    ranks.insert(*key, upstream.hash, None);
+                }
+                return ranks.first().collect();
+            }
+            let ranks = self.ranks(now, session, &available, keys.unwrap_or_default());
+            ranks.compared(query.draw)
         });
         if available
             .iter()
@@ -48,16 +60,46 @@
         {
             available.retain(|(_, upstream)| !upstream.is_doubted(now));
         }
-        let is_preferred = |(key, _): &(_, &Upstream)| preferred == Some(*key);
-        let position = available.iter().position(is_preferred);
-        let sample = sample::indices(available.len(), position, query.draw);
+        let position = |(ranked, _): &(arena::Upstream, f64)| {
+            available.iter().position(|(key, _)| key == ranked)
+        };
+        let ranked = compared.iter().filter_map(position).collect::<Vec<_>>();
+        let sample = sample::indices(available.len(), ranked, query.draw);
         let candidates = sample.into_iter().map(|index| {
             let (key, upstream) = available[index];
-            self.candidate(now, key, upstream, query, position == Some(index))
+            let share = compared.iter().find(|(ranked, _)| *ranked == key);
+            let share = share.map_or(0.0, |(_, share)| *share);
+            let has_served = is_tight && upstream.age(now).is_none_or(|age| age >= SERVED);
+            let assumed = query
+                .prompt
+                .map_or(0.0, |prompt| affinity::assumed(prompt, share, has_served));
+            self.candidate(now, key, upstream, query, assumed)
         });
         (candidates.collect(), available.len())
     }
 
+    /// Ranks the available upstreams for a session, and notes those that have left.
+    fn ranks(
+        &self,
+        now: Millis,
+        session: u64,
+        available: &[(arena::Upstream, &Upstream)],
+        keys: &[arena::Upstream],
+    ) -> Ranks<arena::Upstream> {
+        let rate = self.demand.rate(now, session) * self.daemons;
+        let needed = (rate / (PREFILL_TOKENS_PER_MS * SESSION_SHARE)).ceil();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let mut ranks = Ranks::new(session, needed as usize);
+        for (key, upstream) in available {
+            ranks.insert(*key, upstream.hash, upstream.age(now));
+        }
+        let upstreams = keys.iter().filter_map(|key| self.upstreams.get(*key));
+        for upstream in upstreams.filter(|upstream| !upstream.is_available(now)) {
+            ranks.insert_departed(upstream.hash);
+        }
+        ranks
+    }
+
     #[allow(clippy::cast_precision_loss)]
     fn candidate(
         &self,
@@ -65,17 +107,10 @@
         key: arena::Upstream,
         upstream: &Upstream,
         query: &Query<'_>,
-        is_preferred: bool,
+        assumed: f64,
     ) -> Candidate {
         let uncached = query.prompt.map_or(0.0, |prompt| {
             let cached = upstream.cache.cached(now, &prompt.parts) as f64;
-            let shared = prompt.parts.iter().rev().skip(1).map(|part| part.tokens);
-            let shared = shared.sum::<u64>() as f64;
-            let assumed = if is_preferred {
-                shared * ASSUMED_CACHED_SHARE
-            } else {
-                0.0
-            };
             (prompt.input_tokens as f64 - cached.max(assumed)).max(0.0)
         });
         Candidate {
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -26,6 +26,7 @@
 use cactusglade_core::units::Rate;
 
 use crate::affinity;
+use crate::affinity::Demand;
 use crate::budget;
 use crate::budget::Budget;
 use crate::quarantine::Quarantine;
@@ -150,6 +151,8 @@
     pub quarantine: Quarantine,
     /// Hash of this daemon's name.
     own: u32,
+    /// What the sessions of latency-critical services need.
+    demand: Demand,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
     /// Latency-critical services of the catalog in force.
@@ -186,6 +189,7 @@
             sightings: BTreeMap::new(),
             unshared_limits: BTreeSet::new(),
             quarantine: Quarantine::default(),
+            demand: Demand::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
@@ -295,7 +299,8 @@
         let route = catalog.routes.get(query.route).ok_or(Kind::UnknownRoute)?;
         let service = pick_service(&route.split, query.draw).ok_or(Kind::NoUpstream)?;
         let target = catalog.services.get(service).ok_or(Kind::NoUpstream)?;
-        let (candidates, usable) = self.candidates(now, &target.name, query);
+        let (candidates, usable) =
+            self.candidates(now, &target.name, self.is_tight(service), query);
         let index = self.strategy.choose(&candidates, query.draw);
         let candidate = index.map(|index| candidates[index]);
         let Some(candidate) = candidate else {
@@ -310,6 +315,9 @@
         } else {
             budget.record_request(now, &bounds);
         }
+        if let Some(prompt) = query.prompt.filter(|_| self.is_tight(service)) {
+            self.demand.record(now, prompt);
+        }
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -79,9 +79,11 @@
         changes: impl IntoIterator<Item = Change>,
     ) -> Vec<arena::Upstream> {
         let mut leaving = Vec::new();
+        // What a daemon finds as it starts may have served for long.
+        let appeared = (!self.services.is_empty()).then_some(now);
         for change in changes {
             match change {
-                Change::Put(instance) => leaving.extend(self.put(now, *instance)),
+                Change::Put(instance) => leaving.extend(self.put(now, *instance, appeared)),
                 Change::Removed(name) => leaving.extend(self.remove(now, &name)),
             }
         }
@@ -89,13 +91,18 @@
         leaving
     }
 
-    fn put(&mut self, now: Millis, instance: Instance) -> Option<arena::Upstream> {
+    fn put(
+        &mut self,
+        now: Millis,
+        instance: Instance,
+        appeared: Option<Millis>,
+    ) -> Option<arena::Upstream> {
         let leaves = instance.phase == Phase::Leaving;
         let name = instance.name.clone();
         let key = self.upstreams.get_or_insert_with(
             &name,
             |known: &Upstream| is_same(&known.instance, &instance),
-            || Upstream::new(instance.clone()),
+            || Upstream::new(instance.clone(), appeared),
         );
         let upstream = self.upstreams.get_mut(key)?;
         upstream.instance = instance;
--- a/cactusglade-policy/src/broker/sample.rs
+++ b/cactusglade-policy/src/broker/sample.rs
@@ -13,17 +13,17 @@
 /// Number of upstreams that are drawn at random where there are more.
 const SAMPLE_SIZE: usize = 4;
 
-/// Returns distinct indices below `count`: that of the preferred upstream, and some at random.
+/// Returns distinct indices below `count`: those of the session's upstreams, and some at random.
 ///
 /// `draw` is a random number from 0 to 1.
-pub fn indices(count: usize, preferred: Option<usize>, draw: f64) -> Vec<usize> {
+pub fn indices(count: usize, ranked: Vec<usize>, draw: f64) -> Vec<usize> {
     if count <= MAX_COMPARED {
         return (0..count).collect();
     }
-    let mut indices = Vec::with_capacity(SAMPLE_SIZE + 1);
-    indices.extend(preferred);
+    let compared = ranked.len() + SAMPLE_SIZE;
+    let mut indices = ranked;
     let mut number = draw.to_bits();
-    while indices.len() < SAMPLE_SIZE + usize::from(preferred.is_some()) {
+    while indices.len() < compared {
         number = affinity::weight(number, 1);
         // The modulus is below `count`, which fits.
         let index = usize::try_from(number % count as u64).unwrap_or_default();
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -35,6 +35,8 @@
     pub instance: Instance,
     /// Hash of the name, for rendezvous hashing.
     pub hash: u64,
+    /// When this daemon learned of the upstream, `None` if that was with its first registry.
+    pub appeared: Option<Millis>,
     /// When the upstream was first marked as leaving; a mark is never reset.
     pub leaving: Option<Millis>,
     /// When the upstream counts as removed, unless its entry is renewed before.
@@ -64,12 +66,13 @@
 }
 
 impl Upstream {
-    /// Creates the initial state from an entry of the registry.
+    /// Creates the initial state from an entry of the registry, and when that became known.
     #[must_use]
-    pub fn new(instance: Instance) -> Self {
+    pub fn new(instance: Instance, appeared: Option<Millis>) -> Self {
         Self {
             hash: affinity::hash(&instance.name),
             instance,
+            appeared,
             leaving: None,
             removal: None,
             spared_until: Millis(0),
@@ -90,6 +93,12 @@
         }
     }
 
+    /// Returns the time since the upstream appeared, `None` if this daemon has always known it.
+    #[must_use]
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.appeared.map(|appeared| now - appeared)
+    }
+
     /// Returns whether new requests may be sent to the upstream.
     #[must_use]
     pub fn is_available(&self, now: Millis) -> bool {
