Build the experiment command with the model's new options

Cause: the model's options and classes got fields that the command lacked, so that cactusglade-cli did not build since the ranks of sessions. Change: the command sets them to what it played before.

--- a/cactusglade-cli/src/experiment/settings.rs
+++ b/cactusglade-cli/src/experiment/settings.rs
@@ -2,6 +2,7 @@
 
 use cactusglade_model::engine::Profile;
 use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Rule;
 use cactusglade_model::load::Class;
 use serde::Deserialize;
 
@@ -142,6 +143,7 @@
             session_tokens: class.session_tokens,
             own_tokens: class.own_tokens,
             sessions: class.sessions,
+            own_sigma: 0.0,
             hot_share: class.hot_share,
             answer_tokens: class.answer_tokens,
             target_ms: class.target_ms,
@@ -163,6 +165,9 @@
             warm_up_ms: self.warm_up_ms,
             gossip_ms: gossip.map(|gossip| (gossip.interval_ms, gossip.delay_ms)),
             dark: dark.map(|dark| (dark.engines.min(self.engines), dark.at_ms)),
+            churn: None,
+            tight_target: None,
+            rule: Rule::Product,
         }
     }
 }
