--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -30,6 +30,7 @@
 use cactusglade_core::units::Rate;
 
 use crate::affinity;
+use crate::affinity::Demand;
 use crate::budget;
 use crate::budget::Budget;
 use crate::evacuation::Register;
@@ -210,6 +211,8 @@
     evacuations: Register,
     /// Hash of this daemon's name.
     own: u32,
+    /// What the sessions of latency-critical services need.
+    demand: Demand,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
     /// Latency-critical services of the catalog in force.
@@ -260,6 +263,7 @@
             prefill_allowance: prefill::Allowance::default(),
             quarantine: Quarantine::default(),
             evacuations: Register::default(),
+            demand: Demand::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
@@ -374,7 +378,8 @@
         let route = catalog.routes.get(query.route).ok_or(Kind::UnknownRoute)?;
         let service = pick_service(&route.split, query.draw).ok_or(Kind::NoUpstream)?;
         let target = catalog.services.get(service).ok_or(Kind::NoUpstream)?;
-        let (candidates, usable) = self.candidates(now, &target.name, query);
+        let is_tight = self.is_tight(service);
+        let (candidates, usable) = self.candidates(now, &target.name, is_tight, query);
         let terms = self.terms(service, query);
         let index = self.strategy.choose(&candidates, &terms, query.draw);
         let candidate = index.map(|index| candidates[index]);
@@ -390,6 +395,9 @@
         } else {
             budget.record_request(now, &bounds);
         }
+        if let Some(prompt) = query.prompt.filter(|_| self.is_tight(service)) {
+            self.demand.record(now, prompt);
+        }
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
