Keep requests in the regions that routes and organisations allow

Operators that must keep requests in some regions had no way to say so.

A route and an organisation may now name regions, and the settings name the region of each zone. An upstream elsewhere is no candidate on any path; where none is left, the request is refused at once. Unknown and contradictory lists are logged and refuse no configuration.

The template platform/settings.toml has no regions yet, since the form in which the platform gives them is not known here.

--- a/cactusglade-core/src/catalog/mod.rs
+++ b/cactusglade-core/src/catalog/mod.rs
@@ -128,6 +128,9 @@
     pub priority: Option<u64>,
     /// Limit on its use, where it has one.
     pub quota: Option<Quota>,
+    /// Regions in which its requests may run, all if there are none.
+    #[serde(default)]
+    pub regions: Vec<String>,
 }
 
 /// `Route` says how requests for a path prefix of a host are handled.
@@ -149,6 +152,9 @@
     pub max_attempts: u64,
     /// Whether requests need no API key.
     pub is_public: bool,
+    /// Regions in which requests may run, all if there are none.
+    #[serde(default)]
+    pub regions: Vec<String>,
     /// Services with their weights in the traffic split; keys are not passed between processes.
     #[serde(skip)]
     pub split: Vec<(arena::Service, u64)>,
--- a/cactusglade-core/src/edge/mod.rs
+++ b/cactusglade-core/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! product's own.
 //! `docs/INTERFACES.md` lists them with units.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -71,6 +72,9 @@
     /// latency-critical; `None` if no service does. See `docs/HARD-LOAD.md`.
     #[serde(default)]
     pub tight_target_ms: Option<f64>,
+    /// Region of each availability zone; a zone without one is in none.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
 }
 
 impl Settings {
--- a/cactusglade-core/tests/catalog.rs
+++ b/cactusglade-core/tests/catalog.rs
@@ -26,6 +26,7 @@
             priority: 0,
             max_attempts: 1,
             is_public: false,
+            regions: Vec::new(),
             split: Vec::new(),
         },
         split: vec![(service.to_owned(), 1)],
@@ -37,6 +38,7 @@
         name: "north".to_owned(),
         priority: None,
         quota: None,
+        regions: Vec::new(),
     };
     Draft {
         version,
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -424,6 +424,7 @@
             detection: MAX_DETECTION_TIME,
         },
         tight_target: settings.tight_target_ms.map(from_millis),
+        regions: settings.regions.clone(),
     }
 }
 
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -26,6 +26,7 @@
 use kameo::message::Context;
 use kameo::message::Message;
 use slog::info;
+use slog::warn;
 
 use super::Broker;
 use super::evacuation::Origin;
@@ -227,6 +228,7 @@
         self.charge(now, &place)?;
         let query = policy::Query {
             route: place.route,
+            organisation: place.organisation,
             prompt: place.prompt.as_deref(),
             tried: &place.tried,
             is_retry: place.is_retry,
@@ -338,6 +340,10 @@
         if self.policy.adopt(self.clock.now(), adopt.0.clone()) {
             info!(self.log, "configuration_in_force"; "version" => adopt.0.version,
                 "before" => before, "routes" => adopt.0.routes.len());
+            for homeless in self.policy.homeless(&adopt.0) {
+                warn!(self.log, "regions_contradictory"; "version" => adopt.0.version,
+                    "requests" => homeless);
+            }
             let version = i64::try_from(adopt.0.version).unwrap_or(i64::MAX);
             self.metrics.generation.set(version);
             self.catalogs.send_replace(adopt.0);
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -322,6 +322,7 @@
         outcome.asked += u64::from(is_counted && tried.is_empty());
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt: Some(&arrival.prompt),
             tried: &tried,
             is_retry: !tried.is_empty(),
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -1,5 +1,6 @@
 //! Builds the daemons' brokers with a catalog and a registry.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cactusglade_core::arena;
@@ -64,6 +65,7 @@
                 priority: 0,
                 max_attempts: 2,
                 is_public: false,
+                regions: Vec::new(),
                 split: Vec::new(),
             },
             split: vec![(SERVICE.to_owned(), 1)],
@@ -115,6 +117,7 @@
                 detection: DETECTION_TIME,
             },
             tight_target: None,
+            regions: BTreeMap::new(),
         };
         let mut broker = Broker::new(policy, strategy());
         broker.adopt(Millis(0), catalog.clone());
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod limits;
 mod quotas;
+mod regions;
 mod registry;
 mod sample;
 mod sighting;
@@ -62,6 +63,8 @@
     pub tolerance: Tolerance,
     /// Latency target of a route for streams up to which its service counts as latency-critical.
     pub tight_target: Option<Millis>,
+    /// Region of each availability zone; a zone without one is in none.
+    pub regions: BTreeMap<String, String>,
 }
 
 /// `Query` describes a request for which an upstream is to be selected.
@@ -69,6 +72,8 @@
 pub struct Query<'a> {
     /// Route of the request.
     pub route: arena::Route,
+    /// Organisation that sent the request, where it is known.
+    pub organisation: Option<arena::Organisation>,
     /// Prompt of a model request.
     pub prompt: Option<&'a Prompt>,
     /// Upstreams that have already been tried.
@@ -158,6 +163,8 @@
     buckets: BTreeMap<arena::Organisation, Bucket>,
     /// Latency-critical services of the catalog in force.
     tight: BTreeSet<arena::Service>,
+    /// Regions of the settings, in order; an upstream's is an index into these.
+    regions: Vec<String>,
     /// Versions that receive no requests, by service.
     withheld: BTreeMap<String, String>,
     /// Organisations by the hashes that identify them between daemons.
@@ -179,6 +186,8 @@
     /// Creates a broker without catalog and upstreams.
     #[must_use]
     pub fn new(options: Options, strategy: R) -> Self {
+        let regions = options.regions.values().cloned();
+        let regions = regions.collect::<BTreeSet<_>>();
         Self {
             own: affinity::short_hash(&options.name),
             options,
@@ -194,6 +203,7 @@
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
+            regions: regions.into_iter().collect(),
             withheld: BTreeMap::new(),
             hashes: BTreeMap::new(),
             daemons: ASSUMED_DAEMONS,
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -97,7 +97,9 @@
             |known: &Upstream| is_same(&known.instance, &instance),
             || Upstream::new(instance.clone()),
         );
+        let region = self.region(&instance.zone);
         let upstream = self.upstreams.get_mut(key)?;
+        upstream.region = region;
         upstream.is_evacuated = self.evacuations.is_evacuated(&instance.zone);
         upstream.instance = instance;
         upstream.removal = None;
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -41,6 +41,8 @@
     pub removal: Option<Millis>,
     /// Whether the operators evacuate its zone.
     pub is_evacuated: bool,
+    /// Region of its zone.
+    pub region: Option<usize>,
     /// Until when the upstream wants no requests from this daemon.
     pub spared_until: Millis,
     /// Limit that the upstream has stated, and this daemon's share of it.
@@ -75,6 +77,7 @@
             leaving: None,
             removal: None,
             is_evacuated: false,
+            region: None,
             spared_until: Millis(0),
             throttle: Throttle::default(),
             backoff: Backoff::default(),
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -33,7 +33,11 @@
 use cactusglade_policy::quota::Tolerance;
 
 fn catalog() -> Arc<Catalog> {
-    let draft = Draft {
+    Arc::new(Catalog::try_new(draft(), &Catalog::default()).expect("the draft is valid"))
+}
+
+fn draft() -> Draft {
+    Draft {
         version: 1,
         services: vec![Service {
             name: "pool".to_owned(),
@@ -54,13 +58,13 @@
                 priority: 0,
                 max_attempts: 2,
                 is_public: false,
+                regions: Vec::new(),
                 split: Vec::new(),
             },
             split: vec![("pool".to_owned(), 1)],
         }],
         ..Draft::default()
-    };
-    Arc::new(Catalog::try_new(draft, &Catalog::default()).expect("the draft is valid"))
+    }
 }
 
 fn instance(name: &str, started_unix_ms: u64, phase: Phase) -> Instance {
@@ -87,6 +91,13 @@
 }
 
 fn new_broker() -> Broker<Fastest> {
+    new_broker_in(&[])
+}
+
+/// Creates a broker that knows the regions of some zones.
+fn new_broker_in(regions: &[(&str, &str)]) -> Broker<Fastest> {
+    let regions = regions.iter();
+    let regions = regions.map(|(zone, region)| ((*zone).to_owned(), (*region).to_owned()));
     let options = Options {
         name: "entry-1".to_owned(),
         zone: "a".to_owned(),
@@ -102,6 +113,7 @@
             detection: Millis(1_200),
         },
         tight_target: None,
+        regions: regions.collect(),
     };
     Broker::new(options, Fastest)
 }
@@ -134,6 +146,7 @@
     ) -> Result<String, Kind> {
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt,
             tried,
             is_retry: false,
@@ -360,6 +373,7 @@
             counts_tokens: false,
             default_units: 1,
         }),
+        regions: Vec::new(),
     };
     let mut broker = new_broker();
     let mut catalog = Catalog::default();
@@ -462,3 +476,64 @@
     fixture.broker.read_evacuations(Millis(20), 2.into(), &[]);
     assert!(fixture.place(30, &[]).is_ok());
 }
+
+/// Requests that must stay in some regions ran in others, in first attempts, retries, or where no
+/// upstream of their regions was left.
+#[test]
+fn a_request_runs_in_regions_that_both_its_route_and_its_organisation_allow() {
+    let names = |regions: &[&str]| regions.iter().map(|one| (*one).to_owned()).collect();
+    for (route_regions, own_regions, allowed) in [
+        (&[][..], &[][..], &["x", "y", "z"][..]),
+        (&["north"], &[], &["x"]),
+        (&[], &["south", "mars"], &["y"]),
+        (&["north", "south"], &["south"], &["y"]),
+        (&["north"], &["south"], &[]),
+        (&["mars"], &[], &[]),
+    ] {
+        let mut draft = draft();
+        draft.routes[0].route.regions = names(route_regions);
+        let organisation = Organisation {
+            name: "own".to_owned(),
+            priority: None,
+            quota: None,
+            regions: names(own_regions),
+        };
+        draft.organisations.push((organisation, Vec::new()));
+        let catalog = Catalog::try_new(draft, &Catalog::default());
+        let catalog = Arc::new(catalog.expect("unknown and contradictory regions are no error"));
+        let route = catalog.routes.find("chat").expect("the route is known");
+        let organisation = catalog.organisations.find("own");
+        let mut broker = new_broker_in(&[("a", "north"), ("b", "south")]);
+        assert_eq!(broker.homeless(&catalog).is_empty(), !allowed.is_empty());
+        broker.adopt(Millis(0), catalog);
+        // The zone of the third one has no region.
+        broker.apply(
+            Millis(0),
+            [put_in("x", "a"), put_in("y", "b"), put_in("z", "c")],
+        );
+        let mut tried = Vec::new();
+        let mut reached = Vec::new();
+        let denied = loop {
+            let query = Query {
+                route,
+                organisation,
+                prompt: None,
+                tried: &tried,
+                is_retry: !tried.is_empty(),
+                draw: 0.5,
+            };
+            match broker.place(Millis(10), &query) {
+                Ok(grant) => {
+                    let upstream = broker.upstream(grant.upstream);
+                    let upstream = upstream.expect("the selected upstream is known");
+                    reached.push(upstream.instance.name.clone());
+                    tried.push(grant.upstream);
+                }
+                Err(denied) => break denied.kind,
+            }
+        };
+        reached.sort();
+        assert_eq!(reached, allowed);
+        assert_eq!(denied, Kind::NoUpstream);
+    }
+}
