--- a/cactusglade-core/src/edge/mod.rs
+++ b/cactusglade-core/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! product's own.
 //! `docs/INTERFACES.md` lists them with units.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -89,6 +90,9 @@
     /// Requests to a cold upstream beyond that factor in any second.
     #[serde(default)]
     pub cold_slack: Option<f64>,
+    /// Region of each availability zone; a zone without one is in none.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
 }
 
 impl Settings {
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -429,6 +429,7 @@
             .cold_overshoot
             .zip(settings.cold_slack)
             .map(|(overshoot, slack)| warmup::Bounds { overshoot, slack }),
+        regions: settings.regions.clone(),
     }
 }
 
--- a/cactusglade-model/src/warmup/daemon.rs
+++ b/cactusglade-model/src/warmup/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon: its membership and its broker, as the product's services drive them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -97,6 +98,7 @@
             },
             tight_target: None,
             cold: Some(bounds),
+            regions: BTreeMap::new(),
         };
         let mut broker = Broker::new(options, Fastest);
         let catalog = catalog(rate)?;
@@ -148,6 +150,7 @@
     pub fn place(&mut self, now: Millis) -> bool {
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt: None,
             tried: &[],
             is_retry: false,
@@ -181,6 +184,7 @@
                 priority: 0,
                 max_attempts: 2,
                 is_public: true,
+                regions: Vec::new(),
                 split: Vec::new(),
             },
             split: vec![(SERVICE.to_owned(), 1)],
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -3,6 +3,7 @@
 //! fails part of its requests, a daemon that starts, and statements that take up the links between
 //! daemons.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cactusglade_core::arena;
@@ -62,6 +63,7 @@
         priority: 0,
         max_attempts: 2,
         is_public: false,
+        regions: Vec::new(),
         split: Vec::new(),
     }
 }
@@ -98,6 +100,7 @@
         },
         tight_target: Some(Millis(600)),
         cold: None,
+        regions: BTreeMap::new(),
     }
 }
 
@@ -157,6 +160,7 @@
         self.draws += 1;
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt: None,
             tried: &[],
             is_retry: false,
@@ -182,6 +186,7 @@
         };
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt: Some(&prompt),
             tried,
             is_retry: false,
--- a/cactusglade-policy/tests/prefill.rs
+++ b/cactusglade-policy/tests/prefill.rs
@@ -1,6 +1,7 @@
 //! Guards against short requests that wait behind a long prompt of another daemon, against statements
 //! about prompts that take up the links between daemons, and against false ones.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cactusglade_core::arena;
@@ -41,6 +42,7 @@
         priority: 0,
         max_attempts: 2,
         is_public: false,
+        regions: Vec::new(),
         split: Vec::new(),
     };
     let draft = Draft {
@@ -88,6 +90,7 @@
         },
         tight_target: Some(Millis(600)),
         cold: None,
+        regions: BTreeMap::new(),
     };
     let mut broker = Broker::new(options, Fastest);
     let catalog = catalog(target);
@@ -119,6 +122,7 @@
         };
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt: Some(&prompt),
             tried: &[],
             is_retry: false,
--- a/cactusglade-policy/tests/warmup.rs
+++ b/cactusglade-policy/tests/warmup.rs
@@ -4,6 +4,7 @@
 // Counts of requests are small.
 #![allow(clippy::cast_precision_loss)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -74,6 +75,7 @@
                 priority: 0,
                 max_attempts: 2,
                 is_public: false,
+                regions: Vec::new(),
                 split: Vec::new(),
             },
             split: vec![("pool".to_owned(), 1)],
@@ -131,6 +133,7 @@
                 detection: DETECTION,
             },
             tight_target: None,
+            regions: BTreeMap::new(),
             cold,
         };
         let mut broker = Broker::new(options, Fastest);
@@ -163,6 +166,7 @@
     fn place(&mut self, prompt: Option<&Prompt>) -> Result<String, Denied> {
         let query = Query {
             route: self.route,
+            organisation: None,
             prompt,
             tried: &[],
             is_retry: false,
