Estimate the load of upstreams where a route is latency-critical

Daemons compared the loads that they had last heard of. All hear the same, some tenths of a second late, so that the few upstreams of a service were overloaded in turn. policy::estimate keeps the last report with its age, counts this daemon's requests once, lets the load of others return to what is usual for the service, and draws a load at random from the likely ones. It holds for all services of a catalog with a latency-critical route (Broker::has_tight).

The model plays rules, noise of upstreams and requests without prompts.

--- a/cactusglade-cli/src/experiment/settings.rs
+++ b/cactusglade-cli/src/experiment/settings.rs
@@ -2,6 +2,7 @@
 
 use cactusglade_model::engine::Profile;
 use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Spread;
 use cactusglade_model::load::Class;
 use serde::Deserialize;
 
@@ -163,6 +164,7 @@
             warm_up_ms: self.warm_up_ms,
             gossip_ms: gossip.map(|gossip| (gossip.interval_ms, gossip.delay_ms)),
             dark: dark.map(|dark| (dark.engines.min(self.engines), dark.at_ms)),
+            spread: Spread::default(),
         }
     }
 }
--- a/cactusglade-model/src/engine/mod.rs
+++ b/cactusglade-model/src/engine/mod.rs
@@ -22,6 +22,8 @@
 /// `Run` is how an engine processes one request, with times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
+    /// Time at which the engine begins with the request.
+    pub start: f64,
     /// Time of the first token.
     pub first_token: f64,
     /// Time of the last token.
@@ -41,6 +43,8 @@
     cache: BTreeMap<u64, (f64, u64)>,
     /// Whether it accepts connections and answers.
     pub is_dark: bool,
+    /// Factor of all times at this moment; 1 is as usual.
+    pub stretch: f64,
     /// Requests accepted so far.
     pub accepted: u64,
 }
@@ -55,6 +59,7 @@
             prefill_free: 0.0,
             cache: BTreeMap::new(),
             is_dark: false,
+            stretch: 1.0,
             accepted: 0,
         }
     }
@@ -68,32 +73,63 @@
     /// Accepts a request with these prompt parts, which generates `tokens`.
     #[allow(clippy::cast_precision_loss)]
     pub fn accept(&mut self, now: f64, parts: &[Part], tokens: u64) -> Run {
-        self.ends.retain(|end| *end > now);
-        self.accepted += 1;
-        let slot_free = match self.ends.len().checked_sub(self.profile.slots) {
-            None => now,
-            Some(queued) => self.ends[queued],
-        };
+        let slot_free = self.admit(now);
         let start = slot_free.max(self.prefill_free).max(now);
         let cached = self.cached(parts);
         let prompt = parts.iter().map(|part| part.tokens).sum::<u64>();
-        let prefill = (prompt - cached) as f64 / self.profile.prefill_per_ms;
+        let prefill = self.stretch * (prompt - cached) as f64 / self.profile.prefill_per_ms;
         let running = self.ends.len().min(self.profile.slots) as f64;
-        let step = STEP_MS + STEP_MS_PER_REQUEST * running;
+        let step = self.stretch * (STEP_MS + STEP_MS_PER_REQUEST * running);
         let first_token = start + prefill + step;
         let end = first_token + tokens as f64 * step;
         self.prefill_free = start + prefill;
         self.remember(now, parts);
-        let position = self.ends.partition_point(|other| *other < end);
-        self.ends.insert(position, end);
+        self.insert_end(end);
         Run {
+            start,
             first_token,
             end,
             cached,
         }
     }
 
-    fn cached(&self, parts: &[Part]) -> u64 {
+    /// Accepts a request without a prompt, which takes `work_ms` and is answered at its end.
+    pub fn accept_plain(&mut self, now: f64, work_ms: f64) -> Run {
+        let start = self.admit(now);
+        let end = start + self.stretch * work_ms;
+        self.insert_end(end);
+        Run {
+            start,
+            first_token: end,
+            end,
+            cached: 0,
+        }
+    }
+
+    /// Returns whether a request would run at once.
+    #[must_use]
+    pub fn has_room(&self, now: f64) -> bool {
+        !self.is_dark && self.load(now) < self.profile.slots as u64
+    }
+
+    /// Counts a request, and returns when it gets a slot.
+    fn admit(&mut self, now: f64) -> f64 {
+        self.ends.retain(|end| *end > now);
+        self.accepted += 1;
+        match self.ends.len().checked_sub(self.profile.slots) {
+            None => now,
+            Some(queued) => self.ends[queued],
+        }
+    }
+
+    fn insert_end(&mut self, end: f64) {
+        let position = self.ends.partition_point(|other| *other < end);
+        self.ends.insert(position, end);
+    }
+
+    /// Returns the number of tokens at the head of the prompt that are cached.
+    #[must_use]
+    pub fn cached(&self, parts: &[Part]) -> u64 {
         let known = parts
             .iter()
             .take_while(|part| self.cache.contains_key(&part.id));
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Plays callers, daemons and engines against each other.
 
+mod bound;
 mod setup;
+mod spread;
 
 use std::collections::BTreeMap;
 
@@ -9,7 +11,6 @@
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::broker::Broker;
-use cactusglade_policy::broker::Fastest;
 use cactusglade_policy::broker::Grant;
 use cactusglade_policy::broker::Query;
 use cactusglade_policy::broker::Report;
@@ -24,6 +25,12 @@
 use crate::load::Arrival;
 use crate::load::Class;
 
+use bound::Loads;
+
+pub use bound::Rule;
+pub use spread::Noise;
+pub use spread::Spread;
+
 /// Time after which a daemon gives up a request that it sent on a kept connection to an engine that
 /// does not answer, as a multiple of the latency target.
 const LOSS_TARGETS: f64 = 2.0;
@@ -71,6 +78,8 @@
     pub gossip_ms: Option<(f64, f64)>,
     /// Engines that stop answering, and when.
     pub dark: Option<(usize, f64)>,
+    /// How upstreams are chosen and how their speeds vary.
+    pub spread: Spread,
 }
 
 /// `Outcome` counts the requests of one class.
@@ -99,6 +108,13 @@
     pub imbalance: f64,
     /// Attempts at engines that did not answer.
     pub losses: u64,
+    /// Times that requests waited for a slot and for the prompts before them, in milliseconds, in
+    /// order.
+    pub waits: Vec<f64>,
+    /// Requests that waited while another engine with as much of the prompt had a free slot.
+    pub needless_waits: u64,
+    /// Standard deviation of the numbers of requests at the engines, in windows of 100 ms.
+    pub deviations: Vec<f64>,
 }
 
 impl Outcome {
@@ -111,19 +127,44 @@
 
     /// Returns a quantile, from 0 to 1, of the times to the first token in milliseconds.
     #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
-        clippy::cast_sign_loss
-    )]
     pub fn latency(&self, quantile: f64) -> f64 {
-        let last = self.latencies.len().saturating_sub(1);
-        let index = (last as f64 * quantile.clamp(0.0, 1.0)).round() as usize;
-        self.latencies.get(index).copied().unwrap_or_default()
+        value_at(&self.latencies, quantile)
     }
 }
 
+/// Returns a quantile, from 0 to 1, of values in order.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+fn value_at(values: &[f64], quantile: f64) -> f64 {
+    let last = values.len().saturating_sub(1);
+    let index = (last as f64 * quantile.clamp(0.0, 1.0)).round() as usize;
+    values.get(index).copied().unwrap_or_default()
+}
+
 impl Summary {
+    /// Returns a quantile, from 0 to 1, of the times that requests waited, in milliseconds.
+    #[must_use]
+    pub fn wait(&self, quantile: f64) -> f64 {
+        value_at(&self.waits, quantile)
+    }
+
+    /// Returns the mean of the standard deviations of the numbers of requests at the engines.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn deviation(&self) -> f64 {
+        self.deviations.iter().sum::<f64>() / self.deviations.len().max(1) as f64
+    }
+
+    /// Returns the share of the requests that waited while another engine had room for them.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn needless_share(&self) -> f64 {
+        self.needless_waits as f64 / self.waits.len().max(1) as f64
+    }
+
     /// Returns the share of the prompt tokens that engines had cached.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
@@ -139,12 +180,14 @@
     FirstToken {
         daemon: usize,
         grant: Grant,
-        load: u64,
+        load: Option<u64>,
         latency_ms: f64,
     },
     End {
         daemon: usize,
         grant: Grant,
+        /// Time to the head of the answer, of a request without a prompt.
+        latency_ms: Option<f64>,
     },
     Lost {
         daemon: usize,
@@ -154,6 +197,10 @@
     },
     Share,
     Deliver(Vec<(usize, Sighting)>),
+    /// Other engines become slow.
+    Stir,
+    /// The numbers of requests at the engines are compared.
+    Compare,
     GoDark(usize),
     Remove(usize),
 }
@@ -164,7 +211,9 @@
 ///
 /// Fails if the options do not make a valid catalog.
 pub fn play(options: &Options) -> Result<Summary> {
-    Model::try_new(options, || Fastest).map(Model::run)
+    let loads = Loads::default();
+    let model = Model::try_new(options, &loads, || options.spread.rule.strategy(&loads));
+    model.map(Model::run)
 }
 
 struct Model<'a, R> {
@@ -172,6 +221,8 @@
     route: arena::Route,
     brokers: Vec<Broker<R>>,
     engines: Vec<Engine>,
+    /// Exact loads, for the rules that know them.
+    loads: Loads,
     requests: Vec<Arrival>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
@@ -204,6 +255,8 @@
         if let Some((interval, _)) = self.options.gossip_ms {
             self.schedule(interval, Event::Share);
         }
+        self.schedule(0.0, Event::Stir);
+        self.schedule(self.options.warm_up_ms, Event::Compare);
         if let Some((engines, at)) = self.options.dark {
             for engine in 0..engines {
                 self.schedule(at, Event::GoDark(engine));
@@ -216,6 +269,7 @@
         for outcome in self.summary.classes.values_mut() {
             outcome.latencies.sort_by(f64::total_cmp);
         }
+        self.summary.waits.sort_by(f64::total_cmp);
         let accepted = self.engines.iter().map(|engine| engine.accepted);
         let mean = accepted.clone().sum::<u64>() as f64 / self.engines.len().max(1) as f64;
         self.summary.imbalance = accepted.max().unwrap_or_default() as f64 / mean.max(1.0);
@@ -234,16 +288,23 @@
                 load,
                 latency_ms,
             } => {
+                // An answer that is sent as a whole states the load at its end.
+                let load =
+                    load.unwrap_or_else(|| self.loads.now(now, grant.upstream, &self.engines));
                 let broker = &mut self.brokers[daemon];
                 broker.record_load(millis(now), grant.upstream, load, 0);
                 broker.finish_prefill(&grant);
                 broker.begin_answer(millis(now), &grant, millis(latency_ms));
             }
-            Event::End { daemon, grant } => {
+            Event::End {
+                daemon,
+                grant,
+                latency_ms,
+            } => {
                 let report = Report {
                     is_good: Some(true),
                     is_lost: false,
-                    latency: None,
+                    latency: latency_ms.map(millis),
                 };
                 let broker = &mut self.brokers[daemon];
                 broker.finish(millis(now), grant.upstream, &report, 0.5);
@@ -264,6 +325,8 @@
                     }
                 }
             }
+            Event::Stir => self.stir(now),
+            Event::Compare => self.compare(now),
             Event::GoDark(engine) => self.engines[engine].is_dark = true,
             Event::Remove(engine) => {
                 let name = setup::engine_name(engine);
@@ -322,11 +385,12 @@
         outcome.asked += u64::from(is_counted && tried.is_empty());
         let query = Query {
             route: self.route,
-            prompt: Some(&arrival.prompt),
+            prompt: options.spread.work_ms.is_none().then_some(&arrival.prompt),
             tried: &tried,
             is_retry: !tried.is_empty(),
             draw: self.random.random(),
         };
+        self.loads.update(now, &self.engines);
         let broker = &mut self.brokers[daemon];
         let granted = if tried.len() < MAX_ATTEMPTS {
             broker.place(millis(now), &query).ok()
@@ -366,10 +430,17 @@
         let options = self.options;
         let arrival = &self.requests[request];
         let class = &options.classes[arrival.class];
+        let parts = &arrival.prompt.parts;
+        let has_other = self.has_other_room(now, engine, parts);
         let engine = &mut self.engines[engine];
         let load = engine.load(now);
-        let run = engine.accept(now, &arrival.prompt.parts, class.answer_tokens);
+        let run = match options.spread.work_ms {
+            Some(work_ms) => engine.accept_plain(now, work_ms),
+            None => engine.accept(now, parts, class.answer_tokens),
+        };
         if arrival.at >= options.warm_up_ms {
+            self.summary.waits.push(run.start - now);
+            self.summary.needless_waits += u64::from(run.start > now && has_other);
             let latency = run.first_token - arrival.at;
             let outcome = self.summary.classes.entry(class.name.clone()).or_default();
             outcome.latencies.push(latency);
@@ -380,24 +451,35 @@
         let first_token = Event::FirstToken {
             daemon,
             grant,
-            load: load + 1,
+            load: options.spread.work_ms.is_none().then_some(load + 1),
             latency_ms: run.first_token - now,
         };
         self.schedule(run.first_token, first_token);
-        self.schedule(run.end, Event::End { daemon, grant });
+        let end = Event::End {
+            daemon,
+            grant,
+            latency_ms: options.spread.work_ms.map(|_| run.end - now),
+        };
+        self.schedule(run.end, end);
     }
 }
 
 impl<'a, R: Strategy> Model<'a, R> {
-    fn try_new(options: &'a Options, strategy: impl Fn() -> R) -> Result<Self> {
+    fn try_new(options: &'a Options, loads: &Loads, strategy: impl Fn() -> R) -> Result<Self> {
         let mut random = StdRng::seed_from_u64(options.seed);
         let requests = load::arrivals(&options.classes, options.span_ms, &mut random);
         let (route, brokers) = setup::brokers(options, strategy)?;
+        if let Some(broker) = brokers.first() {
+            let upstreams = broker.upstreams();
+            let names = upstreams.map(|(key, one)| (key, setup::engine_index(&one.instance.name)));
+            loads.assign(names.filter_map(|(key, index)| Some((key, index?))));
+        }
         Ok(Self {
             options,
             route,
             brokers,
             engines: vec![Engine::new(options.profile); options.engines],
+            loads: loads.clone(),
             requests,
             events: BTreeMap::new(),
             sequence: 0,
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -114,9 +114,10 @@
                 slack: 0.0,
                 detection: DETECTION_TIME,
             },
-            tight_target: None,
+            tight_target: options.spread.tight_target,
         };
         let mut broker = Broker::new(policy, strategy());
+        broker.tune(options.spread.tuning);
         broker.adopt(Millis(0), catalog.clone());
         let daemons = options.daemons as u64;
         broker.set_membership(Millis(0), daemons, daemons, DETECTION_TIME);
--- a/cactusglade-model/tests/choice.rs
+++ b/cactusglade-model/tests/choice.rs
@@ -4,6 +4,7 @@
 use cactusglade_model::engine::Profile;
 use cactusglade_model::fleet;
 use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Spread;
 use cactusglade_model::fleet::Summary;
 use cactusglade_model::load::Class;
 
@@ -66,6 +67,7 @@
         warm_up_ms: 6_000.0,
         gossip_ms,
         dark: None,
+        spread: Spread::default(),
     }
 }
 
@@ -176,6 +178,7 @@
         warm_up_ms: 6_000.0,
         gossip_ms: Some((100.0, 150.0)),
         dark: None,
+        spread: Spread::default(),
     }
 }
 
--- /dev/null
+++ b/cactusglade-model/tests/even.rs
@@ -0,0 +1,74 @@
+//! Guards against daemons that overload the few upstreams of a service in turn, since all hear the
+//! same loads some tenths of a second late.
+
+use cactusglade_core::units::Millis;
+use cactusglade_model::engine::Profile;
+use cactusglade_model::fleet;
+use cactusglade_model::fleet::Noise;
+use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Rule;
+use cactusglade_model::fleet::Spread;
+use cactusglade_model::fleet::Summary;
+use cactusglade_model::load::Class;
+
+/// Five application servers with six slots at six tenths of their capacity.
+fn play(daemons: usize, rule: Rule, tight_target: Option<Millis>) -> Summary {
+    let options = Options {
+        seed: 1,
+        daemons,
+        engines: 5,
+        zones: 4,
+        profile: Profile {
+            slots: 6,
+            prefill_per_ms: 112.0,
+            cache_tokens: 0,
+        },
+        classes: vec![Class {
+            name: "check".to_owned(),
+            per_s: 270.0,
+            common_tokens: 0,
+            session_tokens: 0,
+            own_tokens: 0,
+            sessions: 1,
+            hot_share: 0.0,
+            answer_tokens: 0,
+            target_ms: 300.0,
+        }],
+        span_ms: 14_000.0,
+        warm_up_ms: 4_000.0,
+        gossip_ms: Some((200.0, 350.0)),
+        dark: None,
+        spread: Spread {
+            rule,
+            tight_target,
+            noise: Some(Noise {
+                share: 0.15,
+                factor: 2.5,
+                period_ms: 600.0,
+            }),
+            work_ms: Some(60.0),
+            ..Spread::default()
+        },
+    };
+    let summary = fleet::play(&options).expect("the options are valid");
+    println!(
+        "{daemons} daemons, {rule:?}, {tight_target:?}: p99 of the wait {:.0} ms, deviation {:.2}",
+        summary.wait(0.99),
+        summary.deviation()
+    );
+    summary
+}
+
+#[test]
+fn daemons_with_estimates_do_not_overload_the_servers_in_turn() {
+    for daemons in [77, 400] {
+        let former = play(daemons, Rule::Known, None);
+        let estimate = play(daemons, Rule::Known, Some(Millis(1_000)));
+        let random = play(daemons, Rule::Random, None);
+        for other in [&former, &random] {
+            let (p99, bound) = (estimate.wait(0.99), other.wait(0.99));
+            assert!(p99 < 0.7 * bound, "{daemons}: {p99:.0} of {bound:.0} ms");
+            assert!(estimate.deviation() < other.deviation());
+        }
+    }
+}
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
 mod candidates;
+mod flows;
 mod limits;
 mod quotas;
 mod registry;
@@ -28,6 +29,8 @@
 use crate::affinity;
 use crate::budget;
 use crate::budget::Budget;
+use crate::estimate::Flow;
+use crate::estimate::Tuning;
 use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
@@ -154,6 +157,9 @@
     buckets: BTreeMap<arena::Organisation, Bucket>,
     /// Latency-critical services of the catalog in force.
     tight: BTreeSet<arena::Service>,
+    /// What is usual at the upstreams, by service.
+    flows: BTreeMap<String, Flow>,
+    tuning: Tuning,
     /// Versions that receive no requests, by service.
     withheld: BTreeMap<String, String>,
     /// Organisations by the hashes that identify them between daemons.
@@ -189,6 +195,8 @@
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
+            flows: BTreeMap::new(),
+            tuning: Tuning::default(),
             withheld: BTreeMap::new(),
             hashes: BTreeMap::new(),
             daemons: ASSUMED_DAEMONS,
@@ -322,14 +330,18 @@
         prompt: Option<&Prompt>,
     ) -> Grant {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let (uncached, load) = (candidate.uncached as u64, candidate.load.round() as u64);
+        let uncached = candidate.uncached as u64;
+        let expected = self.expected_load(now, candidate);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let load = expected.round() as u64;
         let chosen = self.upstreams.get(candidate.upstream);
         let basis = Basis {
             candidates,
             load,
-            load_age: chosen.and_then(|upstream| upstream.load_age(now)),
+            load_age: chosen.and_then(|upstream| self.load_age(now, upstream)),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
         };
+        self.record_own(now, candidate.upstream, true);
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.in_flight += 1;
             upstream.backlog += uncached;
@@ -375,7 +387,9 @@
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_load(now, running, waiting);
             let hash = affinity::short_hash(&upstream.instance.name);
-            self.sighting(hash).load = Some(running + waiting);
+            let load = running.saturating_add(waiting);
+            self.sighting(hash).load = Some(load);
+            self.record_estimate(now, key, load);
         }
     }
 
@@ -417,6 +431,7 @@
         report: &Report,
         draw: f64,
     ) -> bool {
+        self.record_own(now, key, false);
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -136,6 +136,7 @@
             let service = upstream.instance.service.clone();
             self.services.entry(service).or_default().push(key);
         }
+        self.index_flows();
     }
 
     /// Drops upstreams that were removed long ago and have no request of this daemon in flight.
--- a/cactusglade-policy/src/broker/sighting.rs
+++ b/cactusglade-policy/src/broker/sighting.rs
@@ -6,6 +6,7 @@
 
 use super::Broker;
 use super::Strategy;
+use crate::estimate::SIGHTING_AGE;
 
 impl<R: Strategy> Broker<R> {
     /// Returns what this daemon has seen of upstreams since the last call.
@@ -20,7 +21,9 @@
         let upstream = self.upstreams.get_mut(key)?;
         if let Some(load) = sighting.load {
             upstream.record_load(now, load, 0);
+            self.record_estimate(now - SIGHTING_AGE, key, load);
         }
+        let upstream = self.upstreams.get_mut(key)?;
         if let Some(delay) = sighting.delay_ms {
             upstream.record_delay(now, Millis(delay));
         }
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -5,6 +5,7 @@
 
 use crate::affinity;
 use crate::affinity::Cache;
+use crate::estimate::Estimate;
 use crate::retry::Backoff;
 use crate::throttle::Throttle;
 
@@ -51,6 +52,8 @@
     pub in_flight: u64,
     /// Prompt tokens of this daemon's requests that the upstream has not yet read.
     pub backlog: u64,
+    /// Estimate of the load, where it is balanced by estimates.
+    pub estimate: Estimate,
     other_load: f64,
     reported: Option<Millis>,
     latency: f64,
@@ -78,6 +81,7 @@
             cache: Cache::default(),
             in_flight: 0,
             backlog: 0,
+            estimate: Estimate::default(),
             other_load: 0.0,
             reported: None,
             latency: INITIAL_LATENCY_MS,
--- /dev/null
+++ b/cactusglade-policy/src/estimate/flow.rs
@@ -0,0 +1,115 @@
+//! What is usual at the upstreams of one service.
+
+use cactusglade_core::units::Millis;
+
+/// Time over which this daemon's own requests are averaged, in milliseconds. A daemon of a large
+/// fleet sends a service a few requests per second.
+const OWN_MS: f64 = 10_000.0;
+/// Time of a request that is assumed before any has ended, in milliseconds.
+const INITIAL_RESIDENCE_MS: f64 = 200.0;
+/// Weight of the newest report in the variance.
+const NEWEST_WEIGHT: f64 = 0.02;
+
+/// Load that is believed, in multiples of the slots beyond the usual load. Callers give up before an
+/// upstream has worked off more.
+const MAX_QUEUES: f64 = 4.0;
+
+/// `Usual` is what is to be expected at an upstream of which nothing is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usual {
+    /// Load by all daemons.
+    pub load: f64,
+    /// Load by other daemons.
+    pub others: f64,
+    /// Variance of the load.
+    pub variance: f64,
+    /// Time that a request spends at an upstream, in milliseconds.
+    pub residence_ms: f64,
+}
+
+impl Usual {
+    /// Returns the part of a reported load that is believed.
+    #[must_use]
+    pub fn believed(&self, load: f64, slots: f64) -> f64 {
+        load.clamp(0.0, self.load + MAX_QUEUES * slots)
+    }
+}
+
+/// `Flow` learns what is usual from reports and from this daemon's own requests.
+///
+/// This daemon's share of the load is its own load over the reported one, and the rate of a service
+/// is its load over the time of a request (Little's law), so that nothing has to be exchanged.
+#[derive(Clone, Debug, Default)]
+pub struct Flow {
+    /// Upstreams of the service.
+    upstreams: f64,
+    /// Sum of the averages of those that have reported, and their number.
+    sum: f64,
+    reporting: f64,
+    variance: Option<f64>,
+    own: u64,
+    updated: Millis,
+    /// Decaying integrals over time: of 1, of the own requests in flight, and those sent.
+    span_ms: f64,
+    own_ms: f64,
+    sent: f64,
+}
+
+impl Flow {
+    /// Sets the number of upstreams and the averages of those that have reported.
+    pub fn reset(&mut self, upstreams: f64, averages: &[f64]) {
+        self.upstreams = upstreams;
+        self.sum = averages.iter().sum();
+        #[allow(clippy::cast_precision_loss)]
+        let reporting = averages.len() as f64;
+        self.reporting = reporting;
+    }
+
+    /// Records the change of an upstream's average by a report of `load`.
+    pub fn record(&mut self, load: f64, change: f64, is_first: bool) {
+        self.sum += change;
+        self.reporting += if is_first { 1.0 } else { 0.0 };
+        let square = (load - 1.0 - self.load()).powi(2);
+        let known = self.variance.unwrap_or(square);
+        self.variance = Some(known + (square - known) * NEWEST_WEIGHT);
+    }
+
+    /// Records that a request of this daemon was sent or has ended.
+    pub fn record_own(&mut self, now: Millis, is_sent: bool) {
+        self.advance(now);
+        if is_sent {
+            self.own += 1;
+            self.sent += 1.0;
+        } else {
+            self.own = self.own.saturating_sub(1);
+        }
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn advance(&mut self, now: Millis) {
+        let span = (now - self.updated).0 as f64;
+        let kept = (-span / OWN_MS).exp();
+        self.span_ms = self.span_ms * kept + span;
+        self.own_ms = self.own_ms * kept + span * self.own as f64;
+        self.sent *= kept;
+        self.updated = now;
+    }
+
+    fn load(&self) -> f64 {
+        self.sum.max(0.0) / self.reporting.max(1.0)
+    }
+
+    /// Returns what is usual.
+    #[must_use]
+    pub fn usual(&self) -> Usual {
+        let load = self.load();
+        let own = self.own_ms / self.span_ms.max(1.0) / self.upstreams.max(1.0);
+        Usual {
+            load,
+            others: (load - own).max(0.0),
+            // Independent arrivals alone have the variance of their mean.
+            variance: self.variance.unwrap_or_default().max(load),
+            residence_ms: (self.own_ms + INITIAL_RESIDENCE_MS) / (self.sent + 1.0),
+        }
+    }
+}
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`lag`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`] and [`usage`]; the
+//! [`estimate`], [`lag`], [`quarantine`], [`quota`], [`relay`], [`roster`], [`throttle`] and [`usage`]; the
 //! dispatch for the daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
 //! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
@@ -17,6 +17,7 @@
 pub mod capacity;
 pub mod choice;
 pub mod dispatch;
+pub mod estimate;
 pub mod fair;
 pub mod gossip;
 pub mod lag;
