Estimates: learn how long differences last, and weigh what all daemons know

A fixed return to the usual load followed late reports too much at 400 daemons and too little at 8. Daemons now learn from successive reports how long a difference from the usual load lasts, and draw the more at random the less they send themselves while reports are on their way.

--- a/cactusglade-policy/src/broker/flows.rs
+++ b/cactusglade-policy/src/broker/flows.rs
@@ -84,12 +84,15 @@
         let Some(flow) = self.flows.get_mut(&upstream.instance.service) else {
             return;
         };
-        let is_first = upstream.estimate.average().is_none();
+        let last = upstream.estimate.last();
+        if last.is_some_and(|(before, _)| before > at) {
+            return;
+        }
         let (own, slots) = (upstream.in_flight, upstream.instance.slots as f64);
         let usual = flow.usual();
         let load = usual.believed(load as f64, slots);
         let change = upstream.estimate.record(at, load, own);
-        flow.record(load, change, is_first);
+        flow.record(load, change, last.map(|(before, load)| (at - before, load)));
     }
 
     /// Takes over the upstreams of the registry.
--- a/cactusglade-policy/src/estimate/flow.rs
+++ b/cactusglade-policy/src/estimate/flow.rs
@@ -2,6 +2,8 @@
 
 use cactusglade_core::units::Millis;
 
+use super::SIGHTING_AGE;
+
 /// Time over which this daemon's own requests are averaged, in milliseconds. A daemon of a large
 /// fleet sends a service a few requests per second.
 const OWN_MS: f64 = 10_000.0;
@@ -14,6 +16,10 @@
 /// upstream has worked off more.
 const MAX_QUEUES: f64 = 4.0;
 
+/// Bounds of the share of a difference that is found left at the next report.
+const MIN_LEFT: f64 = 0.02;
+const MAX_LEFT: f64 = 0.98;
+
 /// `Usual` is what is to be expected at an upstream of which nothing is known.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usual {
@@ -25,6 +31,11 @@
     pub variance: f64,
     /// Time that a request spends at an upstream, in milliseconds.
     pub residence_ms: f64,
+    /// Time in which a difference from the usual load shrinks to a third, in milliseconds.
+    pub return_ms: f64,
+    /// Part of what this daemon knows that all others know too, from 0 to 1: the less it sends
+    /// itself while reports are on their way, the more its choice is that of all others.
+    pub hearsay: f64,
 }
 
 impl Usual {
@@ -35,6 +46,39 @@
     }
 }
 
+/// `Persistence` learns how long differences of loads last.
+///
+/// Requests that end are one reason that they don't; daemons that all follow the same reports are
+/// another. Where these turn differences around, reports say nothing of the present.
+#[derive(Clone, Debug, Default)]
+struct Persistence {
+    square: f64,
+    product: f64,
+    gap: f64,
+}
+
+impl Persistence {
+    /// Records two differences from the usual load, the later one after a time.
+    #[allow(clippy::cast_precision_loss)]
+    fn record(&mut self, gap: Millis, before: f64, after: f64) {
+        if gap == Millis(0) {
+            return;
+        }
+        let kept = 1.0 - NEWEST_WEIGHT;
+        self.square = self.square * kept + before * before;
+        self.product = self.product * kept + before * after;
+        self.gap = self.gap * kept + before * before * gap.0 as f64;
+    }
+
+    fn return_ms(&self, initial_ms: f64) -> f64 {
+        if self.square <= 0.0 {
+            return initial_ms;
+        }
+        let left = (self.product / self.square).clamp(MIN_LEFT, MAX_LEFT);
+        self.gap / self.square / -left.ln()
+    }
+}
+
 /// `Flow` learns what is usual from reports and from this daemon's own requests.
 ///
 /// This daemon's share of the load is its own load over the reported one, and the rate of a service
@@ -47,6 +91,7 @@
     sum: f64,
     reporting: f64,
     variance: Option<f64>,
+    persistence: Persistence,
     own: u64,
     updated: Millis,
     /// Decaying integrals over time: of 1, of the own requests in flight, and those sent.
@@ -66,9 +111,15 @@
     }
 
     /// Records the change of an upstream's average by a report of `load`.
-    pub fn record(&mut self, load: f64, change: f64, is_first: bool) {
+    ///
+    /// `last` is the report before, if any, and the time since.
+    pub fn record(&mut self, load: f64, change: f64, last: Option<(Millis, f64)>) {
         self.sum += change;
-        self.reporting += if is_first { 1.0 } else { 0.0 };
+        self.reporting += if last.is_none() { 1.0 } else { 0.0 };
+        if let Some((gap, before)) = last {
+            let usual = self.load() + 1.0;
+            self.persistence.record(gap, before - usual, load - usual);
+        }
         let square = (load - 1.0 - self.load()).powi(2);
         let known = self.variance.unwrap_or(square);
         self.variance = Some(known + (square - known) * NEWEST_WEIGHT);
@@ -104,12 +155,17 @@
     pub fn usual(&self) -> Usual {
         let load = self.load();
         let own = self.own_ms / self.span_ms.max(1.0) / self.upstreams.max(1.0);
+        #[allow(clippy::cast_precision_loss)]
+        let on_the_way = SIGHTING_AGE.0 as f64;
+        let residence_ms = (self.own_ms + INITIAL_RESIDENCE_MS) / (self.sent + 1.0);
         Usual {
             load,
             others: (load - own).max(0.0),
             // Independent arrivals alone have the variance of their mean.
             variance: self.variance.unwrap_or_default().max(load),
-            residence_ms: (self.own_ms + INITIAL_RESIDENCE_MS) / (self.sent + 1.0),
+            residence_ms,
+            hearsay: 1.0 / (1.0 + self.sent / self.span_ms.max(1.0) * on_the_way),
+            return_ms: self.persistence.return_ms(residence_ms),
         }
     }
 }
--- a/cactusglade-policy/src/estimate/mod.rs
+++ b/cactusglade-policy/src/estimate/mod.rs
@@ -23,8 +23,7 @@
 const HISTORY: Millis = Millis(1_000);
 /// Changes kept for one upstream, so that a fast one doesn't cost more.
 const MAX_CHANGES: usize = 64;
-/// Time over which an upstream's reports are averaged, in milliseconds; shorter than the time for
-/// which a slow upstream stays slow would follow each request.
+/// Time over which an upstream's reports are averaged, in milliseconds.
 const AVERAGE_MS: f64 = 1_000.0;
 /// Uncertainty of a report itself, in requests: one may have come or gone on its way.
 const REPORT_VARIANCE: f64 = 0.5;
@@ -32,20 +31,19 @@
 /// `Tuning` weighs the parts of an estimate; the product uses the default.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
-    /// Factor of the random deviation, in standard deviations of the estimate.
+    /// Factor of the random deviation, in standard deviations of the estimate. Where a daemon sends
+    /// next to nothing itself, 2 and less let hundreds of daemons follow the same reports, and with
+    /// 4 and more they are hardly used.
     pub deviation: f64,
     /// Factor of the time in which the load returns to the usual one.
     pub return_time: f64,
-    /// Weight of the upstream's own average against that of its service.
-    pub own_average: f64,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            deviation: 1.0,
+            deviation: 3.0,
             return_time: 1.0,
-            own_average: 0.5,
         }
     }
 }
@@ -57,6 +55,8 @@
     reported: Option<Millis>,
     /// Load that other daemons caused then.
     others: f64,
+    /// Load that was reported.
+    level: f64,
     /// Average of the reported loads.
     average: f64,
     /// Changes of the number of own requests in flight, the latest last.
@@ -87,6 +87,7 @@
         let weight = self
             .reported
             .map_or(1.0, |reported| 1.0 - relaxation(at - reported, AVERAGE_MS));
+        self.level = load;
         self.reported = Some(at);
         let change = (before - self.average) * weight;
         self.average += change;
@@ -107,6 +108,12 @@
         self.reported.map(|reported| now - reported)
     }
 
+    /// Returns the load that was reported last, and the time of which that report speaks.
+    #[must_use]
+    pub fn last(&self) -> Option<(Millis, f64)> {
+        self.reported.map(|reported| (reported, self.level))
+    }
+
     /// Returns the average of the reported loads, `None` without a report.
     #[must_use]
     pub fn average(&self) -> Option<f64> {
@@ -119,11 +126,8 @@
         let Some(age) = self.age(now) else {
             return (usual.others, usual.variance);
         };
-        let kept = relaxation(age, usual.residence_ms * tuning.return_time);
-        // What is particular to the upstream lasts longer than single requests.
-        let lasting = relaxation(age, AVERAGE_MS) * tuning.own_average;
-        let mean = (usual.others + (self.average - usual.load) * lasting).max(0.0);
-        let expected = mean + (self.others - mean) * kept;
+        let kept = relaxation(age, usual.return_ms * tuning.return_time);
+        let expected = usual.others + (self.others - usual.others) * kept;
         let variance = usual.variance * (1.0 - kept * kept) + REPORT_VARIANCE * kept * kept;
         (expected, variance)
     }
@@ -136,7 +140,7 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn draw(&self, now: Millis, own: u64, usual: &Usual, tuning: &Tuning, draw: u64) -> f64 {
         let (expected, variance) = self.others(now, usual, tuning);
-        let deviation = variance.max(0.0).sqrt() * tuning.deviation;
+        let deviation = variance.max(0.0).sqrt() * tuning.deviation * usual.hearsay;
         own as f64 + (expected + deviation * normal(draw)).max(0.0)
     }
 }
