--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -2,6 +2,7 @@
 //! answer where none succeeds.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
@@ -206,9 +207,14 @@
     fn log_placement(&self, placement: &Placement) {
         let basis = placement.grant.basis;
         let age = basis.load_age.map(|age| age.0);
+        if let Some(age) = basis.load_age.filter(|_| basis.is_estimated) {
+            let metrics = &self.entry.context.metrics;
+            let age = Duration::from_millis(age.0);
+            metrics.load_age.observe(age.as_secs_f64());
+        }
         info!(self.entry.context.log, "placed"; "id" => &self.entry.call.id,
             "upstream" => &placement.name, "candidates" => basis.candidates,
-            "load" => basis.load, "load_age_ms" => age,
+            "load" => basis.load, "load_age_ms" => age, "estimated" => basis.is_estimated,
             "limit_per_s" => basis.limit.map(Rate::per_second),
             "uncached" => placement.grant.uncached,
             "kept_connection" => placement.connection.is_some(), "sent" => self.attempt.sent(),
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -73,6 +73,8 @@
     pub gossip_bytes: IntCounter,
     /// Seconds by which the event loop runs timers late.
     pub loop_lateness: Histogram,
+    /// Seconds since the last report of the load by which an upstream was chosen.
+    pub load_age: Histogram,
 }
 
 impl Metrics {
@@ -138,6 +140,7 @@
                 "Bytes of rows to and from peers",
             )?,
             loop_lateness: loop_lateness(&registry)?,
+            load_age: load_age(&registry)?,
             registry,
         })
     }
@@ -183,13 +186,26 @@
 }
 
 fn loop_lateness(registry: &Registry) -> Result<Histogram> {
-    let options = HistogramOpts::new(
+    histogram(
+        registry,
         "cactusglade_loop_lateness_seconds",
         "Time by which the event loop runs timers late",
-    );
-    let loop_lateness = Histogram::with_opts(options.buckets(LATENCY_BUCKETS_S.to_vec()))?;
-    registry.register(Box::new(loop_lateness.clone()))?;
-    Ok(loop_lateness)
+    )
+}
+
+fn load_age(registry: &Registry) -> Result<Histogram> {
+    histogram(
+        registry,
+        "cactusglade_load_age_seconds",
+        "Age of the load report by which an upstream was chosen, where loads are estimated",
+    )
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram> {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+    let histogram = Histogram::with_opts(options)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
 }
 
 fn request_metrics(registry: &Registry) -> Result<(IntCounterVec, HistogramVec, Histogram)> {
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -288,7 +288,6 @@
                 load,
                 latency_ms,
             } => {
-                // An answer that is sent as a whole states the load at its end.
                 let load =
                     load.unwrap_or_else(|| self.loads.now(now, grant.upstream, &self.engines));
                 let broker = &mut self.brokers[daemon];
@@ -451,7 +450,7 @@
         let first_token = Event::FirstToken {
             daemon,
             grant,
-            load: options.spread.work_ms.is_none().then_some(load + 1),
+            load: (!options.spread.states_at_answer).then_some(load + 1),
             latency_ms: run.first_token - now,
         };
         self.schedule(run.first_token, first_token);
--- a/cactusglade-model/src/fleet/spread.rs
+++ b/cactusglade-model/src/fleet/spread.rs
@@ -37,6 +37,9 @@
     pub noise: Option<Noise>,
     /// Time that a request takes in milliseconds, where requests have no prompts.
     pub work_ms: Option<f64>,
+    /// Whether an answer states the load at its beginning, and not that at the arrival of its
+    /// request.
+    pub states_at_answer: bool,
 }
 
 impl<R: Strategy> Model<'_, R> {
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -89,6 +89,8 @@
     pub load: u64,
     /// Time since the upstream last reported its load, `None` if it never did.
     pub load_age: Option<Millis>,
+    /// Whether the load is an estimate of the present one ([`crate::estimate`]).
+    pub is_estimated: bool,
     /// Limit that the upstream has stated.
     pub limit: Option<Rate>,
 }
@@ -339,6 +341,7 @@
             candidates,
             load,
             load_age: chosen.and_then(|upstream| self.load_age(now, upstream)),
+            is_estimated: self.has_tight(),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
         };
         self.record_own(now, candidate.upstream, true);
--- a/cactusglade-policy/src/estimate/flow.rs
+++ b/cactusglade-policy/src/estimate/flow.rs
@@ -16,6 +16,9 @@
 /// upstream has worked off more.
 const MAX_QUEUES: f64 = 4.0;
 
+/// Upstreams up to which a choice compares all. Of more, each daemon compares a few others, so that
+/// few daemons follow the same report in any case.
+const ALL_COMPARED: f64 = 16.0;
 /// Bounds of the share of a difference that is found left at the next report.
 const MIN_LEFT: f64 = 0.02;
 const MAX_LEFT: f64 = 0.98;
@@ -155,6 +158,7 @@
     pub fn usual(&self) -> Usual {
         let load = self.load();
         let own = self.own_ms / self.span_ms.max(1.0) / self.upstreams.max(1.0);
+        let compared = (ALL_COMPARED / self.upstreams.max(1.0)).min(1.0);
         #[allow(clippy::cast_precision_loss)]
         let on_the_way = SIGHTING_AGE.0 as f64;
         let residence_ms = (self.own_ms + INITIAL_RESIDENCE_MS) / (self.sent + 1.0);
@@ -164,7 +168,7 @@
             // Independent arrivals alone have the variance of their mean.
             variance: self.variance.unwrap_or_default().max(load),
             residence_ms,
-            hearsay: 1.0 / (1.0 + self.sent / self.span_ms.max(1.0) * on_the_way),
+            hearsay: compared / (1.0 + self.sent / self.span_ms.max(1.0) * on_the_way),
             return_ms: self.persistence.return_ms(residence_ms),
         }
     }
