--- a/cactusglade-cli/src/experiment/settings.rs
+++ b/cactusglade-cli/src/experiment/settings.rs
@@ -2,7 +2,8 @@
 
 use cactusglade_model::engine::Profile;
 use cactusglade_model::fleet::Options;
-use cactusglade_model::fleet::Rule;
+use cactusglade_model::fleet::Placement;
+use cactusglade_model::fleet::Spread;
 use cactusglade_model::load::Class;
 use serde::Deserialize;
 
@@ -167,7 +168,8 @@
             dark: dark.map(|dark| (dark.engines.min(self.engines), dark.at_ms)),
             churn: None,
             tight_target: None,
-            rule: Rule::Product,
+            placement: Placement::Product,
+            spread: Spread::default(),
         }
     }
 }
--- a/cactusglade-model/src/fleet/rule.rs
+++ b/cactusglade-model/src/fleet/placement.rs
@@ -17,9 +17,9 @@
 /// Number of engines that are drawn at random, as in the product.
 const SAMPLE_SIZE: u64 = 4;
 
-/// `Rule` is a way to select an engine.
+/// `Placement` is a way to select an engine.
 #[derive(Clone, Copy, Debug, Default)]
-pub enum Rule {
+pub enum Placement {
     /// The product's own decisions.
     #[default]
     Product,
@@ -44,12 +44,12 @@
         let upstreams = broker
             .upstreams()
             .filter(|(key, upstream)| upstream.is_available(millis(now)) && !tried.contains(key));
-        let selected = match self.options.rule {
-            Rule::Product => None,
-            Rule::BoundedLoads(factor) => {
+        let selected = match self.options.placement {
+            Placement::Product => None,
+            Placement::BoundedLoads(factor) => {
                 bounded(now, upstreams.collect(), prompt.session(), factor)
             }
-            Rule::SharedCaches => self.cheapest(now, &upstreams.collect::<Vec<_>>(), prompt),
+            Placement::SharedCaches => self.cheapest(now, &upstreams.collect::<Vec<_>>(), prompt),
         };
         let Some(selected) = selected else {
             return tried.to_vec();
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -125,11 +125,12 @@
                 slack: 0.0,
                 detection: DETECTION_TIME,
             },
-            tight_target: options.tight_target,
+            tight_target: options.tight_target.or(options.spread.tight_target),
             cold: None,
             regions: BTreeMap::new(),
         };
         let mut broker = Broker::new(policy, strategy());
+        broker.tune(options.spread.tuning);
         broker.adopt(Millis(0), catalog.clone());
         let daemons = options.daemons as u64;
         broker.set_membership(Millis(0), daemons, daemons, DETECTION_TIME);
--- a/cactusglade-model/tests/affinity.rs
+++ b/cactusglade-model/tests/affinity.rs
@@ -6,7 +6,7 @@
 use cactusglade_model::fleet;
 use cactusglade_model::fleet::Churn;
 use cactusglade_model::fleet::Options;
-use cactusglade_model::fleet::Rule;
+use cactusglade_model::fleet::Placement;
 use cactusglade_model::fleet::Summary;
 use cactusglade_model::load::Class;
 
@@ -73,7 +73,7 @@
         dark: None,
         churn,
         tight_target,
-        rule: Rule::Product,
+        placement: Placement::Product,
     }
 }
 
@@ -84,7 +84,7 @@
     println!(
         "{} daemons, {:?}, tight {}: found {:.4} (of all {:.3}), busiest/mean {:.3}, {}",
         options.daemons,
-        options.rule,
+        options.placement,
         options.tight_target.is_some(),
         summary.found_share(),
         summary.cached_share(),
@@ -157,14 +157,14 @@
 fn table(load: &str, churn: Option<Churn>, hot_share: f64) {
     for daemons in [24, 77, 195, 400] {
         for (rule, tight) in [
-            (Rule::Product, None),
-            (Rule::Product, TIGHT),
-            (Rule::BoundedLoads(1.25), None),
-            (Rule::BoundedLoads(2.0), None),
-            (Rule::SharedCaches, None),
+            (Placement::Product, None),
+            (Placement::Product, TIGHT),
+            (Placement::BoundedLoads(1.25), None),
+            (Placement::BoundedLoads(2.0), None),
+            (Placement::SharedCaches, None),
         ] {
             let mut options = options(daemons, churn, tight);
-            options.rule = rule;
+            options.placement = rule;
             options.classes[0].hot_share = hot_share;
             print!("{load}: ");
             play(&options);
--- a/cactusglade-model/tests/choice.rs
+++ b/cactusglade-model/tests/choice.rs
@@ -4,7 +4,8 @@
 use cactusglade_model::engine::Profile;
 use cactusglade_model::fleet;
 use cactusglade_model::fleet::Options;
-use cactusglade_model::fleet::Rule;
+use cactusglade_model::fleet::Placement;
+use cactusglade_model::fleet::Spread;
 use cactusglade_model::fleet::Summary;
 use cactusglade_model::load::Class;
 
@@ -72,7 +73,8 @@
         dark: None,
         churn: None,
         tight_target: None,
-        rule: Rule::Product,
+        placement: Placement::Product,
+        spread: Spread::default(),
     }
 }
 
@@ -186,7 +188,8 @@
         dark: None,
         churn: None,
         tight_target: None,
-        rule: Rule::Product,
+        placement: Placement::Product,
+        spread: Spread::default(),
     }
 }
 
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -5,6 +5,7 @@
 
 mod candidates;
 mod evacuation;
+mod flows;
 mod limits;
 mod paces;
 mod prefills;
@@ -34,6 +35,8 @@
 use crate::affinity::Demand;
 use crate::budget;
 use crate::budget::Budget;
+use crate::estimate::Flow;
+use crate::estimate::Tuning;
 use crate::evacuation::Register;
 use crate::pace;
 use crate::pace::Allowance;
@@ -107,6 +110,8 @@
     pub load: u64,
     /// Time since the upstream last reported its load, `None` if it never did.
     pub load_age: Option<Millis>,
+    /// Whether the load is an estimate of the present one ([`crate::estimate`]).
+    pub is_estimated: bool,
     /// Limit that the upstream has stated.
     pub limit: Option<Rate>,
     /// Expected time for work at the selected upstream, in percent of the usual time.
@@ -224,6 +229,9 @@
     tight: BTreeSet<arena::Service>,
     /// Regions of the settings, in order; an upstream's is an index into these.
     regions: Vec<String>,
+    /// What is usual at the upstreams, by service.
+    flows: BTreeMap<String, Flow>,
+    tuning: Tuning,
     /// Versions that receive no requests, by service.
     withheld: BTreeMap<String, String>,
     /// Organisations by the hashes that identify them between daemons.
@@ -277,6 +285,8 @@
             buckets: BTreeMap::new(),
             tight: BTreeSet::new(),
             regions: regions.into_iter().collect(),
+            flows: BTreeMap::new(),
+            tuning: Tuning::default(),
             withheld: BTreeMap::new(),
             hashes: BTreeMap::new(),
             daemons: ASSUMED_DAEMONS,
@@ -420,17 +430,22 @@
         prompt: Option<&Prompt>,
     ) -> Grant {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let (uncached, load) = (candidate.uncached as u64, candidate.load.round() as u64);
+        let uncached = candidate.uncached as u64;
         let pace = pace::percent(candidate.pace);
+        let expected = self.expected_load(now, candidate);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let load = expected.round() as u64;
         let chosen = self.upstreams.get(candidate.upstream);
         let basis = Basis {
             candidates,
             load,
-            load_age: chosen.and_then(|upstream| upstream.load_age(now)),
+            load_age: chosen.and_then(|upstream| self.load_age(now, upstream)),
+            is_estimated: self.has_tight(),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
             pace,
         };
         self.announce_prefill(now, service, candidate.upstream, uncached);
+        self.record_own(now, candidate.upstream, true);
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.in_flight += 1;
             upstream.backlog += uncached;
@@ -477,7 +492,9 @@
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_load(now, running, waiting);
             let hash = affinity::short_hash(&upstream.instance.name);
-            self.sighting(hash).load = Some(running + waiting);
+            let load = running.saturating_add(waiting);
+            self.sighting(hash).load = Some(load);
+            self.record_estimate(now, key, load);
         }
     }
 
@@ -520,6 +537,7 @@
         report: &Report,
         draw: f64,
     ) -> bool {
+        self.record_own(now, key, false);
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -5,7 +5,8 @@
 
 use crate::affinity;
 use crate::affinity::Cache;
-use crate::pace::Estimate;
+use crate::estimate::Estimate;
+use crate::pace;
 use crate::prefill::Queue;
 use crate::retry::Backoff;
 use crate::throttle::Throttle;
@@ -53,7 +54,7 @@
     /// Limit that the upstream has stated, and this daemon's share of it.
     pub throttle: Throttle,
     /// Time that work takes at the upstream, relative to the usual time.
-    pub pace: Estimate,
+    pub pace: pace::Estimate,
     /// What the upstream has still to read of other daemons' long prompts.
     pub reading: Queue,
     /// Until when the upstream is cold, and this daemon's share of what it takes meanwhile.
@@ -66,6 +67,8 @@
     pub in_flight: u64,
     /// Prompt tokens of this daemon's requests that the upstream has not yet read.
     pub backlog: u64,
+    /// Estimate of the load, where it is balanced by estimates.
+    pub estimate: Estimate,
     other_load: f64,
     reported: Option<Millis>,
     latency: f64,
@@ -92,13 +95,14 @@
             region: None,
             spared_until: Millis(0),
             throttle: Throttle::default(),
-            pace: Estimate::default(),
+            pace: pace::Estimate::default(),
             reading: Queue::default(),
             warmup: Warmup::default(),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
             backlog: 0,
+            estimate: Estimate::default(),
             other_load: 0.0,
             reported: None,
             latency: INITIAL_LATENCY_MS,
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -6,9 +6,9 @@
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`attempt`], [`budget`], [`capacity`],
-//! [`evacuation`], [`lag`], [`pace`], [`prefill`], [`quarantine`], [`quota`], [`relay`], [`roster`],
-//! [`throttle`], [`usage`] and [`warmup`]; the dispatch for the daemon's own gate, together with [`choice`],
-//! [`fair`], [`gossip`], [`ledger`],
+//! [`estimate`], [`evacuation`], [`lag`], [`pace`], [`prefill`], [`quarantine`], [`quota`],
+//! [`relay`], [`roster`], [`throttle`], [`usage`] and [`warmup`]; the dispatch for the daemon's own
+//! gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
 //! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
 pub mod affinity;
@@ -18,6 +18,7 @@
 pub mod capacity;
 pub mod choice;
 pub mod dispatch;
+pub mod estimate;
 pub mod evacuation;
 pub mod fair;
 pub mod gossip;
