--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -139,14 +139,8 @@
             first_byte,
             between_tokens,
             tokens: counter("cactusglade_tokens_total", "Tokens given to callers")?,
-            computed: counter(
-                "cactusglade_computed_tokens_total",
-                "Tokens computed upstream",
-            )?,
-            recomputed: counter(
-                "cactusglade_recomputed_tokens_total",
-                "Tokens computed again",
-            )?,
+            computed: counter("cactusglade_computed_tokens_total", "Tokens computed")?,
+            recomputed: counter("cactusglade_recomputed_tokens_total", "Computed again")?,
             failed_sendings: failed_sendings(&registry)?,
             goals: goals(&registry)?,
             platform_calls: platform_calls(&registry)?,
--- a/cactusglade-model/examples/even_load.rs
+++ b/cactusglade-model/examples/even_load.rs
@@ -8,6 +8,7 @@
 use cactusglade_model::fleet;
 use cactusglade_model::fleet::Noise;
 use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Placement;
 use cactusglade_model::fleet::Rule;
 use cactusglade_model::fleet::Spread;
 use cactusglade_model::load::Class;
@@ -109,6 +110,7 @@
         common_tokens,
         session_tokens,
         own_tokens,
+        own_sigma: 0.0,
         sessions: 800,
         hot_share: 0.0,
         answer_tokens,
@@ -163,9 +165,11 @@
             // What is reported waits for half the interval on average.
             gossip_ms: Some((0.4 * age_ms, 0.8 * age_ms)),
             dark: None,
+            churn: None,
+            tight_target: case.tuning.map(|_| Millis(1_000)),
+            placement: Placement::Product,
             spread: Spread {
                 rule: case.rule,
-                tight_target: case.tuning.map(|_| Millis(1_000)),
                 tuning: case.tuning.unwrap_or_default(),
                 noise: Some(NOISE),
                 work_ms: kind.work_ms,
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -348,15 +348,7 @@
                 tried,
             } => self.lose(now, daemon, &grant, request, tried),
             Event::Share => self.share(now),
-            Event::Deliver(sightings) => {
-                for (daemon, broker) in self.brokers.iter_mut().enumerate() {
-                    for (from, sighting) in &sightings {
-                        if *from != daemon {
-                            broker.record_sighting(millis(now), sighting);
-                        }
-                    }
-                }
-            }
+            Event::Deliver(sightings) => self.deliver(now, &sightings),
             Event::Reclaim(zone) => self.reclaim(now, zone),
             Event::Replace(engines) => self.replace(now, engines),
             Event::Learn { daemon, changes } => {
@@ -376,6 +368,17 @@
         }
     }
 
+    /// Delivers what daemons have seen to all others.
+    fn deliver(&mut self, now: f64, sightings: &[(usize, Sighting)]) {
+        for (daemon, broker) in self.brokers.iter_mut().enumerate() {
+            for (from, sighting) in sightings {
+                if *from != daemon {
+                    broker.record_sighting(millis(now), sighting);
+                }
+            }
+        }
+    }
+
     /// Gives a request up at an engine that did not answer, and sends it to another.
     fn lose(
         &mut self,
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -125,7 +125,7 @@
                 slack: 0.0,
                 detection: DETECTION_TIME,
             },
-            tight_target: options.tight_target.or(options.spread.tight_target),
+            tight_target: options.tight_target,
             cold: None,
             regions: BTreeMap::new(),
         };
--- a/cactusglade-model/src/fleet/spread.rs
+++ b/cactusglade-model/src/fleet/spread.rs
@@ -1,7 +1,6 @@
 //! How evenly requests are spread: noise of the engines, and comparisons of their loads.
 
 use cactusglade_core::call::Part;
-use cactusglade_core::units::Millis;
 use cactusglade_policy::broker::Strategy;
 use cactusglade_policy::estimate::Tuning;
 use rand::Rng;
@@ -29,8 +28,6 @@
 pub struct Spread {
     /// Rule of the choice.
     pub rule: Rule,
-    /// Latency target of a route up to which its service counts as latency-critical.
-    pub tight_target: Option<Millis>,
     /// How the parts of an estimate are weighed.
     pub tuning: Tuning,
     /// Slow engines, if any.
--- a/cactusglade-model/tests/affinity.rs
+++ b/cactusglade-model/tests/affinity.rs
@@ -7,6 +7,7 @@
 use cactusglade_model::fleet::Churn;
 use cactusglade_model::fleet::Options;
 use cactusglade_model::fleet::Placement;
+use cactusglade_model::fleet::Spread;
 use cactusglade_model::fleet::Summary;
 use cactusglade_model::load::Class;
 
@@ -71,6 +72,7 @@
         warm_up_ms: 25_000.0,
         gossip_ms: Some(GOSSIP_MS),
         dark: None,
+        spread: Spread::default(),
         churn,
         tight_target,
         placement: Placement::Product,
--- a/cactusglade-model/tests/even.rs
+++ b/cactusglade-model/tests/even.rs
@@ -6,6 +6,7 @@
 use cactusglade_model::fleet;
 use cactusglade_model::fleet::Noise;
 use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Placement;
 use cactusglade_model::fleet::Rule;
 use cactusglade_model::fleet::Spread;
 use cactusglade_model::fleet::Summary;
@@ -32,6 +33,7 @@
             common_tokens: 0,
             session_tokens: 0,
             own_tokens: 0,
+            own_sigma: 0.0,
             sessions: 1,
             hot_share: 0.0,
             answer_tokens: 0,
@@ -41,9 +43,11 @@
         warm_up_ms: 4_000.0,
         gossip_ms: Some((200.0, 350.0)),
         dark: None,
+        churn: None,
+        tight_target,
+        placement: Placement::Product,
         spread: Spread {
             rule,
-            tight_target,
             noise: Some(Noise {
                 share: 0.15,
                 factor: 2.5,
--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -118,7 +118,7 @@
         Candidate {
             upstream: key,
             is_same_zone: upstream.instance.zone == self.options.zone,
-            load: self.draw_load(now, upstream, query.draw),
+            load: self.draw_load(now, upstream, query),
             slots: upstream.instance.slots as f64,
             backlog: upstream.backlog as f64
                 + upstream
--- a/cactusglade-policy/src/broker/flows.rs
+++ b/cactusglade-policy/src/broker/flows.rs
@@ -3,26 +3,33 @@
 use std::collections::BTreeMap;
 
 use cactusglade_core::arena;
+use cactusglade_core::call::Prompt;
 use cactusglade_core::units::Millis;
 
 use super::Broker;
 use super::Candidate;
+use super::Query;
 use super::Strategy;
 use super::Upstream;
 use crate::affinity;
 use crate::estimate::Tuning;
 
 impl<R: Strategy> Broker<R> {
-    /// Returns whether the loads of upstreams are estimated: any route for streams of the catalog is
-    /// latency-critical.
-    ///
-    /// That counts for all services, since requests without prompts are part of the same work and
-    /// their few upstreams suffer most from daemons that choose alike.
+    /// Returns whether any route for streams of the catalog is latency-critical.
     #[must_use]
     pub fn has_tight(&self) -> bool {
         !self.tight.is_empty()
     }
 
+    /// Returns whether the loads of upstreams are estimated for a request.
+    ///
+    /// That holds for requests without a prompt, whose few upstreams suffer most from daemons that
+    /// choose alike. Those with a prompt go where it is cached and read soon; random deviations of the
+    /// load made their sessions move (docs/design/even-load.md).
+    pub(super) fn estimates(&self, prompt: Option<&Prompt>) -> bool {
+        self.has_tight() && prompt.is_none()
+    }
+
     /// Sets how the parts of an estimate are weighed, for a comparison in the model.
     pub const fn tune(&mut self, tuning: Tuning) {
         self.tuning = tuning;
@@ -30,22 +37,26 @@
 
     /// Returns the load of an upstream that the choice is to assume.
     ///
-    /// `draw` is a random number from 0 to 1.
-    pub(super) fn draw_load(&self, now: Millis, upstream: &Upstream, draw: f64) -> f64 {
+    pub(super) fn draw_load(&self, now: Millis, upstream: &Upstream, query: &Query<'_>) -> f64 {
         let flow = self.flows.get(&upstream.instance.service);
-        let Some(flow) = flow.filter(|_| self.has_tight()) else {
+        let Some(flow) = flow.filter(|_| self.estimates(query.prompt)) else {
             return upstream.load(now);
         };
-        let bits = affinity::weight(draw.to_bits(), upstream.hash);
+        let bits = affinity::weight(query.draw.to_bits(), upstream.hash);
         let estimate = &upstream.estimate;
         estimate.draw(now, upstream.in_flight, &flow.usual(), &self.tuning, bits)
     }
 
     /// Returns the load that is expected at the upstream of a candidate.
     #[allow(clippy::cast_precision_loss)]
-    pub(super) fn expected_load(&self, now: Millis, candidate: &Candidate) -> f64 {
+    pub(super) fn expected_load(
+        &self,
+        now: Millis,
+        candidate: &Candidate,
+        prompt: Option<&Prompt>,
+    ) -> f64 {
         let upstream = self.upstreams.get(candidate.upstream);
-        let Some(upstream) = upstream.filter(|_| self.has_tight()) else {
+        let Some(upstream) = upstream.filter(|_| self.estimates(prompt)) else {
             return candidate.load;
         };
         let flow = self.flows.get(&upstream.instance.service);
@@ -56,8 +67,13 @@
     }
 
     /// Returns the time since the load of an upstream that was reported last.
-    pub(super) fn load_age(&self, now: Millis, upstream: &Upstream) -> Option<Millis> {
-        if self.has_tight() {
+    pub(super) fn load_age(
+        &self,
+        now: Millis,
+        upstream: &Upstream,
+        prompt: Option<&Prompt>,
+    ) -> Option<Millis> {
+        if self.estimates(prompt) {
             upstream.estimate.age(now)
         } else {
             upstream.load_age(now)
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -432,15 +432,15 @@
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let uncached = candidate.uncached as u64;
         let pace = pace::percent(candidate.pace);
-        let expected = self.expected_load(now, candidate);
+        let expected = self.expected_load(now, candidate, prompt);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let load = expected.round() as u64;
         let chosen = self.upstreams.get(candidate.upstream);
         let basis = Basis {
             candidates,
             load,
-            load_age: chosen.and_then(|upstream| self.load_age(now, upstream)),
-            is_estimated: self.has_tight(),
+            load_age: chosen.and_then(|upstream| self.load_age(now, upstream, prompt)),
+            is_estimated: self.estimates(prompt),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
             pace,
         };
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -611,6 +611,7 @@
         fixture.broker.record_load(Millis(11_000), new, 5, 0);
         let query = Query {
             route: fixture.route,
+            organisation: None,
             prompt: None,
             tried: &[new],
             is_retry: false,
