Explain where a daemon would send a request now, without sending it

Cause: operators can tell from logs where a request went, not where one would go now, or why an upstream gets none. Change: Broker::explain returns the upstreams that are compared with their costs, the selected one, and the reason for which each other one is not compared; the operators' address answers /explain with it as text, and cactusglade route asks. The balancer's address does not answer it.

--- a/cactusglade-cli/src/commands/mod.rs
+++ b/cactusglade-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod publish;
 mod report;
 mod rollout;
+mod route;
 mod standin;
 mod status;
 
@@ -22,6 +23,7 @@
 pub use publish::Publish;
 pub use report::Report;
 pub use rollout::Rollout;
+pub use route::Route;
 pub use standin::Standin;
 pub use status::Status;
 
@@ -82,6 +84,8 @@
     Report(Report),
     #[options(help = "explain what happened to a request, from logs")]
     Explain(Explain),
+    #[options(help = "explain where a daemon would send a request now, without sending it")]
+    Route(Route),
     #[options(help = "play a fleet's decisions in a model, or compare two experiments")]
     Experiment(Experiment),
     #[options(help = "run a stand-in: platform, engine or service")]
@@ -167,6 +171,7 @@
             Self::Rollout(rollout) => rollout.run().await,
             Self::Report(report) => report.run().await,
             Self::Explain(explain) => explain.run(),
+            Self::Route(route) => route.run().await,
             Self::Experiment(experiment) => experiment.run(),
             Self::Standin(standin) => standin.run().await,
             Self::Demo(demo) => {
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -110,7 +110,7 @@
             log: log.clone(),
         };
         let broker = starter.start_broker(catalog).await?;
-        starter.start_probes(draining_state).await?;
+        starter.start_probes(draining_state, &broker).await?;
         let (rollouts, ordered) = watch::channel(BTreeMap::new());
         let (eras, era) = watch::channel(0);
         let mesh = starter.start_mesh(&broker, rollouts, eras).await?;
@@ -201,19 +201,28 @@
 
     /// Starts the services that answer the balancer's readiness checks and the operators, and the one
     /// that measures the event loop.
-    async fn start_probes(&mut self, draining: watch::Receiver<bool>) -> Result<()> {
+    async fn start_probes(
+        &mut self,
+        draining: watch::Receiver<bool>,
+        broker: &ActorRef<Broker>,
+    ) -> Result<()> {
         let state = State {
             catalogs: self.catalogs.clone(),
             draining,
             metrics: self.metrics.clone(),
+            broker: None,
         };
-        for (name, address) in [
-            (probe::READY, self.settings.ready),
-            (probe::OPERATORS, self.settings.operators),
+        let explaining = Some(broker.clone());
+        for (name, address, broker) in [
+            (probe::READY, self.settings.ready, None),
+            (probe::OPERATORS, self.settings.operators, explaining),
         ] {
             let options = probe::Options {
                 listener: listen(address)?,
-                state: state.clone(),
+                state: State {
+                    broker,
+                    ..state.clone()
+                },
             };
             self.kernel.start::<Probe>(name, options).await?;
         }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod evidence;
+mod explain;
 mod idle;
 mod inventory;
 mod messages;
@@ -37,6 +38,9 @@
 pub use evacuation::Origin;
 pub use evidence::Heed;
 pub use evidence::Proved;
+pub use explain::Account;
+pub use explain::Explain;
+pub use explain::Unexplained;
 pub use inventory::Inventory;
 pub use inventory::Survey;
 pub use messages::Adopt;
--- a/cactusglade-daemon/src/edge/probe/mod.rs
+++ b/cactusglade-daemon/src/edge/probe/mod.rs
@@ -1,4 +1,7 @@
-//! Service that answers the balancer's readiness checks and the operators' requests for metrics.
+//! Service that answers the balancer's readiness checks and the operators' requests for metrics and
+//! explanations.
+
+mod explain;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -23,6 +26,7 @@
 use tokio::sync::watch;
 
 use crate::accept;
+use crate::edge::broker::Broker;
 use crate::metrics::Metrics;
 
 /// Name of the service for the balancer.
@@ -45,6 +49,8 @@
     pub draining: watch::Receiver<bool>,
     /// Metrics of the daemon.
     pub metrics: Metrics,
+    /// Broker that explains its choices, on the operators' address only.
+    pub broker: Option<ActorRef<Broker>>,
 }
 
 impl State {
@@ -55,7 +61,10 @@
         !*self.draining.borrow() && self.catalogs.borrow().version > 0
     }
 
-    fn answer(&self, path: &str) -> Response<Full<Bytes>> {
+    async fn answer(&self, path: &str, query: &str) -> Response<Full<Bytes>> {
+        if let Some(broker) = self.broker.as_ref().filter(|_| path == explain::PATH) {
+            return explain::answer(broker, query).await;
+        }
         if path == METRICS_PATH {
             return match self.metrics.text() {
                 Ok(text) => Response::new(Full::new(text.into())),
@@ -101,8 +110,12 @@
 
 async fn serve(socket: TcpStream, state: State) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = state.answer(request.uri().path());
-        async move { Ok::<_, Infallible>(response) }
+        let state = state.clone();
+        async move {
+            let uri = request.uri();
+            let response = state.answer(uri.path(), uri.query().unwrap_or_default());
+            Ok::<_, Infallible>(response.await)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/cactusglade-model/src/fleet/bound.rs
+++ b/cactusglade-model/src/fleet/bound.rs
@@ -97,4 +97,8 @@
             }
         }
     }
+
+    fn cost(&self, candidate: &Candidate, terms: &Terms) -> f64 {
+        Fastest.cost(candidate, terms)
+    }
 }
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -5,6 +5,7 @@
 
 mod candidates;
 mod evacuation;
+mod explain;
 mod flows;
 mod limits;
 mod paces;
@@ -50,6 +51,8 @@
 use crate::warmup;
 use crate::warmup::Standing;
 
+pub use explain::Exclusion;
+pub use explain::Explanation;
 pub use strategy::Candidate;
 pub use strategy::Fastest;
 pub use strategy::Strategy;
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -35,6 +35,9 @@
 pub trait Strategy: Send + 'static {
     /// Returns the index of the selected candidate, or `None` if there are no candidates.
     fn choose(&self, candidates: &[Candidate], terms: &Terms, draw: f64) -> Option<usize>;
+
+    /// Returns the cost of a candidate in milliseconds, by which candidates are compared.
+    fn cost(&self, candidate: &Candidate, terms: &Terms) -> f64;
 }
 
 /// `Terms` is what the cost of a request depends on besides the candidate.
@@ -82,7 +85,7 @@
 pub struct Fastest;
 
 impl Fastest {
-    fn cost(candidate: &Candidate, terms: &Terms) -> f64 {
+    fn expected_cost(candidate: &Candidate, terms: &Terms) -> f64 {
         let waiting = (candidate.load + 1.0 - candidate.slots).max(0.0);
         let prefill =
             (candidate.backlog + PREFILL_WEIGHT * candidate.uncached) / terms.tokens_per_ms;
@@ -121,7 +124,7 @@
 
 impl Strategy for Fastest {
     fn choose(&self, candidates: &[Candidate], terms: &Terms, draw: f64) -> Option<usize> {
-        let costs = candidates.iter().map(|one| Self::cost(one, terms));
+        let costs = candidates.iter().map(|one| Self::expected_cost(one, terms));
         let costs = costs.collect::<Vec<_>>();
         let least = costs.iter().copied().min_by(f64::total_cmp)?;
         let cheapest = (0..costs.len()).filter(|index| costs[*index] <= least + TIE_THRESHOLD_MS);
@@ -134,4 +137,8 @@
         let index = (cheapest.len() as f64 * draw.clamp(0.0, 1.0)) as usize;
         cheapest.get(index.min(cheapest.len() - 1)).copied()
     }
+
+    fn cost(&self, candidate: &Candidate, terms: &Terms) -> f64 {
+        Self::expected_cost(candidate, terms)
+    }
 }
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -25,6 +25,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker::Broker;
+use cactusglade_policy::broker::Exclusion;
 use cactusglade_policy::broker::Fastest;
 use cactusglade_policy::broker::Options;
 use cactusglade_policy::broker::Query;
@@ -189,6 +190,42 @@
     }
 }
 
+/// An explanation that charged the request, or drew another upstream than the request itself, would
+/// mislead the operator and change what it explains.
+#[test]
+fn an_explanation_names_the_upstream_that_the_request_then_gets() {
+    let mut fixture = set_up(&["w", "x", "y", "z"]);
+    fixture
+        .broker
+        .apply(Millis(5), [put("w", 1, Phase::Leaving)]);
+    let spared = fixture.key("z");
+    fixture.broker.spare(Millis(5), spared, Millis(1_000));
+    for (at, draw) in (10..60).map(|at: u32| (at.into(), f64::from(at - 10) / 50.0)) {
+        let query = Query {
+            route: fixture.route,
+            organisation: None,
+            prompt: None,
+            tried: &[],
+            is_retry: false,
+            draw,
+        };
+        let explained = |broker: &Broker<Fastest>| {
+            let explanation = broker
+                .explain(Millis(at), &query)
+                .expect("the route is known");
+            let index = explanation.selected.expect("an upstream is available");
+            let excluded = explanation.excluded.iter().map(|(_, reason)| *reason);
+            let excluded = excluded.collect::<Vec<_>>();
+            assert_eq!(excluded, [Exclusion::Leaving, Exclusion::Spared]);
+            explanation.compared[index].0.upstream
+        };
+        let first = explained(&fixture.broker);
+        assert_eq!(first, explained(&fixture.broker), "asking changes nothing");
+        let grant = fixture.broker.place(Millis(at), &query);
+        assert_eq!(grant.map(|grant| grant.upstream), Ok(first));
+    }
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_requests_even_if_its_entry_becomes_ready() {
     let mut fixture = set_up(&["x"]);
