Quarantine: upstreams that go on answering have not crashed

Change: a cut no longer counts where its upstream answers others between 0.5 and 1.5 s later, by own answers or by what daemons share; one that is back later has crashed.

--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -498,6 +498,7 @@
             let load = running.saturating_add(waiting);
             self.sighting(hash).load = Some(load);
             self.record_estimate(now, key, load);
+            self.quarantine.record_alive(now, hash);
         }
     }
 
--- a/cactusglade-policy/src/broker/sighting.rs
+++ b/cactusglade-policy/src/broker/sighting.rs
@@ -22,6 +22,7 @@
         if let Some(load) = sighting.load {
             upstream.record_load(now, load, 0);
             self.record_estimate(now - SIGHTING_AGE, key, load);
+            self.quarantine.record_alive(now, sighting.upstream);
         }
         let upstream = self.upstreams.get_mut(key)?;
         if let Some(delay) = sighting.delay_ms {
--- a/cactusglade-policy/src/quarantine/evidence.rs
+++ b/cactusglade-policy/src/quarantine/evidence.rs
@@ -9,6 +9,11 @@
 /// Time within which crashes of several upstreams count as one incident, since hosts also fail
 /// together.
 const INCIDENT_TIME: Millis = Millis(150);
+/// Time after a cut in which news of its upstream may be older than the cut: loads reach all daemons
+/// within 400 ms.
+const NEWS_TIME: Millis = Millis(500);
+/// Time after a cut in which an upstream that crashed is not back yet.
+const DOWN_TIME: Millis = Millis(1_500);
 /// Maximum number of requests of one incident; an upstream has some tens that begin.
 const MAX_REQUESTS: usize = 128;
 
@@ -17,6 +22,8 @@
 pub struct Request {
     /// When it was cut.
     pub cut: Millis,
+    /// Hash of the name of the upstream that had it.
+    pub upstream: u32,
     /// Shared parts of its prompt that no answer has proved to be sound since.
     pub parts: BTreeSet<u64>,
 }
@@ -65,6 +72,19 @@
         is_cleared
     }
 
+    /// Clears the requests of an upstream that answers others a short time after their cuts: it did not
+    /// crash, whatever ended their connections.
+    pub fn clear_alive(&mut self, now: Millis, upstream: u32) {
+        if !self.upstreams.contains(&upstream) {
+            return;
+        }
+        let is_disproved = |one: &Request| {
+            let span = now - one.cut;
+            one.upstream == upstream && span >= NEWS_TIME && span <= DOWN_TIME
+        };
+        self.requests.retain(|one| !is_disproved(one));
+    }
+
     /// Returns whether a request of the incident has a part.
     pub fn has(&self, part: u64) -> bool {
         self.requests.iter().any(|one| one.parts.contains(&part))
--- a/cactusglade-policy/src/quarantine/mod.rs
+++ b/cactusglade-policy/src/quarantine/mod.rs
@@ -142,6 +142,17 @@
         self.unshared.push((cut, now));
     }
 
+    /// Records that an upstream answers requests now, as this daemon or another one has seen.
+    ///
+    /// A connection is also cut where an answer is lost on its way. On many connections at a time that
+    /// looked like crashes with a common cause: the part that most prompts share.
+    pub fn record_alive(&mut self, now: Millis, upstream: u32) {
+        for incident in &mut self.incidents {
+            incident.clear_alive(now, upstream);
+        }
+        self.incidents.retain(|incident| !incident.is_empty());
+    }
+
     /// Records that a request with these shared parts, to which the answer began at `began`, was
     /// answered; returns the parts that are released by that.
     pub fn record_answer(&mut self, now: Millis, began: Millis, shared: &[Part]) -> Vec<Judgement> {
@@ -311,6 +322,7 @@
         let open = parts.iter().take(MAX_PARTS).filter(is_open).copied();
         let request = Request {
             cut,
+            upstream,
             parts: open.collect(),
         };
         if request.parts.is_empty() {
--- a/cactusglade-policy/tests/quarantine.rs
+++ b/cactusglade-policy/tests/quarantine.rs
@@ -399,3 +399,47 @@
     let held = (100..200).filter(|part| held_until(&one, now, &[*part]).is_some());
     assert!(held.count() <= 16);
 }
+
+/// On a day on which answers of many upstreams were lost on their way, daemons took the part that all
+/// prompts of a route share for the cause of crashes, and refused the route for a minute.
+#[test]
+fn lost_answers_of_upstreams_that_go_on_are_no_crashes() {
+    for goes_on in [true, false] {
+        let mut fleet = Fleet::new();
+        for number in 0..60 {
+            let session = 100 + u64::from(number);
+            fleet.cut(0, number, &[COMMON, session]);
+            fleet.pass(Millis(2 * HEARTBEAT.0));
+            // The upstream of half a second and more ago answers other requests.
+            if let Some(earlier) = number.checked_sub(2).filter(|_| goes_on) {
+                let now = fleet.now;
+                for daemon in &mut fleet.daemons {
+                    daemon.record_alive(now, earlier);
+                }
+            }
+        }
+        let held = held_until(&fleet.daemons[0], fleet.now, &[COMMON, 99]);
+        assert_eq!(held.is_none(), goes_on, "goes on: {goes_on}");
+    }
+}
+
+/// An upstream that is back some seconds after a crash must not hide that it has crashed.
+#[test]
+fn an_upstream_that_has_restarted_does_not_clear_its_crash() {
+    let mut fleet = Fleet::new();
+    for number in 0..2 {
+        crash(&mut fleet, number);
+        fleet.pass(Millis(300));
+    }
+    fleet.pass(Millis(2_000));
+    let now = fleet.now;
+    for daemon in &mut fleet.daemons {
+        for number in 0..2 {
+            daemon.record_alive(now, number);
+        }
+    }
+    crash(&mut fleet, 2);
+    fleet.pass(Millis(1_000));
+    let ids = [COMMON, SIBLING, DEADLY];
+    assert!(held_until(&fleet.daemons[0], fleet.now, &ids).is_some());
+}
