--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -34,13 +34,13 @@
 
 use crate::affinity;
 use crate::affinity::Demand;
+use crate::allowance::Allowance;
 use crate::budget;
 use crate::budget::Budget;
 use crate::estimate::Flow;
 use crate::estimate::Tuning;
 use crate::evacuation::Register;
 use crate::pace;
-use crate::pace::Allowance;
 use crate::pace::Speed;
 use crate::prefill;
 use crate::quarantine::Quarantine;
@@ -212,12 +212,12 @@
     measured: Option<(arena::Upstream, f64, Millis)>,
     is_measured_unshared: bool,
     /// How many paces this daemon may still tell.
-    allowance: Allowance,
+    pace_allowance: Allowance,
     /// Hashes of the upstreams to which long prompts were sent that other daemons are to be told of,
     /// with their tokens to read and when they were sent.
     unshared_prefills: Vec<(u32, u64, Millis)>,
     /// How many long prompts this daemon may still tell of.
-    prefill_allowance: prefill::Allowance,
+    prefill_allowance: Allowance,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
     /// Zones that the operators evacuate.
@@ -278,9 +278,9 @@
             speeds: BTreeMap::new(),
             measured: None,
             is_measured_unshared: false,
-            allowance: Allowance::default(),
+            pace_allowance: Allowance::new(pace::STATEMENTS),
             unshared_prefills: Vec::new(),
-            prefill_allowance: prefill::Allowance::default(),
+            prefill_allowance: Allowance::new(prefill::STATEMENTS),
             quarantine: Quarantine::default(),
             evacuations: Register::default(),
             demand: Demand::default(),
--- a/cactusglade-policy/src/broker/paces.rs
+++ b/cactusglade-policy/src/broker/paces.rs
@@ -158,7 +158,7 @@
         let (key, token_ms, _) = self.measured.filter(|_| self.is_measured_unshared)?;
         self.is_measured_unshared = false;
         let upstream = self.upstreams.get(key)?;
-        let is_allowed = self.allowance.take(now, self.daemons);
+        let is_allowed = self.pace_allowance.take(now, self.daemons);
         is_allowed.then(|| Pace::Measured {
             upstream: affinity::short_hash(&upstream.instance.name),
             token_ns: (token_ms * NANOS_PER_MILLI) as u64,
@@ -179,7 +179,7 @@
             if !upstream.pace.is_due(now, count, patience(own, upstream)) {
                 continue;
             }
-            if !self.allowance.take(now, self.daemons) {
+            if !self.pace_allowance.take(now, self.daemons) {
                 self.unshared_paces.insert(key);
                 continue;
             }
--- a/cactusglade-policy/src/pace/mod.rs
+++ b/cactusglade-policy/src/pace/mod.rs
@@ -7,6 +7,8 @@
 
 use cactusglade_core::units::Millis;
 
+use crate::allowance::Bounds;
+
 /// Half-life of the weight of the newest stated pace in milliseconds. Application servers change
 /// their pace after 600 ms, so one that was stated 300 ms ago holds for half of the time.
 const MOMENTARY_HALF_LIFE_MS: f64 = 200.0;
@@ -38,11 +40,11 @@
 /// The same interval per upstream in milliseconds: each daemon receives all statements, of about
 /// fifteen bytes, and one per 15 ms are 1 KB per second.
 const REPEAT_MS_PER_UPSTREAM: u64 = 15;
-/// Statements that one daemon may make per second, times the number of daemons: each daemon receives
-/// all statements, of about fifteen bytes, and these are at most 2 KB per second.
-const STATEMENTS_PER_S: f64 = 140.0;
-/// Statements that a daemon may make at once, when it has made none for a while.
-const BURST: f64 = 20.0;
+/// Statements on paces: each daemon receives all, of about fifteen bytes, at most 2 KB per second.
+pub const STATEMENTS: Bounds = Bounds {
+    per_s: 140.0,
+    burst: 20.0,
+};
 /// Quantile of measured times that counts as the time to read a prompt. Waits lengthen some of them, and
 /// others are short since more of the prompt was cached than the daemon knew; in trials with the model,
 /// the 0.3 quantile gave twice the true speed.
@@ -63,7 +65,6 @@
 const LEAST_FIRST_EVENT: Millis = Millis(12);
 /// Interval at which a daemon tells others a measured time.
 pub const MEASURED_INTERVAL: Millis = Millis(1_000);
-const MILLIS_PER_S: f64 = 1_000.0;
 const PERCENT: f64 = 100.0;
 
 /// Returns a factor in percent.
@@ -300,34 +301,3 @@
     let time = (latency - LEAST_FIRST_EVENT).0.max(1) as f64;
     (uncached >= LEAST_TOKENS).then_some(time / uncached as f64)
 }
-
-/// `Allowance` bounds the statements on paces that one daemon makes.
-#[derive(Clone, Copy, Debug)]
-pub struct Allowance {
-    left: f64,
-    updated: Millis,
-}
-
-impl Default for Allowance {
-    fn default() -> Self {
-        Self {
-            left: BURST,
-            updated: Millis(0),
-        }
-    }
-}
-
-impl Allowance {
-    /// Returns whether another statement may be made among a number of daemons, and counts it.
-    #[allow(clippy::cast_precision_loss)]
-    pub fn take(&mut self, now: Millis, daemons: f64) -> bool {
-        let gained = (now - self.updated).0 as f64 / MILLIS_PER_S * STATEMENTS_PER_S;
-        self.left = (self.left + gained / daemons).min(BURST);
-        self.updated = now;
-        let has_left = self.left >= 1.0;
-        if has_left {
-            self.left -= 1.0;
-        }
-        has_left
-    }
-}
--- a/cactusglade-policy/src/prefill/mod.rs
+++ b/cactusglade-policy/src/prefill/mod.rs
@@ -6,17 +6,19 @@
 
 use cactusglade_core::units::Millis;
 
+use crate::allowance::Bounds;
+
 /// Time to read a prompt from which on other daemons are told, in milliseconds. It is a fifth of the
 /// tightest latency targets; shorter prompts end about when the statement arrives.
 const MIN_ANNOUNCED_MS: f64 = 100.0;
 /// Longest time that an upstream is assumed to read what it was sent, in milliseconds, so that a
 /// false statement keeps requests away for a short time only.
 const MAX_READING_MS: f64 = 4_000.0;
-/// Statements that all daemons together may make per second, of about ten bytes each.
-const STATEMENTS_PER_S: f64 = 80.0;
-/// Statements that a daemon may make at once, when it has made none for a while.
-const BURST: f64 = 8.0;
-const MILLIS_PER_S: f64 = 1_000.0;
+/// Statements on long prompts: each daemon receives all, of about ten bytes, at most 1 KB per second.
+pub const STATEMENTS: Bounds = Bounds {
+    per_s: 80.0,
+    burst: 8.0,
+};
 
 /// Returns whether other daemons are to be told of a prompt with this number of tokens to read, at a
 /// speed in tokens per millisecond.
@@ -58,34 +60,3 @@
         (self.tokens - read).max(0.0)
     }
 }
-
-/// `Allowance` bounds the statements that one daemon makes about its prompts.
-#[derive(Clone, Copy, Debug)]
-pub struct Allowance {
-    left: f64,
-    updated: Millis,
-}
-
-impl Default for Allowance {
-    fn default() -> Self {
-        Self {
-            left: BURST,
-            updated: Millis(0),
-        }
-    }
-}
-
-impl Allowance {
-    /// Returns whether another statement may be made among a number of daemons, and counts it.
-    #[allow(clippy::cast_precision_loss)]
-    pub fn take(&mut self, now: Millis, daemons: f64) -> bool {
-        let gained = (now - self.updated).0 as f64 / MILLIS_PER_S * STATEMENTS_PER_S;
-        self.left = (self.left + gained / daemons.max(1.0)).min(BURST);
-        self.updated = now;
-        let has_left = self.left >= 1.0;
-        if has_left {
-            self.left -= 1.0;
-        }
-        has_left
-    }
-}
