Use terms of the field for names of the broker's new parts

Names that only this project knew: hearsay, believed, chill, homeless, homes, patience, stir, Account, Reading, Follow, Turn. They are shared_fraction, bounded, mark_cold, unservable, Residency, repeat_delay_share, redraw_slow, Listing, LearnPrefills, LearnPaces and Transition now; what was usual at a service is its Baseline.

--- a/cactusglade-daemon/src/edge/broker/explain.rs
+++ b/cactusglade-daemon/src/edge/broker/explain.rs
@@ -26,16 +26,16 @@
     pub prompt: Option<Prompt>,
 }
 
-/// `Account` is the explanation as text, one key=value line for each upstream.
+/// `Listing` is the explanation as text, one key=value line for each upstream.
 #[derive(Clone, Debug, Reply)]
-pub struct Account(pub String);
+pub struct Listing(pub String);
 
 /// `Unexplained` is the error where a request would be refused before an upstream is selected.
 #[derive(Clone, Debug, Reply)]
 pub struct Unexplained(pub Kind);
 
 impl Message<Explain> for Broker {
-    type Reply = Result<Account, Unexplained>;
+    type Reply = Result<Listing, Unexplained>;
 
     async fn handle(
         &mut self,
@@ -64,7 +64,7 @@
         let explanation = explanation.map_err(Unexplained)?;
         let route = catalog.routes.get(route);
         let route = route.map_or("-", |route| route.name.as_str());
-        Ok(Account(self.account(route, &explanation)))
+        Ok(Listing(self.account(route, &explanation)))
     }
 }
 
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -351,14 +351,14 @@
         if self.policy.adopt(self.clock.now(), adopt.0.clone()) {
             info!(self.log, "configuration_in_force"; "version" => adopt.0.version,
                 "before" => before, "routes" => adopt.0.routes.len());
-            for homeless in self.policy.homeless(&adopt.0) {
+            for unservable in self.policy.unservable(&adopt.0) {
                 warn!(self.log, "regions_contradictory"; "version" => adopt.0.version,
-                    "requests" => homeless);
+                    "requests" => unservable);
             }
             let version = i64::try_from(adopt.0.version).unwrap_or(i64::MAX);
             self.metrics.generation.set(version);
             self.catalogs.send_replace(adopt.0);
-            self.log_turns(self.clock.now());
+            self.log_transitions(self.clock.now());
         }
     }
 }
@@ -376,7 +376,7 @@
             self.policy.apply(now, apply.changes)
         };
         self.retire(&leaving);
-        self.log_turns(now);
+        self.log_transitions(now);
     }
 }
 
@@ -442,7 +442,7 @@
         let judgements = self.policy.quarantine.judge(now);
         self.log_judgements(&judgements);
         self.policy.check_cold(now);
-        self.log_turns(now);
+        self.log_transitions(now);
         let quarantine = &mut self.policy.quarantine;
         let suspicions = quarantine.take_unshared(now, meter.restates_holds);
         Statistics {
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -38,8 +38,8 @@
 pub use evacuation::Origin;
 pub use evidence::Heed;
 pub use evidence::Proved;
-pub use explain::Account;
 pub use explain::Explain;
+pub use explain::Listing;
 pub use explain::Unexplained;
 pub use inventory::Inventory;
 pub use inventory::Survey;
@@ -61,9 +61,9 @@
 pub use messages::Sweep;
 pub use messages::Withhold;
 pub use statements::Curb;
-pub use statements::Follow;
+pub use statements::LearnPaces;
+pub use statements::LearnPrefills;
 pub use statements::Observe;
-pub use statements::Reading;
 pub use statements::Rearrange;
 
 /// Name of the service.
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -31,13 +31,13 @@
 #[derive(Clone, Debug)]
 pub struct Curb(pub Vec<fleet::Limit>);
 
-/// `Follow` passes on the paces of upstreams that other daemons know of.
+/// `LearnPaces` passes on the paces of upstreams that other daemons know of.
 #[derive(Clone, Debug)]
-pub struct Follow(pub Vec<fleet::Pace>);
+pub struct LearnPaces(pub Vec<fleet::Pace>);
 
-/// `Reading` passes on the long prompts that other daemons have sent to upstreams.
+/// `LearnPrefills` passes on the long prompts that other daemons have sent to upstreams.
 #[derive(Clone, Debug)]
-pub struct Reading(pub Vec<fleet::Prefill>);
+pub struct LearnPrefills(pub Vec<fleet::Prefill>);
 
 /// `Rearrange` sets the daemons among which the limits of upstreams are divided.
 #[derive(Clone, Debug)]
@@ -83,10 +83,10 @@
     }
 }
 
-impl Message<Follow> for Broker {
+impl Message<LearnPaces> for Broker {
     type Reply = ();
 
-    async fn handle(&mut self, follow: Follow, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, follow: LearnPaces, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         for pace in &follow.0 {
             self.policy.learn_pace(now, pace);
@@ -94,10 +94,10 @@
     }
 }
 
-impl Message<Reading> for Broker {
+impl Message<LearnPrefills> for Broker {
     type Reply = ();
 
-    async fn handle(&mut self, reading: Reading, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, reading: LearnPrefills, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         for prefill in &reading.0 {
             self.policy.learn_prefill(now, prefill);
--- a/cactusglade-daemon/src/edge/broker/warmups.rs
+++ b/cactusglade-daemon/src/edge/broker/warmups.rs
@@ -1,7 +1,7 @@
 //! Log lines and the gauge of cold upstreams.
 
 use cactusglade_core::units::Millis;
-use cactusglade_policy::broker::Turn;
+use cactusglade_policy::broker::Transition;
 use cactusglade_policy::warmup::Origin;
 use slog::info;
 
@@ -9,15 +9,15 @@
 
 impl Broker {
     /// Logs which upstreams have turned cold or warm, and counts the cold ones.
-    pub(super) fn log_turns(&mut self, now: Millis) {
-        for turn in self.policy.take_turns() {
-            let (Turn::Cold(key, _) | Turn::Warm(key)) = turn;
+    pub(super) fn log_transitions(&mut self, now: Millis) {
+        for turn in self.policy.take_transitions() {
+            let (Transition::Cold(key, _) | Transition::Warm(key)) = turn;
             let Some(upstream) = self.policy.upstream(key) else {
                 continue;
             };
             let (name, service) = (&upstream.instance.name, &upstream.instance.service);
             match turn {
-                Turn::Cold(_, origin) => {
+                Transition::Cold(_, origin) => {
                     let from = match origin {
                         Origin::Registry => "registry",
                         Origin::Evacuation => "evacuation",
@@ -26,7 +26,7 @@
                         "for_ms" => upstream.warmup.left(now).0,
                         "share_per_s" => upstream.warmup.share(), "from" => from);
                 }
-                Turn::Warm(_) => {
+                Transition::Warm(_) => {
                     info!(self.log, "upstream_warm"; "upstream" => name, "service" => service);
                 }
             }
--- a/cactusglade-daemon/src/edge/mesh/statements.rs
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -214,7 +214,7 @@
         } = received;
         self.keep_statements(now, &zone, is_forwarded, &entries);
         // Fails only while the daemon stops.
-        let _ = self.broker.tell(broker::Follow(entries)).await;
+        let _ = self.broker.tell(broker::LearnPaces(entries)).await;
     }
 
     /// Passes the long prompts that others have sent on to the broker, and keeps them for the relay.
@@ -226,7 +226,7 @@
         } = received;
         self.keep_statements(now, &zone, is_forwarded, &entries);
         // Fails only while the daemon stops.
-        let _ = self.broker.tell(broker::Reading(entries)).await;
+        let _ = self.broker.tell(broker::LearnPrefills(entries)).await;
     }
 
     /// Sends what this daemon knows of evacuated zones to its zone, and the relay also to the other
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -219,7 +219,7 @@
     Share,
     Deliver(Vec<(usize, Sighting)>),
     /// Other engines become slow.
-    Stir,
+    RedrawSlow,
     /// The numbers of requests at the engines are compared.
     Compare,
     GoDark(usize),
@@ -289,7 +289,7 @@
         if let Some((interval, _)) = self.options.gossip_ms {
             self.schedule(interval, Event::Share);
         }
-        self.schedule(0.0, Event::Stir);
+        self.schedule(0.0, Event::RedrawSlow);
         self.schedule(self.options.warm_up_ms, Event::Compare);
         if let Some((engines, at)) = self.options.dark {
             for engine in 0..engines {
@@ -356,7 +356,7 @@
                 broker.apply(millis(now), changes);
                 broker.remove_expired(millis(now));
             }
-            Event::Stir => self.stir(now),
+            Event::RedrawSlow => self.redraw_slow(now),
             Event::Compare => self.compare(now),
             Event::GoDark(engine) => self.engines[engine].is_dark = true,
             Event::Remove(engine) => {
--- a/cactusglade-model/src/fleet/spread.rs
+++ b/cactusglade-model/src/fleet/spread.rs
@@ -41,7 +41,7 @@
 
 impl<R: Strategy> Model<'_, R> {
     /// Selects the engines that are slow for the next period.
-    pub(super) fn stir(&mut self, now: f64) {
+    pub(super) fn redraw_slow(&mut self, now: f64) {
         let Some(noise) = self.options.spread.noise else {
             return;
         };
@@ -50,7 +50,7 @@
             engine.stretch = if is_slow { noise.factor } else { 1.0 };
         }
         if now < self.options.span_ms {
-            self.schedule(now + noise.period_ms, Event::Stir);
+            self.schedule(now + noise.period_ms, Event::RedrawSlow);
         }
     }
 
--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -33,12 +33,12 @@
     ) -> (Vec<Candidate>, usize) {
         let keys = self.services.get(service).map(Vec::as_slice);
         let withheld = self.withheld_version(now, service);
-        let homes = self.homes(query);
+        let residency = self.residency(query);
         let available = |key: &arena::Upstream| {
             let upstream = self.upstreams.get(*key)?;
             let is_open = upstream.is_available(now) && upstream.takes_requests(now);
             let is_allowed = withheld.is_none_or(|version| upstream.instance.version != version);
-            let is_allowed = is_allowed && homes.allow(upstream);
+            let is_allowed = is_allowed && residency.allow(upstream);
             let is_eligible = is_open && is_allowed && !query.tried.contains(key);
             is_eligible.then_some((*key, upstream))
         };
--- a/cactusglade-policy/src/broker/explain.rs
+++ b/cactusglade-policy/src/broker/explain.rs
@@ -82,13 +82,13 @@
         let keys = self.services.get(&service.name).into_iter().flatten();
         let others = keys.filter(|key| candidates.iter().all(|one| one.upstream != **key));
         let withheld = self.withheld_version(now, &service.name);
-        let homes = self.homes(query);
+        let residency = self.residency(query);
         let excluded = others.filter_map(|key| {
             let upstream = self.upstreams.get(*key)?;
             let is_withheld = withheld.is_some_and(|version| upstream.instance.version == version);
             let reason = if upstream.is_registered(now) && is_withheld {
                 Exclusion::Withheld
-            } else if upstream.is_available(now) && !homes.allow(upstream) {
+            } else if upstream.is_available(now) && !residency.allow(upstream) {
                 Exclusion::Region
             } else {
                 exclusion(now, upstream)
--- a/cactusglade-policy/src/broker/flows.rs
+++ b/cactusglade-policy/src/broker/flows.rs
@@ -44,7 +44,13 @@
         };
         let bits = affinity::weight(query.draw.to_bits(), upstream.hash);
         let estimate = &upstream.estimate;
-        estimate.draw(now, upstream.in_flight, &flow.usual(), &self.tuning, bits)
+        estimate.draw(
+            now,
+            upstream.in_flight,
+            &flow.baseline(),
+            &self.tuning,
+            bits,
+        )
     }
 
     /// Returns the load that is expected at the upstream of a candidate.
@@ -61,7 +67,9 @@
         };
         let flow = self.flows.get(&upstream.instance.service);
         flow.map_or(candidate.load, |flow| {
-            let (others, _) = upstream.estimate.others(now, &flow.usual(), &self.tuning);
+            let (others, _) = upstream
+                .estimate
+                .others(now, &flow.baseline(), &self.tuning);
             upstream.in_flight as f64 + others
         })
     }
@@ -105,8 +113,8 @@
             return;
         }
         let (own, slots) = (upstream.in_flight, upstream.instance.slots as f64);
-        let usual = flow.usual();
-        let load = usual.believed(load as f64, slots);
+        let baseline = flow.baseline();
+        let load = baseline.bounded(load as f64, slots);
         let change = upstream.estimate.record(at, load, own);
         flow.record(load, change, last.map(|(before, load)| (at - before, load)));
     }
--- a/cactusglade-policy/src/broker/limits.rs
+++ b/cactusglade-policy/src/broker/limits.rs
@@ -85,8 +85,8 @@
         let untried = keys.filter(|key| !query.tried.contains(key));
         let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
         let withheld = self.withheld_version(now, service);
-        let homes = self.homes(query);
-        let upstreams = upstreams.filter(|one| homes.allow(one));
+        let residency = self.residency(query);
+        let upstreams = upstreams.filter(|one| residency.allow(one));
         let registered = upstreams.filter(|one| {
             one.is_registered(now) && withheld.is_none_or(|version| one.instance.version != version)
         });
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -58,7 +58,7 @@
 pub use strategy::Strategy;
 pub use strategy::Terms;
 pub use upstream::Upstream;
-pub use warmups::Turn;
+pub use warmups::Transition;
 
 /// Prompt tokens that an engine reads per millisecond, from the deployments' data sheets.
 const PREFILL_TOKENS_PER_MS: f64 = 56.6;
@@ -249,7 +249,7 @@
     /// Upstreams that are cold, and why.
     cold: BTreeMap<arena::Upstream, warmup::Origin>,
     /// Upstreams that have turned cold or warm since this was last taken.
-    turns: Vec<Turn>,
+    transitions: Vec<Transition>,
     /// Whether this daemon may use its shares of what cold upstreams take.
     standing: Standing,
     /// Whether the store is unreachable.
@@ -297,7 +297,7 @@
             layout: None,
             returns: BTreeMap::new(),
             cold: BTreeMap::new(),
-            turns: Vec::new(),
+            transitions: Vec::new(),
             standing: Standing::default(),
             store_unreachable: false,
             store_regained: None,
--- a/cactusglade-policy/src/broker/paces.rs
+++ b/cactusglade-policy/src/broker/paces.rs
@@ -29,8 +29,10 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
-        let patience = patience(own, upstream);
-        if upstream.pace.record(percent, now) && upstream.pace.is_due(now, count, patience) {
+        let repeat_delay_share = repeat_delay_share(own, upstream);
+        if upstream.pace.record(percent, now)
+            && upstream.pace.is_due(now, count, repeat_delay_share)
+        {
             self.unshared_paces.insert(key);
         }
     }
@@ -176,7 +178,10 @@
             let Some(upstream) = self.upstreams.get_mut(key) else {
                 continue;
             };
-            if !upstream.pace.is_due(now, count, patience(own, upstream)) {
+            if !upstream
+                .pace
+                .is_due(now, count, repeat_delay_share(own, upstream))
+            {
                 continue;
             }
             if !self.pace_allowance.take(now, self.daemons) {
@@ -199,7 +204,7 @@
 
 /// Returns how long this daemon waits for others to tell an upstream's pace again, from 0 to 1.
 #[allow(clippy::cast_possible_truncation)]
-fn patience(own: u32, upstream: &Upstream) -> f64 {
+fn repeat_delay_share(own: u32, upstream: &Upstream) -> f64 {
     let weight = affinity::weight(u64::from(own), upstream.hash);
     f64::from((weight >> u32::BITS) as u32) / f64::from(u32::MAX)
 }
--- a/cactusglade-policy/src/broker/regions.rs
+++ b/cactusglade-policy/src/broker/regions.rs
@@ -9,12 +9,12 @@
 use super::Strategy;
 use super::Upstream;
 
-/// `Homes` says in which regions a request may run; regions are indices into those of the settings,
+/// `Residency` says in which regions a request may run; regions are indices into those of the settings,
 /// so that a choice among thousands of upstreams compares no names.
 #[derive(Clone, Debug)]
-pub(super) struct Homes(Option<BTreeSet<usize>>);
+pub(super) struct Residency(Option<BTreeSet<usize>>);
 
-impl Homes {
+impl Residency {
     /// Returns whether an upstream is in a region in which the request may run.
     pub(super) fn allow(&self, upstream: &Upstream) -> bool {
         let Some(regions) = &self.0 else { return true };
@@ -48,22 +48,22 @@
     }
 
     /// Returns where a request may run: where both its route and its organisation allow it.
-    pub(super) fn homes(&self, query: &Query<'_>) -> Homes {
-        let mut homes = Homes(None);
+    pub(super) fn residency(&self, query: &Query<'_>) -> Residency {
+        let mut residency = Residency(None);
         let route = self.catalog.routes.get(query.route);
         let lists = route.map(|route| &route.regions).into_iter();
         let organisation = query.organisation;
         let organisation = organisation.and_then(|key| self.catalog.organisations.get(key));
         for names in lists.chain(organisation.map(|one| &one.regions)) {
-            homes.restrict(&self.regions, names);
+            residency.restrict(&self.regions, names);
         }
-        homes
+        residency
     }
 
     /// Returns the routes and organisations of a catalog whose requests can't run anywhere, or not as
     /// a pair, as their names with the regions that they name.
     #[must_use]
-    pub fn homeless(&self, catalog: &Catalog) -> Vec<String> {
+    pub fn unservable(&self, catalog: &Catalog) -> Vec<String> {
         let knows = |names: &[String]| {
             let mut names = names.iter();
             names.any(|name| index(&self.regions, name).is_some())
--- a/cactusglade-policy/src/broker/registry.rs
+++ b/cactusglade-policy/src/broker/registry.rs
@@ -112,7 +112,7 @@
         upstream.is_evacuated = self.evacuations.is_evacuated(&instance.zone);
         upstream.instance = instance;
         upstream.removal = None;
-        self.chill(now, key, cold_left, Origin::Registry);
+        self.mark_cold(now, key, cold_left, Origin::Registry);
         let upstream = self.upstreams.get_mut(key)?;
         if leaves && upstream.leaving.is_none() {
             upstream.leaving = Some(now);
--- a/cactusglade-policy/src/broker/warmups.rs
+++ b/cactusglade-policy/src/broker/warmups.rs
@@ -7,9 +7,9 @@
 use super::Strategy;
 use crate::warmup::Origin;
 
-/// `Turn` is an upstream that turned cold or warm, for the log.
+/// `Transition` is an upstream that turned cold or warm, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Turn {
+pub enum Transition {
     /// The upstream is cold, for the reason given.
     Cold(arena::Upstream, Origin),
     /// The upstream is warm.
@@ -29,12 +29,12 @@
             Some((key, service.cold_time))
         });
         for (key, span) in spans.collect::<Vec<_>>() {
-            self.chill(now, key, span, Origin::Evacuation);
+            self.mark_cold(now, key, span, Origin::Evacuation);
         }
     }
 
     /// Records that an upstream is cold for some time from now on; the later end counts.
-    pub(super) fn chill(
+    pub(super) fn mark_cold(
         &mut self,
         now: Millis,
         key: arena::Upstream,
@@ -51,7 +51,7 @@
             .get(key)
             .is_some_and(|one| one.warmup.is_cold(now));
         if is_cold && self.cold.insert(key, origin).is_none() {
-            self.turns.push(Turn::Cold(key, origin));
+            self.transitions.push(Transition::Cold(key, origin));
         }
     }
 
@@ -67,7 +67,8 @@
                 .is_some_and(|one| one.warmup.is_cold(now));
             if is_cold && !self.cold.contains_key(&key) {
                 self.cold.insert(key, Origin::Registry);
-                self.turns.push(Turn::Cold(key, Origin::Registry));
+                self.transitions
+                    .push(Transition::Cold(key, Origin::Registry));
             }
         }
     }
@@ -97,7 +98,7 @@
         self.standing
             .check(now, detection, layout, self.reachable_share);
         let until = self.standing.valid_until();
-        let (upstreams, turns) = (&mut self.upstreams, &mut self.turns);
+        let (upstreams, transitions) = (&mut self.upstreams, &mut self.transitions);
         self.cold.retain(|key, _| {
             let Some(upstream) = upstreams.get_mut(*key) else {
                 return false;
@@ -105,15 +106,15 @@
             upstream.warmup.confirm(now, until);
             let is_cold = upstream.warmup.is_cold(now);
             if !is_cold {
-                turns.push(Turn::Warm(*key));
+                transitions.push(Transition::Warm(*key));
             }
             is_cold
         });
     }
 
     /// Returns which upstreams have turned cold or warm since the last call.
-    pub fn take_turns(&mut self) -> Vec<Turn> {
-        std::mem::take(&mut self.turns)
+    pub fn take_transitions(&mut self) -> Vec<Transition> {
+        std::mem::take(&mut self.transitions)
     }
 
     /// Returns the number of cold upstreams.
--- a/cactusglade-policy/src/estimate/flow.rs
+++ b/cactusglade-policy/src/estimate/flow.rs
@@ -1,4 +1,4 @@
-//! What is usual at the upstreams of one service.
+//! The baseline of one service: what load and rate its upstreams usually have.
 
 use cactusglade_core::units::Millis;
 
@@ -12,7 +12,7 @@
 /// Weight of the newest report in the variance.
 const NEWEST_WEIGHT: f64 = 0.02;
 
-/// Load that is believed, in multiples of the slots beyond the usual load. Callers give up before an
+/// Bound on a reported load, in multiples of the slots beyond the baseline load. Callers give up before an
 /// upstream has worked off more.
 const MAX_QUEUES: f64 = 4.0;
 
@@ -23,9 +23,9 @@
 const MIN_LEFT: f64 = 0.02;
 const MAX_LEFT: f64 = 0.98;
 
-/// `Usual` is what is to be expected at an upstream of which nothing is known.
+/// `Baseline` is what is to be expected at an upstream of which nothing is known.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Usual {
+pub struct Baseline {
     /// Load by all daemons.
     pub load: f64,
     /// Load by other daemons.
@@ -34,17 +34,17 @@
     pub variance: f64,
     /// Time that a request spends at an upstream, in milliseconds.
     pub residence_ms: f64,
-    /// Time in which a difference from the usual load shrinks to a third, in milliseconds.
+    /// Time in which a difference from the baseline load shrinks to a third, in milliseconds.
     pub return_ms: f64,
     /// Part of what this daemon knows that all others know too, from 0 to 1: the less it sends
     /// itself while reports are on their way, the more its choice is that of all others.
-    pub hearsay: f64,
+    pub shared_fraction: f64,
 }
 
-impl Usual {
-    /// Returns the part of a reported load that is believed.
+impl Baseline {
+    /// Returns a reported load within the bound beyond which it is taken for false.
     #[must_use]
-    pub fn believed(&self, load: f64, slots: f64) -> f64 {
+    pub fn bounded(&self, load: f64, slots: f64) -> f64 {
         load.clamp(0.0, self.load + MAX_QUEUES * slots)
     }
 }
@@ -61,7 +61,7 @@
 }
 
 impl Persistence {
-    /// Records two differences from the usual load, the later one after a time.
+    /// Records two differences from the baseline load, the later one after a time.
     #[allow(clippy::cast_precision_loss)]
     fn record(&mut self, gap: Millis, before: f64, after: f64) {
         if gap == Millis(0) {
@@ -82,7 +82,7 @@
     }
 }
 
-/// `Flow` learns what is usual from reports and from this daemon's own requests.
+/// `Flow` learns the baseline from reports and from this daemon's own requests.
 ///
 /// This daemon's share of the load is its own load over the reported one, and the rate of a service
 /// is its load over the time of a request (Little's law), so that nothing has to be exchanged.
@@ -120,8 +120,9 @@
         self.sum += change;
         self.reporting += if last.is_none() { 1.0 } else { 0.0 };
         if let Some((gap, before)) = last {
-            let usual = self.load() + 1.0;
-            self.persistence.record(gap, before - usual, load - usual);
+            let baseline = self.load() + 1.0;
+            self.persistence
+                .record(gap, before - baseline, load - baseline);
         }
         let square = (load - 1.0 - self.load()).powi(2);
         let known = self.variance.unwrap_or(square);
@@ -153,22 +154,22 @@
         self.sum.max(0.0) / self.reporting.max(1.0)
     }
 
-    /// Returns what is usual.
+    /// Returns the baseline.
     #[must_use]
-    pub fn usual(&self) -> Usual {
+    pub fn baseline(&self) -> Baseline {
         let load = self.load();
         let own = self.own_ms / self.span_ms.max(1.0) / self.upstreams.max(1.0);
         let compared = (ALL_COMPARED / self.upstreams.max(1.0)).min(1.0);
         #[allow(clippy::cast_precision_loss)]
         let on_the_way = SIGHTING_AGE.0 as f64;
         let residence_ms = (self.own_ms + INITIAL_RESIDENCE_MS) / (self.sent + 1.0);
-        Usual {
+        Baseline {
             load,
             others: (load - own).max(0.0),
             // Independent arrivals alone have the variance of their mean.
             variance: self.variance.unwrap_or_default().max(load),
             residence_ms,
-            hearsay: compared / (1.0 + self.sent / self.span_ms.max(1.0) * on_the_way),
+            shared_fraction: compared / (1.0 + self.sent / self.span_ms.max(1.0) * on_the_way),
             return_ms: self.persistence.return_ms(residence_ms),
         }
     }
--- a/cactusglade-policy/src/estimate/mod.rs
+++ b/cactusglade-policy/src/estimate/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A report is late by the time until a daemon hears of it, and the other daemons, which have heard
 //! the same, go on sending meanwhile. So the load that other daemons cause is taken to return from
-//! what was reported to what is usual for the service, as fast as requests end there. This
+//! what was reported to the baseline of the service, as fast as requests end there. This
 //! daemon's own requests are known exactly. See `docs/design/even-load.md`.
 
 mod flow;
@@ -13,8 +13,8 @@
 
 use crate::affinity;
 
+pub use flow::Baseline;
 pub use flow::Flow;
-pub use flow::Usual;
 
 /// Mean age of what another daemon has seen when it arrives: it waits for the next heartbeat at its
 /// sender, and at the relays of both zones.
@@ -35,7 +35,7 @@
     /// next to nothing itself, 2 and less let hundreds of daemons follow the same reports, and with
     /// 4 and more they are hardly used.
     pub deviation: f64,
-    /// Factor of the time in which the load returns to the usual one.
+    /// Factor of the time in which the load returns to the baseline.
     pub return_time: f64,
 }
 
@@ -122,13 +122,13 @@
 
     /// Returns the load that other daemons are expected to cause now, and the variance of that.
     #[must_use]
-    pub fn others(&self, now: Millis, usual: &Usual, tuning: &Tuning) -> (f64, f64) {
+    pub fn others(&self, now: Millis, baseline: &Baseline, tuning: &Tuning) -> (f64, f64) {
         let Some(age) = self.age(now) else {
-            return (usual.others, usual.variance);
+            return (baseline.others, baseline.variance);
         };
-        let kept = relaxation(age, usual.return_ms * tuning.return_time);
-        let expected = usual.others + (self.others - usual.others) * kept;
-        let variance = usual.variance * (1.0 - kept * kept) + REPORT_VARIANCE * kept * kept;
+        let kept = relaxation(age, baseline.return_ms * tuning.return_time);
+        let expected = baseline.others + (self.others - baseline.others) * kept;
+        let variance = baseline.variance * (1.0 - kept * kept) + REPORT_VARIANCE * kept * kept;
         (expected, variance)
     }
 
@@ -138,9 +138,16 @@
     /// would choose the same upstream until the next report.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
-    pub fn draw(&self, now: Millis, own: u64, usual: &Usual, tuning: &Tuning, draw: u64) -> f64 {
-        let (expected, variance) = self.others(now, usual, tuning);
-        let deviation = variance.max(0.0).sqrt() * tuning.deviation * usual.hearsay;
+    pub fn draw(
+        &self,
+        now: Millis,
+        own: u64,
+        baseline: &Baseline,
+        tuning: &Tuning,
+        draw: u64,
+    ) -> f64 {
+        let (expected, variance) = self.others(now, baseline, tuning);
+        let deviation = variance.max(0.0).sqrt() * tuning.deviation * baseline.shared_fraction;
         own as f64 + (expected + deviation * normal(draw)).max(0.0)
     }
 }
--- a/cactusglade-policy/src/pace/mod.rs
+++ b/cactusglade-policy/src/pace/mod.rs
@@ -168,7 +168,7 @@
     /// Returns whether other daemons are to be told the newest pace: none was told, it has changed, it
     /// differs from the lasting one, or it is told again for daemons that start.
     ///
-    /// `patience` from 0 to 1 lengthens the last interval. It differs between daemons, so that most
+    /// `repeat_delay_share` from 0 to 1 lengthens the last interval. It differs between daemons, so that most
     /// hear of a repetition before they would make it.
     #[must_use]
     #[allow(
@@ -176,7 +176,7 @@
         clippy::cast_precision_loss,
         clippy::cast_sign_loss
     )]
-    pub fn is_due(&self, now: Millis, upstreams: usize, patience: f64) -> bool {
+    pub fn is_due(&self, now: Millis, upstreams: usize, repeat_delay_share: f64) -> bool {
         let Some((newest, _)) = self.newest else {
             return false;
         };
@@ -186,7 +186,7 @@
         let age = now - at;
         let per_upstream = REPEAT_MS_PER_UPSTREAM * upstreams as u64;
         let repeat = REPEAT_INTERVAL.max(Millis(per_upstream));
-        let repeat = repeat + Millis((repeat.0 as f64 * patience) as u64);
+        let repeat = repeat + Millis((repeat.0 as f64 * repeat_delay_share) as u64);
         differ(newest, told, CHANGE_RATIO)
             || age >= repeat
             || age >= DEVIATION_INTERVAL && differ(newest, self.lasting.factor, DEVIATION_RATIO)
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -549,7 +549,7 @@
         let route = catalog.routes.find("chat").expect("the route is known");
         let organisation = catalog.organisations.find("own");
         let mut broker = new_broker_in(&[("a", "north"), ("b", "south")]);
-        assert_eq!(broker.homeless(&catalog).is_empty(), !allowed.is_empty());
+        assert_eq!(broker.unservable(&catalog).is_empty(), !allowed.is_empty());
         broker.adopt(Millis(0), catalog);
         // The zone of the third one has no region.
         broker.apply(
--- a/cactusglade-policy/tests/estimate.rs
+++ b/cactusglade-policy/tests/estimate.rs
@@ -1,19 +1,19 @@
 //! Guards against daemons that choose alike because their information is late, missing or false.
 
 use cactusglade_core::units::Millis;
+use cactusglade_policy::estimate::Baseline;
 use cactusglade_policy::estimate::Estimate;
 use cactusglade_policy::estimate::Flow;
 use cactusglade_policy::estimate::Tuning;
-use cactusglade_policy::estimate::Usual;
 
 /// What is usual at application servers: four requests of 60 ms.
-const USUAL: Usual = Usual {
+const USUAL: Baseline = Baseline {
     load: 4.0,
     others: 4.0,
     variance: 4.0,
     residence_ms: 60.0,
     return_ms: 100.0,
-    hearsay: 1.0,
+    shared_fraction: 1.0,
 };
 
 fn reported(at: u64, load: f64) -> Estimate {
@@ -22,12 +22,12 @@
     estimate
 }
 
-fn others(estimate: &Estimate, now: u64, usual: &Usual) -> f64 {
+fn others(estimate: &Estimate, now: u64, usual: &Baseline) -> f64 {
     estimate.others(Millis(now), usual, &Tuning::default()).0
 }
 
 /// Returns how many of a hundred daemons draw no lesser load than at the first upstream.
-fn followers(upstreams: &[Estimate], now: u64, usual: &Usual) -> usize {
+fn followers(upstreams: &[Estimate], now: u64, usual: &Baseline) -> usize {
     let is_first = |daemon: &u64| {
         let loads = upstreams.iter().zip(1..).map(|(estimate, upstream)| {
             let bits = daemon * 1_000 + upstream;
@@ -45,7 +45,7 @@
 fn daemons_that_hear_the_same_late_report_do_not_all_follow_it() {
     let loads = [0.0, 8.0, 8.0, 8.0, 8.0];
     let upstreams = loads.map(|load| reported(1_000, load));
-    let long = Usual {
+    let long = Baseline {
         return_ms: 60_000.0,
         ..USUAL
     };
@@ -81,7 +81,7 @@
         estimate.record_own(Millis(at), true);
     }
     estimate.record(Millis(300), 8.0, 5);
-    let long = Usual {
+    let long = Baseline {
         return_ms: 60_000.0,
         ..USUAL
     };
@@ -105,17 +105,17 @@
     }
     flow.record(3.0, 2.0, None);
     flow.record(3.0, 2.0, None);
-    let usual = flow.usual();
-    assert!(usual.others < 0.2, "{usual:?}");
-    assert!((usual.residence_ms - 100.0).abs() < 20.0, "{usual:?}");
+    let baseline = flow.baseline();
+    assert!(baseline.others < 0.2, "{baseline:?}");
+    assert!((baseline.residence_ms - 100.0).abs() < 20.0, "{baseline:?}");
 }
 
 /// An upstream reports a false load: it must neither spoil what is known of the others nor stay out
 /// for good, since it is asked for its load only with requests.
 #[test]
 fn a_false_report_is_believed_in_part_and_forgotten() {
-    let believed = USUAL.believed(1e18, 6.0);
-    assert!(believed < 30.0, "{believed} believed");
-    let after = others(&reported(1_000, believed), 3_000, &USUAL);
+    let bounded = USUAL.bounded(1e18, 6.0);
+    assert!(bounded < 30.0, "{bounded} bounded");
+    let after = others(&reported(1_000, bounded), 3_000, &USUAL);
     assert!(after < 7.0, "{after} two seconds later");
 }
--- a/cactusglade-policy/tests/warmup.rs
+++ b/cactusglade-policy/tests/warmup.rs
@@ -23,7 +23,7 @@
 use cactusglade_policy::broker::Options;
 use cactusglade_policy::broker::Query;
 use cactusglade_policy::broker::Reason;
-use cactusglade_policy::broker::Turn;
+use cactusglade_policy::broker::Transition;
 use cactusglade_policy::throttle::Layout;
 use cactusglade_policy::warmup::Bounds;
 use cactusglade_policy::warmup::Origin;
@@ -263,8 +263,11 @@
     fixture.broker.presume_cold(Millis(start), "b");
     assert_eq!(fixture.broker.cold_upstreams(), 0);
     fixture.broker.presume_cold(Millis(start), "a");
-    let turns = fixture.broker.take_turns();
-    assert!(matches!(turns[..], [Turn::Cold(_, Origin::Evacuation)]));
+    let turns = fixture.broker.take_transitions();
+    assert!(matches!(
+        turns[..],
+        [Transition::Cold(_, Origin::Evacuation)]
+    ));
     fixture.put("i-1", 1, 0);
     assert!(fixture.place(None).is_err(), "an entry doesn't end it");
     fixture.run_until(start + 1_000);
@@ -276,7 +279,10 @@
         "a longer time extends it"
     );
     fixture.run_until(start + 1_000 + COLD_TIME);
-    assert!(matches!(fixture.broker.take_turns()[..], [Turn::Warm(_)]));
+    assert!(matches!(
+        fixture.broker.take_transitions()[..],
+        [Transition::Warm(_)]
+    ));
 }
 
 /// Deployments without the settings, and services without a cold rate, were served differently.
