Zones tell each other the newest window that they have counted in

Cause: a holder of the duties reported a window, was killed and started again while all clocks were set back by 14 s, and the store had come back from a copy without the sums. Change: relays state the newest window of their zone in a new last kind of datagram, about once a second; a settlement counts these as it counts the windows of the own zone. Those far ahead are ignored as before.

--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -58,7 +58,7 @@
     pub lease: Option<Lease>,
     /// Request counts of the zone's daemons, where this daemon writes them to the store.
     pub ledger: Option<Ledger>,
-    /// Windows in which daemons of the zone have counted requests.
+    /// Windows in which daemons of the zone have counted requests, and the newest of other zones.
     pub counted: BTreeSet<u64>,
 }
 
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -29,6 +29,7 @@
 use cactusglade_policy::roster::Roster;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::throttle::Layout;
+use cactusglade_policy::usage::Frontier;
 use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Entries;
@@ -127,6 +128,8 @@
     counts: BTreeMap<u64, Totals>,
     /// Request counts of this daemon and of those whose heartbeats it received.
     ledger: Ledger,
+    /// Newest windows in which other zones have counted requests.
+    frontier: Frontier,
     /// How far this daemon has read the registry from the store.
     registry: relay::Progress,
     /// State of the registry as the zone's relay reports it.
@@ -236,6 +239,9 @@
         }
         if self.roster.is_relay(now) {
             self.send_summaries(now).await;
+            if self.sequence % HEARTBEATS_PER_BROADCAST == 1 {
+                self.send_counted(now).await;
+            }
         }
         self.report_fleet(now).await;
         let zone_daemons = u32::try_from(self.roster.reachable_in_zone(now)).unwrap_or(u32::MAX);
@@ -260,6 +266,10 @@
                 }
                 added
             }
+            Datagram::Counted(counted) => {
+                self.receive_counted(&counted);
+                return;
+            }
             Datagram::Entries(entries) => {
                 // Entries that do not fit into the queue are dropped; they are read from the store
                 // instead.
@@ -364,7 +374,7 @@
                 .roster
                 .is_ledger_writer(now)
                 .then(|| self.ledger.clone()),
-            counted: self.ledger.windows().keys().copied().collect(),
+            counted: self.counted(),
         }
     }
 }
@@ -398,6 +408,7 @@
             lease: None,
             counts: BTreeMap::new(),
             ledger: options.ledger,
+            frontier: Frontier::default(),
             registry: relay::Progress::default(),
             progress: options.progress,
             entries: options.entries,
--- a/cactusglade-daemon/src/edge/mesh/summaries.rs
+++ b/cactusglade-daemon/src/edge/mesh/summaries.rs
@@ -1,9 +1,12 @@
 //! Summaries of zones, which their relays exchange and forward within their zones.
 
+use std::collections::BTreeSet;
+
 use cactusglade_core::units::Millis;
 use cactusglade_policy::roster::Announcement;
 use cactusglade_policy::roster::Consumption;
 use cactusglade_policy::roster::Zone;
+use cactusglade_wire::gossip::Counted;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Summary;
 
@@ -61,4 +64,38 @@
             self.send(&summary, neighbours.iter().copied()).await;
         }
     }
+
+    /// Returns the windows in which daemons of the zone have counted requests, and the newest one of
+    /// each other zone.
+    pub(super) fn counted(&self) -> BTreeSet<u64> {
+        let own = self.ledger.windows().keys().copied();
+        let others = self.frontier.zones().map(|(_, window)| window);
+        own.chain(others).collect()
+    }
+
+    /// Records the newest window of another zone.
+    pub(super) fn receive_counted(&mut self, counted: &Counted) {
+        if counted.zone != self.zone {
+            self.frontier.record(&counted.zone, counted.window);
+        }
+    }
+
+    /// Sends the newest window of the zone to the other zones, and forwards theirs within the zone.
+    pub(super) async fn send_counted(&self, now: Millis) {
+        let statement = |zone: &str, window| {
+            Datagram::Counted(Counted {
+                zone: zone.to_owned(),
+                window,
+            })
+        };
+        if let Some(newest) = self.ledger.windows().keys().next_back() {
+            let own = statement(&self.zone, *newest);
+            self.send(&own, self.roster.relays(now)).await;
+        }
+        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
+        for (zone, window) in self.frontier.zones() {
+            self.send(&statement(zone, window), neighbours.iter().copied())
+                .await;
+        }
+    }
 }
--- a/cactusglade-policy/src/usage/mod.rs
+++ b/cactusglade-policy/src/usage/mod.rs
@@ -14,6 +14,8 @@
 /// Windows that a ledger keeps beyond those whose reports may still be due: the one under way, and
 /// one for clocks that differ.
 const FURTHER_WINDOWS: u64 = 2;
+/// Maximum number of zones whose newest windows are known, since any process may send datagrams.
+const MAX_ZONES: usize = 256;
 /// Difference of two daemons' times of day up to which both are trusted.
 pub const MAX_CLOCK_DIFFERENCE: Millis = Millis(60_000);
 
@@ -144,6 +146,31 @@
     }
 }
 
+/// `Frontier` is the newest window in which each other zone has counted requests.
+///
+/// A daemon that starts while its time of day is behind learns from it what an earlier holder, whose
+/// time of day was ahead, may have reported. Each zone's last statement counts, so that a wrong one
+/// ends with the zone's next.
+#[derive(Clone, Debug, Default)]
+pub struct Frontier {
+    zones: BTreeMap<String, u64>,
+}
+
+impl Frontier {
+    /// Records the newest window of a zone.
+    pub fn record(&mut self, zone: &str, window: u64) {
+        if self.zones.len() < MAX_ZONES || self.zones.contains_key(zone) {
+            self.zones.insert(zone.to_owned(), window);
+        }
+    }
+
+    /// Iterates over the zones with their newest windows.
+    pub fn zones(&self) -> impl Iterator<Item = (&str, u64)> {
+        let zones = self.zones.iter();
+        zones.map(|(zone, window)| (zone.as_str(), *window))
+    }
+}
+
 /// `Settlement` says which windows can't be summed up any more.
 ///
 /// The sums of a window are written to the store before they are reported. A store that is restored
--- a/cactusglade-policy/tests/usage.rs
+++ b/cactusglade-policy/tests/usage.rs
@@ -4,6 +4,7 @@
 
 use cactusglade_core::units::Millis;
 use cactusglade_policy::usage::Counts;
+use cactusglade_policy::usage::Frontier;
 use cactusglade_policy::usage::Ledger;
 use cactusglade_policy::usage::MAX_CLOCK_DIFFERENCE;
 use cactusglade_policy::usage::Settlement;
@@ -97,3 +98,23 @@
     assert_eq!(windows.window(latest), last);
     assert_eq!(windows.latest_time(unix_now, [u64::MAX]), unix_now);
 }
+
+/// One zone that states a window far ahead must not hide what the others state.
+#[test]
+fn the_newest_window_of_each_zone_counts_until_its_next_statement() {
+    let windows = Windows::new(Millis(5_000));
+    let mut frontier = Frontier::default();
+    frontier.record("a", 9_000_000);
+    frontier.record("b", 203);
+    let latest = |frontier: &Frontier| {
+        let counted = frontier.zones().map(|(_, window)| window);
+        windows.latest_time(Millis(1_000_000), counted)
+    };
+    assert_eq!(latest(&frontier), windows.end(203) - Millis(1));
+    frontier.record("a", 204);
+    assert_eq!(latest(&frontier), windows.end(204) - Millis(1));
+    for zone in 0..1_000 {
+        frontier.record(&format!("zone-{zone}"), 1);
+    }
+    assert!(frontier.zones().count() <= 256, "datagrams have a bound");
+}
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -299,6 +299,15 @@
     pub age_ms: u64,
 }
 
+/// `Counted` states the newest window in which a zone has counted requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counted {
+    /// Name of the zone.
+    pub zone: String,
+    /// Number of the window.
+    pub window: u64,
+}
+
 /// `Datagram` is one message between daemons.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -329,6 +338,8 @@
     Entries(Entries),
     /// Sent between daemons of one zone, and between relays.
     Evacuations(Evacuations),
+    /// Sent by the relay of another zone, or forwarded by the relay of the own zone.
+    Counted(Counted),
 }
 
 impl Datagram {
