--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -104,7 +104,7 @@
     /// Returns the same statement some time later.
     #[must_use]
     pub const fn aged(mut self, span: Millis) -> Self {
-        self.age_ms += span.0;
+        self.age_ms = self.age_ms.saturating_add(span.0);
         self
     }
 }
@@ -148,7 +148,7 @@
     #[must_use]
     pub const fn aged(mut self, span: Millis) -> Self {
         if let Self::Stated { age_ms, .. } = &mut self {
-            *age_ms += span.0;
+            *age_ms = age_ms.saturating_add(span.0);
         }
         self
     }
@@ -169,7 +169,7 @@
     /// Returns the same statement some time later.
     #[must_use]
     pub const fn aged(mut self, span: Millis) -> Self {
-        self.age_ms += span.0;
+        self.age_ms = self.age_ms.saturating_add(span.0);
         self
     }
 }
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -27,6 +27,7 @@
 use slog::warn;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::boot::Error;
 use crate::boot::Result;
@@ -345,6 +346,7 @@
         let entries = Entries {
             broker: orders.broker.clone(),
             has_orders,
+            orders_due: Instant::now() + source_watch::MAX_ORDER_WAIT,
         };
         let orders = source_watch::Options {
             name: OPERATOR,
--- a/cactusglade-daemon/src/edge/broker/inventory.rs
+++ b/cactusglade-daemon/src/edge/broker/inventory.rs
@@ -81,7 +81,7 @@
         let mut paces = BTreeMap::<&str, Vec<f64>>::new();
         let upstreams = self.policy.upstreams();
         for (_, upstream) in upstreams.filter(|(_, one)| one.is_available(now)) {
-            if upstream.pace.is_known() {
+            if upstream.pace.is_known(now) {
                 let paces = paces.entry(&upstream.instance.service).or_default();
                 paces.push(upstream.pace.factor(now));
             }
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -86,9 +86,9 @@
 impl Message<LearnPaces> for Broker {
     type Reply = ();
 
-    async fn handle(&mut self, follow: LearnPaces, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, paces: LearnPaces, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        for pace in &follow.0 {
+        for pace in &paces.0 {
             self.policy.learn_pace(now, pace);
         }
     }
@@ -97,9 +97,9 @@
 impl Message<LearnPrefills> for Broker {
     type Reply = ();
 
-    async fn handle(&mut self, reading: LearnPrefills, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, prefills: LearnPrefills, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        for prefill in &reading.0 {
+        for prefill in &prefills.0 {
             self.policy.learn_prefill(now, prefill);
         }
     }
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -55,9 +55,9 @@
 /// within which a change must be in force.
 const BATCH_PAUSE: Duration = Duration::from_millis(400);
 
-/// Longest time for which the registry waits for the first read of the operators' orders. Other
+/// Longest time after the start for which the registry waits for the first read of the operators' orders. Other
 /// daemons state evacuations every 3 s, so that a daemon whose reads fail hears of them before.
-const MAX_ORDER_WAIT: Duration = Duration::from_millis(3_500);
+pub const MAX_ORDER_WAIT: Duration = Duration::from_millis(3_500);
 
 /// `Receipt` describes an answer of a source.
 #[derive(Clone, Copy, Debug)]
@@ -339,13 +339,15 @@
     pub broker: ActorRef<Broker>,
     /// Whether the orders to evacuate zones have been read.
     pub has_orders: watch::Receiver<bool>,
+    /// Until when the registry waits for them.
+    pub orders_due: Instant,
 }
 
 impl Sink<Change> for Entries {
     async fn apply(&mut self, changes: Vec<Change>, receipt: Receipt) {
         // Without the orders the daemon would send requests to upstreams of evacuated zones.
         let has_orders = self.has_orders.wait_for(|has_read| *has_read);
-        let _ = tokio::time::timeout(MAX_ORDER_WAIT, has_orders).await;
+        let _ = tokio::time::timeout_at(self.orders_due, has_orders).await;
         let apply = broker::Apply {
             changes,
             is_all: receipt.is_all,
--- a/cactusglade-policy/src/broker/flows.rs
+++ b/cactusglade-policy/src/broker/flows.rs
@@ -12,6 +12,7 @@
 use super::Strategy;
 use super::Upstream;
 use crate::affinity;
+use crate::estimate::Baseline;
 use crate::estimate::Tuning;
 
 impl<R: Strategy> Broker<R> {
@@ -36,7 +37,6 @@
     }
 
     /// Returns the load of an upstream that the choice is to assume.
-    ///
     pub(super) fn draw_load(&self, now: Millis, upstream: &Upstream, query: &Query<'_>) -> f64 {
         let flow = self.flows.get(&upstream.instance.service);
         let Some(flow) = flow.filter(|_| self.estimates(query.prompt)) else {
@@ -113,8 +113,7 @@
             return;
         }
         let (own, slots) = (upstream.in_flight, upstream.instance.slots as f64);
-        let baseline = flow.baseline();
-        let load = baseline.bounded(load as f64, slots);
+        let load = Baseline::bounded(load as f64, slots);
         let change = upstream.estimate.record(at, load, own);
         flow.record(load, change, last.map(|(before, load)| (at - before, load)));
     }
--- a/cactusglade-policy/src/broker/paces.rs
+++ b/cactusglade-policy/src/broker/paces.rs
@@ -73,7 +73,7 @@
     pub(super) fn measure_prompt(&mut self, now: Millis, grant: &Grant, latency: Millis) {
         let upstream = self.upstreams.get(grant.upstream);
         let slots = upstream.map_or(0, |upstream| upstream.instance.slots);
-        let is_calm = grant.basis.load * MEASURED_SLOTS_PER_REQUEST <= slots;
+        let is_calm = grant.basis.load.saturating_mul(MEASURED_SLOTS_PER_REQUEST) <= slots;
         let token_ms = pace::token_ms(grant.uncached, latency);
         let is_measured = is_calm && self.is_tight(grant.service);
         let Some(token_ms) = token_ms.filter(|_| is_measured) else {
@@ -81,7 +81,7 @@
         };
         self.measure(now, grant.upstream, grant.service, token_ms);
         let upstream = self.upstreams.get(grant.upstream);
-        let is_stated = upstream.is_none_or(|upstream| upstream.pace.is_stated());
+        let is_stated = upstream.is_none_or(|upstream| upstream.pace.is_stated(now));
         let is_due = self
             .measured
             .is_none_or(|(_, _, at)| now - at >= pace::MEASURED_INTERVAL);
@@ -102,7 +102,7 @@
         let Some(upstream) = self.upstreams.get_mut(key).filter(|_| is_tight) else {
             return;
         };
-        let is_stated = upstream.pace.is_stated();
+        let is_stated = upstream.pace.is_stated(now);
         let usual = if is_stated {
             token_ms / upstream.pace.factor(now)
         } else {
--- a/cactusglade-policy/src/broker/prefills.rs
+++ b/cactusglade-policy/src/broker/prefills.rs
@@ -42,6 +42,10 @@
         else {
             return;
         };
+        let service = self.catalog.services.find(&upstream.instance.service);
+        if !service.is_some_and(|service| self.is_tight(service)) {
+            return;
+        }
         let speed = self.reading_speed(now, upstream);
         if let Some(upstream) = self.upstreams.get_mut(key) {
             let age = Millis(prefill.age_ms);
--- a/cactusglade-policy/src/estimate/flow.rs
+++ b/cactusglade-policy/src/estimate/flow.rs
@@ -12,8 +12,8 @@
 /// Weight of the newest report in the variance.
 const NEWEST_WEIGHT: f64 = 0.02;
 
-/// Bound on a reported load, in multiples of the slots beyond the baseline load. Callers give up before an
-/// upstream has worked off more.
+/// Bound on a reported load, in multiples of the slots. Callers give up before an upstream has worked
+/// off more.
 const MAX_QUEUES: f64 = 4.0;
 
 /// Upstreams up to which a choice compares all. Of more, each daemon compares a few others, so that
@@ -44,8 +44,8 @@
 impl Baseline {
     /// Returns a reported load within the bound beyond which it is taken for false.
     #[must_use]
-    pub fn bounded(&self, load: f64, slots: f64) -> f64 {
-        load.clamp(0.0, self.load + MAX_QUEUES * slots)
+    pub fn bounded(load: f64, slots: f64) -> f64 {
+        load.clamp(0.0, MAX_QUEUES * slots)
     }
 }
 
--- a/cactusglade-policy/src/evacuation/mod.rs
+++ b/cactusglade-policy/src/evacuation/mod.rs
@@ -21,6 +21,9 @@
 const REPEAT_PERIOD: Millis = Millis(10_000);
 /// Maximum number of zones that are known, since any process may send datagrams.
 const MAX_ZONES: usize = 256;
+/// Longest name of a zone that other daemons are told, in bytes, so that twelve statements fit a
+/// datagram; a longer one is a mistyped row.
+const MAX_SHARED_NAME: usize = 64;
 
 /// `Standing` is what is known of one zone.
 #[derive(Clone, Copy, Debug)]
@@ -62,19 +65,25 @@
     /// Records a statement of the store or of another daemon; returns it if the evacuation of the
     /// zone begins or ends.
     pub fn learn(&mut self, now: Millis, statement: &Evacuation) -> Option<Evacuation> {
-        let known = self.zones.get(&statement.zone);
+        if self.is_overruled(now, statement) {
+            self.answer(now, &statement.zone);
+            return None;
+        }
+        let known = self.zones.get(&statement.zone).copied();
         let was_ordered = known.is_some_and(|known| known.is_ordered);
-        let is_new = match known {
-            // Of two statements of one revision an order counts, since one too many costs less.
-            Some(known) => {
-                (statement.revision, statement.is_ordered) > (known.revision, known.is_ordered)
-            }
-            None => self.zones.len() < MAX_ZONES && !self.is_overruled(now, statement),
-        };
-        if !is_new {
+        // Of two statements of one revision an order counts, since one too many costs less.
+        let is_old = known.is_some_and(|known| {
+            (statement.revision, statement.is_ordered) <= (known.revision, known.is_ordered)
+        });
+        if known.is_some_and(|known| statement.revision < known.revision) {
+            self.answer(now, &statement.zone);
+        }
+        if is_old || (known.is_none() && !self.make_room(now)) {
             return None;
         }
         let is_change = statement.is_ordered != was_ordered;
+        // A daemon that missed the evacuation has to know that it was one.
+        let is_missed = known.is_none() && !statement.is_ordered;
         let ends = if is_change { now + REPEAT_PERIOD } else { now };
         let standing = Standing {
             revision: statement.revision,
@@ -83,7 +92,31 @@
             shared: None,
         };
         self.zones.insert(statement.zone.clone(), standing);
-        is_change.then(|| statement.clone())
+        (is_change || is_missed).then(|| statement.clone())
+    }
+
+    /// Has the standing of a zone stated again, since another daemon states an earlier one. One that was
+    /// cut off for longer than an end is repeated learns of the end thereby.
+    fn answer(&mut self, now: Millis, zone: &str) {
+        if let Some(standing) = self.zones.get_mut(zone)
+            && standing
+                .shared
+                .is_some_and(|at| now - at >= REPEAT_INTERVAL)
+        {
+            standing.shared = None;
+        }
+    }
+
+    /// Returns whether another zone can be recorded; drops an end that is no longer repeated if need be.
+    fn make_room(&mut self, now: Millis) -> bool {
+        if self.zones.len() < MAX_ZONES {
+            return true;
+        }
+        let is_over =
+            |standing: &Standing| standing.repeated_until.is_some_and(|until| now >= until);
+        let over = self.zones.iter().find(|(_, standing)| is_over(standing));
+        let over = over.map(|(zone, _)| zone.clone());
+        over.is_some_and(|zone| self.zones.remove(&zone).is_some())
     }
 
     /// Records a read of all orders; returns the evacuations that begin and end.
@@ -135,7 +168,7 @@
             }
         };
         let due = self.zones.iter_mut();
-        let due = due.filter(|(_, standing)| is_due(standing));
+        let due = due.filter(|(zone, standing)| zone.len() <= MAX_SHARED_NAME && is_due(standing));
         let statements = due.map(|(zone, standing)| {
             standing.shared = Some(now);
             Evacuation {
--- a/cactusglade-policy/src/pace/mod.rs
+++ b/cactusglade-policy/src/pace/mod.rs
@@ -59,6 +59,9 @@
 /// Least uncached tokens of a prompt whose time shows the speed: reading them takes 35 ms or more, which
 /// is longer than what else happens before the first event.
 const LEAST_TOKENS: u64 = 4_000;
+/// Age from which a stated pace no longer counts. A constant one is told again within two minutes in
+/// the largest fleet; a false statement about an upstream that states none must end.
+const MAX_STATEMENT_AGE: Millis = Millis(300_000);
 /// Usual time to the first event of a request whose prompt is cached.
 pub const FIRST_EVENT: Millis = Millis(20);
 /// Least time to the first event, which is not counted as reading.
@@ -199,10 +202,15 @@
         Some((newest, at, self.lasting))
     }
 
-    /// Returns whether the upstream has stated a pace.
+    /// Returns whether the upstream has stated a pace lately.
     #[must_use]
-    pub const fn is_stated(&self) -> bool {
-        self.newest.is_some()
+    pub fn is_stated(&self, now: Millis) -> bool {
+        self.stated(now).is_some()
+    }
+
+    /// Returns the newest stated pace and its time, unless that is long ago.
+    fn stated(&self, now: Millis) -> Option<(f64, Millis)> {
+        self.newest.filter(|(_, at)| now - *at < MAX_STATEMENT_AGE)
     }
 
     /// Records a measured time to read a prompt relative to the service's typical time. It counts
@@ -218,15 +226,15 @@
 
     /// Returns whether anything is known of the upstream's pace.
     #[must_use]
-    pub const fn is_known(&self) -> bool {
-        self.is_stated() || self.measured.count > 0
+    pub fn is_known(&self, now: Millis) -> bool {
+        self.is_stated(now) || self.measured.count > 0
     }
 
     /// Returns the expected time for work relative to the usual time, 1 if nothing is known.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
     pub fn factor(&self, now: Millis) -> f64 {
-        let Some((newest, at)) = self.newest else {
+        let Some((newest, at)) = self.stated(now) else {
             let (least, greatest) = BOUNDS;
             return self.measured.value.exp().clamp(least, greatest);
         };
--- a/cactusglade-policy/tests/estimate.rs
+++ b/cactusglade-policy/tests/estimate.rs
@@ -114,7 +114,7 @@
 /// for good, since it is asked for its load only with requests.
 #[test]
 fn a_false_report_is_believed_in_part_and_forgotten() {
-    let bounded = USUAL.bounded(1e18, 6.0);
+    let bounded = Baseline::bounded(1e18, 6.0);
     assert!(bounded < 30.0, "{bounded} bounded");
     let after = others(&reported(1_000, bounded), 3_000, &USUAL);
     assert!(after < 7.0, "{after} two seconds later");
--- a/cactusglade-policy/tests/evacuation.rs
+++ b/cactusglade-policy/tests/evacuation.rs
@@ -180,3 +180,49 @@
     let repeats = repeats.map(|at| shared(&mut register, at)).sum::<usize>();
     assert_eq!(repeats, 4, "at once, and after 3, 6 and 9 s");
 }
+
+/// A daemon that had been cut off during a whole evacuation followed the order of another one that
+/// had been suspended since, although its own read of the store lacked the row.
+#[test]
+fn a_stale_order_is_not_followed_after_a_read_that_lacks_it() {
+    let mut register = Register::default();
+    register.learn(Millis(0), &end(1, 50));
+    register.read(Millis(10), revision(1, 100), &[]);
+    assert_eq!(register.learn(Millis(20), &order(1, 70)), None);
+    assert!(!register.is_evacuated("b"));
+}
+
+/// The end of an evacuation is repeated for ten seconds. A daemon that is cut off for longer, and that
+/// the store refuses, kept the zone empty for good.
+#[test]
+fn a_daemon_that_states_an_order_after_its_end_is_told_of_the_end() {
+    let (mut cut, mut other) = (Register::default(), Register::default());
+    cut.learn(Millis(0), &order(1, 70));
+    other.learn(Millis(0), &order(1, 70));
+    other.learn(Millis(5_000), &end(1, 80));
+    let mut now = Millis(5_000);
+    while now < Millis(30_000) {
+        other.take_unshared(now);
+        now = now + Millis(1_000);
+    }
+    for statement in cut.take_unshared(now) {
+        other.learn(now, &statement);
+    }
+    for statement in other.take_unshared(now) {
+        cut.learn(now, &statement);
+    }
+    assert!(!cut.is_evacuated("b"));
+    for statement in [order(1, 70), order(1, 70)] {
+        other.learn(now, &statement);
+    }
+    assert!(other.take_unshared(now).is_empty(), "answers have a bound");
+}
+
+/// A daemon that starts just after an evacuation has to treat the zone's upstreams as those do that
+/// have seen it.
+#[test]
+fn an_end_is_a_change_where_the_order_was_missed() {
+    let mut register = Register::default();
+    assert_eq!(register.learn(Millis(0), &end(1, 80)), Some(end(1, 80)));
+    assert_eq!(register.learn(Millis(1), &end(1, 80)), None);
+}
