Requests that the system refuses itself name their reason from a closed list

Kind::Overloaded stood for a retry budget that is used up, for cold, limited and spared upstreams and for want of memory, and a refusal for want of an allowed region looked like one for want of upstreams.

core::refusal::Reason is the closed list. The policy's Denied and the broker's Refused carry it, `not_placed` and `request` lines have the field `reason`, and cactusglade_refusals_total counts it by route once for each request, at its end. Answers to callers and decisions are as before.

`request` (invalid head or body), `memory` and `not_ready` are on the list so that no refusal is without a reason.

--- a/cactusglade-core/src/lib.rs
+++ b/cactusglade-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod io;
 pub mod meta;
+pub mod refusal;
 pub mod revision;
 pub mod row;
 pub mod set;
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -15,13 +15,13 @@
 use cactusglade_core::fleet::Prefill;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::link::Connection;
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker as policy;
 use cactusglade_policy::broker::Grant;
-use cactusglade_policy::broker::Reason;
 use cactusglade_policy::broker::Report;
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Counts;
@@ -78,7 +78,7 @@
     /// When the request may be sent to see whether the parts of its prompt still crash upstreams,
     /// if it is placed again then.
     pub trial: Option<Millis>,
-    /// What keeps the available upstreams from taking the request.
+    /// Why the request was refused.
     pub reason: Option<Reason>,
 }
 
@@ -88,7 +88,7 @@
             kind,
             retry_after: kind.answer().retry_after,
             trial: None,
-            reason: None,
+            reason: Reason::implied(kind),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/front/entry.rs
+++ b/cactusglade-daemon/src/edge/front/entry.rs
@@ -10,6 +10,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::catalog::Route;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::port;
 use cactusglade_wire::port::Refusal;
@@ -75,8 +76,13 @@
         priority.or_else(|| self.catalog_route().map(|route| route.priority))
     }
 
-    /// Logs the end of the request and counts it.
+    /// Logs the end of a request that this system did not refuse, and counts it.
     pub fn record(&self, code: &str, sent: u64) {
+        self.record_end(code, None, sent);
+    }
+
+    /// Logs the end of the request and counts it, also as a refusal where it has a reason.
+    fn record_end(&self, code: &str, reason: Option<Reason>, sent: u64) {
         let context = &self.context;
         let route = self
             .catalog_route()
@@ -85,9 +91,13 @@
         let duration = context.clock.now() - self.arrived;
         let labels = [route, organisation, code];
         context.metrics.requests.with_label_values(&labels).inc();
+        if let Some(reason) = reason {
+            context.metrics.count_refusal(route, reason);
+        }
         info!(context.log, "request"; "id" => &self.call.id, "route" => route,
             "organisation" => organisation, "version" => self.catalog.version,
-            "code" => code, "sent" => sent, "took_ms" => duration.0);
+            "code" => code, "reason" => reason.map(Reason::as_str), "sent" => sent,
+            "took_ms" => duration.0);
     }
 
     /// Counts the request as `good`, `late` or `failed` by its route's latency target.
@@ -103,9 +113,9 @@
     }
 
     /// Logs and counts a request that failed through no fault of the caller, also after the first
-    /// byte of the answer.
-    pub fn record_failure(&self, code: &str, sent: u64) {
-        self.record(code, sent);
+    /// byte of the answer; `reason` says why this system sent it no further, where it decided that.
+    pub fn record_failure(&self, code: &str, reason: Option<Reason>, sent: u64) {
+        self.record_end(code, reason, sent);
         self.count_goal("failed");
     }
 
@@ -125,13 +135,19 @@
         histogram.with_label_values(&labels).observe(seconds);
     }
 
-    /// Logs and counts the request as refused, and returns the error answer.
-    pub fn refuse(&self, kind: Kind, retry_after: Option<Millis>, sent: u64) -> Buffered {
+    /// Logs and counts the request as ended by an error, and returns the error answer.
+    pub fn refuse(
+        &self,
+        kind: Kind,
+        reason: Option<Reason>,
+        retry_after: Option<Millis>,
+        sent: u64,
+    ) -> Buffered {
         let code = kind.answer().code;
         if kind.is_caller_fault() {
-            self.record(code, sent);
+            self.record_end(code, reason, sent);
         } else {
-            self.record_failure(code, sent);
+            self.record_failure(code, reason, sent);
         }
         let refusal = Refusal {
             kind,
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -6,12 +6,12 @@
 
 use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 use cactusglade_policy::attempt::Attempt;
 use cactusglade_policy::attempt::Next;
 use cactusglade_policy::attempt::Outcome;
-use cactusglade_policy::broker::Reason;
 use cactusglade_wire::port;
 use kameo::error::SendError;
 use slog::info;
@@ -43,6 +43,8 @@
     pub next: Next,
     /// Time after which a retry by the caller may succeed, where it is known.
     pub retry_after: Option<Millis>,
+    /// Why this system sent the request no further, where that was its own decision.
+    pub reason: Option<Reason>,
 }
 
 /// `Exchange` is the state of one request across its attempts.
@@ -108,6 +110,10 @@
             next => Err(Ending {
                 next,
                 retry_after: None,
+                reason: match next {
+                    Next::Give(kind) => Reason::implied(kind),
+                    Next::Again | Next::Pass | Next::Abort => None,
+                },
             }),
         }
     }
@@ -136,8 +142,9 @@
             Next::Again | Next::Pass | Next::Abort => Kind::UpstreamLost,
         };
         self.refund();
+        let sent = self.attempt.sent();
         self.entry
-            .refuse(kind, ending.retry_after, self.attempt.sent())
+            .refuse(kind, ending.reason, ending.retry_after, sent)
     }
 
     /// Refunds the organisation's quota units where the request did not run.
@@ -228,6 +235,7 @@
         let ending = Ending {
             next: self.attempt.give_up(kind),
             retry_after,
+            reason: refused.reason,
         };
         let prompt = self.entry.prompt.as_ref();
         let parts = prompt.filter(|_| kind == Kind::Quarantined);
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -89,7 +89,7 @@
     match exchange.handle_failure(Fault::new(outcome), reservation) {
         Ok(()) => Err(None),
         Err(ending) if ending.next == Next::Pass => {
-            entry.record_failure("upstream_failed", exchange.attempt.sent());
+            entry.record_failure("upstream_failed", None, exchange.attempt.sent());
             Ok(response(&entry, &head, body))
         }
         Err(ending) => Err(Some(ending)),
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -8,6 +8,7 @@
 use cactusglade_core::call::Call;
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_link::body;
 use cactusglade_link::body::Budget;
@@ -40,7 +41,24 @@
 /// Error of admitting a request.
 struct Rejection {
     kind: Kind,
+    reason: Option<Reason>,
     id: Option<String>,
+    /// Name of the route, where the catalog has one for the request.
+    route: Option<String>,
+}
+
+impl Rejection {
+    /// Rejects a request whose head was decoded.
+    fn new(kind: Kind, catalog: &Catalog, call: &Call) -> Self {
+        let route = catalog.route(&call.host, &call.path);
+        let route = route.and_then(|key| catalog.routes.get(key));
+        Self {
+            kind,
+            reason: Reason::implied(kind),
+            id: Some(call.id.clone()),
+            route: route.map(|route| route.name.clone()),
+        }
+    }
 }
 
 /// Answers one request.
@@ -57,7 +75,7 @@
     tokio::select! {
         answer = answer(entry.clone()) => answer,
         Ok(_) = phase.wait_for(|phase| *phase == Phase::Ending) => {
-            entry.refuse(Kind::UpstreamLost, None, 0).map(Either::Left)
+            entry.refuse(Kind::UpstreamLost, None, None, 0).map(Either::Left)
         }
     }
 }
@@ -88,8 +106,13 @@
     let code = kind.answer().code;
     let labels = [UNKNOWN, UNKNOWN, code];
     context.metrics.requests.with_label_values(&labels).inc();
+    if let Some(reason) = rejection.reason {
+        let route = rejection.route.as_deref().unwrap_or(UNKNOWN);
+        context.metrics.count_refusal(route, reason);
+    }
     info!(context.log, "request"; "id" => rejection.id.as_deref().unwrap_or(UNKNOWN),
-        "code" => code, "version" => context.catalogs.borrow().version, "took_ms" => duration.0);
+        "route" => rejection.route.as_deref(), "code" => code,
+        "reason" => rejection.reason.map(Reason::as_str), "version" => context.catalogs.borrow().version, "took_ms" => duration.0);
     let refusal = Refusal {
         kind,
         id: rejection.id.as_deref(),
@@ -109,13 +132,12 @@
     let (head, body) = request.into_parts();
     let call = context.codec.decode_call(&head).map_err(|_| Rejection {
         kind: Kind::BadRequest,
+        reason: Reason::implied(Kind::BadRequest),
         id: None,
+        route: None,
     })?;
-    let rejection = |kind| Rejection {
-        kind,
-        id: Some(call.id.clone()),
-    };
     let catalog = context.catalogs.borrow().clone();
+    let rejection = |kind| Rejection::new(kind, &catalog, &call);
     let resolved = if *context.phase.borrow() >= Phase::Closing {
         Err(Kind::Draining)
     } else {
@@ -130,7 +152,10 @@
     };
     let body = read_body(body, catalog.limits.body_bytes, &context.requests)
         .await
-        .map_err(rejection)?;
+        .map_err(|(kind, reason)| Rejection {
+            reason: Some(reason),
+            ..rejection(kind)
+        })?;
     // The body may have come long after the head.
     if *context.phase.borrow() >= Phase::Closing {
         return Err(rejection(Kind::Draining));
@@ -183,12 +208,16 @@
     let _ = body::collect_within(body, MAX_DISCARDED_BYTES, budget, DISCARD_TIMEOUT).await;
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, budget: &Budget) -> Result<Bytes, Kind> {
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    budget: &Budget,
+) -> Result<Bytes, (Kind, Reason)> {
     let body = body::collect_within(body, max_bytes, budget, BODY_TIMEOUT).await;
     body.map_err(|error| match error {
-        body::Error::TooLong => Kind::BodyTooLarge,
-        body::Error::TooFragmented | body::Error::Broken => Kind::BadRequest,
-        body::Error::OverBudget => Kind::Overloaded,
-        body::Error::Timeout => Kind::SlowRequest,
+        body::Error::TooLong => (Kind::BodyTooLarge, Reason::Request),
+        body::Error::TooFragmented | body::Error::Broken => (Kind::BadRequest, Reason::Request),
+        body::Error::OverBudget => (Kind::Overloaded, Reason::Memory),
+        body::Error::Timeout => (Kind::SlowRequest, Reason::Request),
     })
 }
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -146,10 +146,11 @@
             match flow.next().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), (flow, None))),
                 Ok(None) => None,
-                Err(_) => {
+                Err(ending) => {
                     flow.has_ended = true;
                     let sent = flow.exchange.attempt.sent();
-                    flow.exchange.entry.record_failure("stream_broken", sent);
+                    let entry = &flow.exchange.entry;
+                    entry.record_failure("stream_broken", ending.reason, sent);
                     Some((Err(Broken), (flow, None)))
                 }
             }
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 //! The values of labels come from the object set and from fixed lists, which bounds the number of
 //! time series; `docs/OPERATIONS.md` lists all metrics.
 
+use cactusglade_core::refusal::Reason;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -48,6 +49,8 @@
     /// Finished requests by route, organisation and whether they met the route's goal: `good`,
     /// `late`, or `failed` where they failed for a reason other than an error of the caller.
     pub goals: IntCounterVec,
+    /// Requests that this daemon refused itself, by route and reason ([`Reason`]).
+    pub refusals: IntCounterVec,
     /// Durations of calls to the platform in seconds, by call and result.
     pub platform_calls: HistogramVec,
     /// Parts of prompts found to crash upstreams, each time that one is held.
@@ -143,6 +146,7 @@
             recomputed: counter("cactusglade_recomputed_tokens_total", "Computed again")?,
             failed_sendings: failed_sendings(&registry)?,
             goals: goals(&registry)?,
+            refusals: refusals(&registry)?,
             platform_calls: platform_calls(&registry)?,
             retries: counter("cactusglade_retries_total", "Attempts beyond the first")?,
             held_parts: counter(
@@ -180,6 +184,12 @@
         })
     }
 
+    /// Counts a request that this daemon refused itself.
+    pub fn count_refusal(&self, route: &str, reason: Reason) {
+        let labels = [route, reason.as_str()];
+        self.refusals.with_label_values(&labels).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -210,6 +220,16 @@
     Ok(goals)
 }
 
+fn refusals(registry: &Registry) -> Result<IntCounterVec> {
+    let options = Opts::new(
+        "cactusglade_refusals_total",
+        "Requests that the daemon refused itself, by reason",
+    );
+    let refusals = IntCounterVec::new(options, &["route", "reason"])?;
+    registry.register(Box::new(refusals.clone()))?;
+    Ok(refusals)
+}
+
 fn platform_calls(registry: &Registry) -> Result<HistogramVec> {
     let options = HistogramOpts::new("cactusglade_platform_seconds", "Calls to the platform");
     let platform_calls = HistogramVec::new(
--- a/cactusglade-policy/src/broker/limits.rs
+++ b/cactusglade-policy/src/broker/limits.rs
@@ -3,13 +3,13 @@
 use cactusglade_core::arena;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Limit;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 
 use super::Broker;
 use super::Denied;
 use super::Query;
-use super::Reason;
 use super::Strategy;
 use super::Upstream;
 use crate::affinity;
@@ -86,13 +86,12 @@
         let upstreams = untried.filter_map(|key| self.upstreams.get(*key));
         let withheld = self.withheld_version(now, service);
         let residency = self.residency(query);
-        let upstreams = upstreams.filter(|one| residency.allow(one));
         let registered = upstreams.filter(|one| {
             one.is_registered(now) && withheld.is_none_or(|version| one.instance.version != version)
         });
-        let registered = registered.collect::<Vec<_>>();
+        let (registered, elsewhere) = registered.partition::<Vec<_>, _>(|one| residency.allow(one));
         if registered.is_empty() {
-            return Kind::NoUpstream.into();
+            return no_upstream(!elsewhere.is_empty());
         }
         let available = registered.into_iter();
         let available = available.filter(|one| one.is_available(now));
@@ -152,6 +151,20 @@
     }
 }
 
+/// Returns the refusal where no upstream that may run the request is left; `is_elsewhere` says that
+/// some are in other regions.
+fn no_upstream(is_elsewhere: bool) -> Denied {
+    let denied = Denied::from(Kind::NoUpstream);
+    Denied {
+        reason: if is_elsewhere {
+            Some(Reason::Region)
+        } else {
+            denied.reason
+        },
+        ..denied
+    }
+}
+
 /// Returns what keeps available upstreams from taking a request.
 fn reason(now: Millis, available: &[&Upstream]) -> Reason {
     if available.iter().any(|one| !one.warmup.admits(now)) {
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -29,6 +29,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Sighting;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 
@@ -141,39 +142,16 @@
     pub kind: Kind,
     /// Time after which a retry by the caller may succeed, where it is known.
     pub retry_after: Option<Millis>,
-    /// What keeps upstreams that are available from taking the request.
+    /// What keeps the request from being sent.
     pub reason: Option<Reason>,
 }
 
-/// `Reason` is what keeps the available upstreams of a service from taking a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reason {
-    /// Some are cold.
-    Cold,
-    /// Some have stated a limit, and none is cold.
-    Limit,
-    /// All have asked for no requests for some time.
-    Spared,
-}
-
-impl Reason {
-    /// Returns the name of the reason in the log.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Cold => "cold",
-            Self::Limit => "limit",
-            Self::Spared => "spared",
-        }
-    }
-}
-
 impl From<Kind> for Denied {
     fn from(kind: Kind) -> Self {
         Self {
             kind,
             retry_after: kind.answer().retry_after,
-            reason: None,
+            reason: Reason::implied(kind),
         }
     }
 }
@@ -413,7 +391,10 @@
         let budget = self.budgets.entry(service).or_default();
         if query.is_retry {
             if !budget.try_retry(now, &bounds, daemons) {
-                return Err(Kind::Overloaded.into());
+                return Err(Denied {
+                    reason: Some(Reason::RetryBudget),
+                    ..Kind::Overloaded.into()
+                });
             }
         } else {
             budget.record_request(now, &bounds);
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -19,6 +19,7 @@
 use cactusglade_core::fleet::Instance;
 use cactusglade_core::fleet::Phase;
 use cactusglade_core::fleet::Sighting;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::affinity;
 use cactusglade_policy::broker::Broker;
@@ -556,8 +557,7 @@
             Millis(0),
             [put_in("x", "a"), put_in("y", "b"), put_in("z", "c")],
         );
-        let mut tried = Vec::new();
-        let mut reached = Vec::new();
+        let (mut tried, mut reached) = (Vec::new(), Vec::new());
         let denied = loop {
             let query = Query {
                 route,
@@ -574,15 +574,48 @@
                     reached.push(upstream.instance.name.clone());
                     tried.push(grant.upstream);
                 }
-                Err(denied) => break denied.kind,
+                Err(denied) => break denied,
             }
         };
         reached.sort();
         assert_eq!(reached, allowed);
-        assert_eq!(denied, Kind::NoUpstream);
+        assert_eq!(denied.kind, Kind::NoUpstream);
+        let are_all_allowed = allowed.len() == 3;
+        let reasons = [Reason::Region, Reason::NoUpstream];
+        assert_eq!(denied.reason, Some(reasons[usize::from(are_all_allowed)]));
     }
 }
 
+/// Refusals for want of retries, of upstreams and of spare upstreams looked alike in the log.
+#[test]
+fn a_refusal_names_its_reason() {
+    let mut fixture = set_up(&["x"]);
+    let x = fixture.key("x");
+    let refuse = |broker: &mut Broker<Fastest>, at, tried: &[_], is_retry| {
+        let query = Query {
+            route: fixture.route,
+            organisation: None,
+            prompt: None,
+            tried,
+            is_retry,
+            draw: 0.5,
+        };
+        let denied = broker.place(Millis(at), &query).err()?;
+        Some((denied.kind, denied.reason.expect("a refusal has a reason")))
+    };
+    let broker = &mut fixture.broker;
+    let denied = refuse(broker, 10, &[x], false);
+    assert_eq!(denied, Some((Kind::NoUpstream, Reason::NoUpstream)));
+    let denied = (0..1_000).find_map(|_| refuse(broker, 20, &[], true));
+    assert_eq!(denied, Some((Kind::Overloaded, Reason::RetryBudget)));
+    broker.spare(Millis(30), x, Millis(1_000));
+    let denied = refuse(broker, 40, &[], false);
+    assert_eq!(denied, Some((Kind::Overloaded, Reason::Spared)));
+    broker.learn_evacuations(Millis(50), &[order("a", 1, true)]);
+    let denied = refuse(broker, 60, &[], false);
+    assert_eq!(denied, Some((Kind::Evacuated, Reason::Evacuated)));
+}
+
 /// An upstream of which nobody has heard for ten seconds looked idle, and got the next requests of
 /// all daemons. Only a catalog with a latency-critical route changes that.
 #[test]
