Check tight_target_ms when the settings are read

Zero, a negative value or nan became a target of 0 ms without a word, so that no service was latency-critical although the operators had asked for it; an infinite one made all services latency-critical. These are now errors that state the value found and that a number greater than 0 is expected.

The tests of core pass.

--- a/cactusglade-core/src/edge/mod.rs
+++ b/cactusglade-core/src/edge/mod.rs
@@ -25,6 +25,14 @@
         /// Its least value.
         least: f64,
     },
+    /// A setting is not a number greater than zero.
+    #[error("{name} is {value}, expected a number greater than 0")]
+    Positive {
+        /// Name of the setting.
+        name: &'static str,
+        /// Its value.
+        value: f64,
+    },
 }
 
 /// Result of reading settings.
@@ -101,9 +109,11 @@
     /// # Errors
     ///
     /// Returns [`Error::Toml`] if the text is not TOML, or a setting is missing or of another type,
-    /// and [`Error::Bound`] if a setting is below its least value.
+    /// [`Error::Bound`] if a setting is below its least value, and [`Error::Positive`] if one that
+    /// must be greater than zero isn't.
     pub fn try_new(text: &str) -> Result<Self> {
         let settings: Self = toml::from_str(text)?;
+        check_positive("tight_target_ms", settings.tight_target_ms)?;
         check_least("cold_overshoot", settings.cold_overshoot, 1.0)?;
         check_least("cold_slack", settings.cold_slack, 0.0)?;
         Ok(settings)
@@ -117,6 +127,14 @@
     }
 }
 
+/// Fails if a setting is zero or less, or not a number.
+fn check_positive(name: &'static str, value: Option<f64>) -> Result<()> {
+    match value {
+        Some(value) if !value.is_finite() || value <= 0.0 => Err(Error::Positive { name, value }),
+        _ => Ok(()),
+    }
+}
+
 /// Fails if a setting is below its least value, or not a number.
 fn check_least(name: &'static str, value: Option<f64>, least: f64) -> Result<()> {
     match value {
