cactusglade refusals counts refusals from the logs of daemons

Reasons of refusals were in the log and the metrics, but to count them by organisation, or after a daemon was replaced, an operator had to search the logs by hand. The command counts `request` lines with a reason by reason, route and organisation; `not_placed` lines are left out, since their requests have an end of their own.

--- a/cactusglade-cli/src/commands/explain.rs
+++ b/cactusglade-cli/src/commands/explain.rs
@@ -33,14 +33,9 @@
     ///
     /// Fails when a log can't be read or no line has the id of the request.
     pub fn run(self) -> Result<String> {
-        let files = if self.logs.is_empty() {
-            vec![STDIN.to_owned()]
-        } else {
-            self.logs
-        };
         let (mut lines, mut unparsed) = (Vec::new(), 0_u64);
-        for file in &files {
-            for text in read(file)?.lines() {
+        for file in files(self.logs) {
+            for text in read(&file)?.lines() {
                 match Line::try_new(text) {
                     Ok(line) => lines.push(line),
                     Err(_) => unparsed += 1,
@@ -62,7 +57,17 @@
     }
 }
 
-fn read(file: &str) -> Result<String> {
+/// Returns the log files to read: standard input if none is named.
+pub(super) fn files(logs: Vec<String>) -> Vec<String> {
+    if logs.is_empty() {
+        vec![STDIN.to_owned()]
+    } else {
+        logs
+    }
+}
+
+/// Reads a log file, or standard input.
+pub(super) fn read(file: &str) -> Result<String> {
     let mut bytes = Vec::new();
     let read = if file == STDIN {
         std::io::stdin().read_to_end(&mut bytes).map(drop)
--- a/cactusglade-cli/src/commands/mod.rs
+++ b/cactusglade-cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod experiment;
 mod explain;
 mod publish;
+mod refusals;
 mod report;
 mod rollout;
 mod route;
@@ -21,6 +22,7 @@
 pub use experiment::Experiment;
 pub use explain::Explain;
 pub use publish::Publish;
+pub use refusals::Refusals;
 pub use report::Report;
 pub use rollout::Rollout;
 pub use route::Route;
@@ -84,6 +86,8 @@
     Report(Report),
     #[options(help = "explain what happened to a request, from logs")]
     Explain(Explain),
+    #[options(help = "count refused requests by reason, from logs")]
+    Refusals(Refusals),
     #[options(help = "explain where a daemon would send a request now, without sending it")]
     Route(Route),
     #[options(help = "play a fleet's decisions in a model, or compare two experiments")]
@@ -171,6 +175,7 @@
             Self::Rollout(rollout) => rollout.run().await,
             Self::Report(report) => report.run().await,
             Self::Explain(explain) => explain.run(),
+            Self::Refusals(refusals) => refusals.run(),
             Self::Route(route) => route.run().await,
             Self::Experiment(experiment) => experiment.run(),
             Self::Standin(standin) => standin.run().await,
--- a/cactusglade-cli/src/lib.rs
+++ b/cactusglade-cli/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod explain;
 pub mod objects;
 pub mod publish;
+pub mod refusals;
