Leave absent reasons and routes out of log lines

The other optional fields are written as before.

The test `refusals` of the platform reads the lines of a daemon; its four tests pass.

--- a/cactusglade-daemon/src/edge/front/entry.rs
+++ b/cactusglade-daemon/src/edge/front/entry.rs
@@ -19,6 +19,8 @@
 use hyper::http::request;
 use slog::info;
 
+use crate::log::Field;
+
 use super::context::Context;
 use super::context::Phase;
 
@@ -96,7 +98,7 @@
         }
         info!(context.log, "request"; "id" => &self.call.id, "route" => route,
             "organisation" => organisation, "version" => self.catalog.version,
-            "code" => code, "reason" => reason.map(Reason::as_str), "sent" => sent,
+            "code" => code, "reason" => Field(reason.map(Reason::as_str)), "sent" => sent,
             "took_ms" => duration.0);
     }
 
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -20,6 +20,7 @@
 use crate::edge::broker::Placement;
 use crate::edge::broker::Refund;
 use crate::edge::broker::Refused;
+use crate::log::Field;
 
 use super::entry::Buffered;
 use super::entry::Entry;
@@ -240,7 +241,7 @@
         let prompt = self.entry.prompt.as_ref();
         let parts = prompt.filter(|_| kind == Kind::Quarantined);
         info!(self.entry.context.log, "not_placed"; "id" => &self.entry.call.id,
-            "kind" => ?kind, "reason" => refused.reason.map(Reason::as_str),
+            "kind" => ?kind, "reason" => Field(refused.reason.map(Reason::as_str)),
             "next" => ?ending.next, "tried" => self.tried.len(),
             "parts" => parts.map(|prompt| prompt.shared_ids()));
         ending
--- a/cactusglade-daemon/src/edge/front/request.rs
+++ b/cactusglade-daemon/src/edge/front/request.rs
@@ -23,6 +23,8 @@
 use hyper::body::Incoming;
 use slog::info;
 
+use crate::log::Field;
+
 use super::context::Context;
 use super::context::Phase;
 use super::entry::Buffered;
@@ -111,8 +113,8 @@
         context.metrics.count_refusal(route, reason);
     }
     info!(context.log, "request"; "id" => rejection.id.as_deref().unwrap_or(UNKNOWN),
-        "route" => rejection.route.as_deref(), "code" => code,
-        "reason" => rejection.reason.map(Reason::as_str), "version" => context.catalogs.borrow().version, "took_ms" => duration.0);
+        "route" => Field(rejection.route.as_deref()), "code" => code,
+        "reason" => Field(rejection.reason.map(Reason::as_str)), "version" => context.catalogs.borrow().version, "took_ms" => duration.0);
     let refusal = Refusal {
         kind,
         id: rejection.id.as_deref(),
