Ranks of sessions and long prompts can be seen

Whether a session was sent to its own upstream, behind how many tokens, and whether daemons hear of each other's long prompts could not be told from a daemon's log and metrics.

`placed` lines have `rank` (absent where the upstream is none of the session's) and `backlog`; cactusglade_prefills_told_total and cactusglade_prefills_heard_total count the statements. The rank is a field of Candidate that the strategy does not read, so that no decision changes. Where a session needs more than three upstreams, ranks go beyond three.

--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -445,6 +445,8 @@
         self.log_transitions(now);
         let quarantine = &mut self.policy.quarantine;
         let suspicions = quarantine.take_unshared(now, meter.restates_holds);
+        let prefills = self.policy.take_prefills(now);
+        self.metrics.prefills.told.inc_by(prefills.len() as u64);
         Statistics {
             suspicions,
             quota_used: self.quota_used.clone(),
@@ -453,7 +455,7 @@
             sightings: self.policy.take_sightings(),
             limits: self.policy.take_limits(now),
             paces: self.policy.take_paces(now),
-            prefills: self.policy.take_prefills(now),
+            prefills,
             evacuations: self.policy.take_evacuations(now),
         }
     }
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -99,6 +99,7 @@
 
     async fn handle(&mut self, reading: LearnPrefills, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
+        self.metrics.prefills.heard.inc_by(reading.0.len() as u64);
         for prefill in &reading.0 {
             self.policy.learn_prefill(now, prefill);
         }
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -225,6 +225,7 @@
             "upstream" => &placement.name, "candidates" => basis.candidates,
             "load" => basis.load, "load_age_ms" => age, "estimated" => basis.is_estimated,
             "limit_per_s" => basis.limit.map(Rate::per_second), "pace" => basis.pace,
+            "rank" => Field(basis.rank), "backlog" => basis.backlog,
             "uncached" => placement.grant.uncached,
             "kept_connection" => placement.connection.is_some(), "sent" => self.attempt.sent(),
             "version" => self.entry.catalog.version);
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -75,6 +75,8 @@
     pub behind: IntCounter,
     /// Speed of upstreams.
     pub paces: Paces,
+    /// Long prompts that daemons tell each other of.
+    pub prefills: Prefills,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -118,6 +120,35 @@
     }
 }
 
+/// `Prefills` counts the long prompts that daemons tell each other of.
+#[derive(Clone, Debug)]
+pub struct Prefills {
+    /// Those that this daemon has sent to upstreams and told of.
+    pub told: IntCounter,
+    /// Those that other daemons have told of.
+    pub heard: IntCounter,
+}
+
+impl Prefills {
+    fn try_new(registry: &Registry) -> Result<Self> {
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        Ok(Self {
+            told: counter(
+                "cactusglade_prefills_told_total",
+                "Long prompts that other daemons were told of",
+            )?,
+            heard: counter(
+                "cactusglade_prefills_heard_total",
+                "Long prompts that other daemons have told of",
+            )?,
+        })
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -172,6 +203,7 @@
                 "Times at which another daemon had a newer configuration",
             )?,
             paces: Paces::try_new(&registry)?,
+            prefills: Prefills::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
--- a/cactusglade-policy/src/affinity/ranks.rs
+++ b/cactusglade-policy/src/affinity/ranks.rs
@@ -71,6 +71,13 @@
         ranked.iter().map(|(_, key)| *key)
     }
 
+    /// Returns the rank of an upstream, from 1; `None` if it is not one of the session's.
+    #[must_use]
+    pub fn rank(&self, key: K) -> Option<u64> {
+        let mut ranked = (1..).zip(self.keys());
+        ranked.find_map(|(rank, one)| (one == key).then_some(rank))
+    }
+
     /// Returns the session's upstream and the probability that it has the prompt.
     pub fn first(&self) -> impl Iterator<Item = (K, f64)> {
         self.keys().zip(CACHED_SHARES).take(1)
--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -45,16 +45,16 @@
         let available = keys.unwrap_or_default().iter().filter_map(available);
         let mut available = available.collect::<Vec<_>>();
         let session = query.prompt.and_then(Prompt::session);
-        let compared = session.map_or_else(Vec::new, |session| {
-            if !is_tight {
-                let mut ranks = Ranks::new(session, 1);
-                for (key, upstream) in &available {
-                    ranks.insert(*key, upstream.hash, None);
-                }
-                return ranks.first().collect();
+        let ranks = session.map(|session| {
+            let others = keys.filter(|_| is_tight);
+            self.ranks(now, session, &available, others)
+        });
+        let compared = ranks.as_ref().map_or_else(Vec::new, |ranks| {
+            if is_tight {
+                ranks.compared(query.draw)
+            } else {
+                ranks.first().collect()
             }
-            let ranks = self.ranks(now, session, &available, keys.unwrap_or_default());
-            ranks.compared(query.draw)
         });
         if available
             .iter()
@@ -75,19 +75,32 @@
             let assumed = query
                 .prompt
                 .map_or(0.0, |prompt| affinity::assumed(prompt, share, has_served));
-            self.candidate(now, key, upstream, query, assumed)
+            let rank = ranks.as_ref().and_then(|ranks| ranks.rank(key));
+            Candidate {
+                // Sessions of other services have one upstream.
+                rank: rank.filter(|rank| is_tight || *rank == 1),
+                ..self.candidate(now, key, upstream, query, assumed)
+            }
         });
         (candidates.collect(), available.len())
     }
 
-    /// Ranks the available upstreams for a session, and notes those that have left.
+    /// Ranks the available upstreams for a session. For a session of a latency-critical service `keys`
+    /// are all upstreams, and those that have left are noted.
     fn ranks(
         &self,
         now: Millis,
         session: u64,
         available: &[(arena::Upstream, &Upstream)],
-        keys: &[arena::Upstream],
+        keys: Option<&[arena::Upstream]>,
     ) -> Ranks<arena::Upstream> {
+        let Some(keys) = keys else {
+            let mut ranks = Ranks::new(session, 1);
+            for (key, upstream) in available {
+                ranks.insert(*key, upstream.hash, None);
+            }
+            return ranks;
+        };
         let rate = self.demand.rate(now, session) * self.daemons;
         let needed = (rate / (PREFILL_TOKENS_PER_MS * SESSION_SHARE)).ceil();
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -117,6 +130,7 @@
         });
         Candidate {
             upstream: key,
+            rank: None,
             is_same_zone: upstream.instance.zone == self.options.zone,
             load: self.draw_load(now, upstream, query),
             slots: upstream.instance.slots as f64,
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -120,6 +120,10 @@
     pub limit: Option<Rate>,
     /// Expected time for work at the selected upstream, in percent of the usual time.
     pub pace: u64,
+    /// Rank of the selected upstream among those of the session, from 1; `None` if it is none of them.
+    pub rank: Option<u64>,
+    /// Prompt tokens that the selected upstream had still to read, without those of this request.
+    pub backlog: u64,
 }
 
 /// `Grant` assigns an upstream to a request for one attempt.
@@ -405,6 +409,7 @@
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn grant(
         &mut self,
         now: Millis,
@@ -413,11 +418,8 @@
         candidates: usize,
         prompt: Option<&Prompt>,
     ) -> Grant {
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let uncached = candidate.uncached as u64;
-        let pace = pace::percent(candidate.pace);
         let expected = self.expected_load(now, candidate, prompt);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let load = expected.round() as u64;
         let chosen = self.upstreams.get(candidate.upstream);
         let basis = Basis {
@@ -426,7 +428,9 @@
             load_age: chosen.and_then(|upstream| self.load_age(now, upstream, prompt)),
             is_estimated: self.estimates(prompt),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
-            pace,
+            pace: pace::percent(candidate.pace),
+            rank: candidate.rank,
+            backlog: candidate.backlog.round() as u64,
         };
         self.announce_prefill(now, service, candidate.upstream, uncached);
         self.record_own(now, candidate.upstream, true);
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -11,6 +11,9 @@
 pub struct Candidate {
     /// Key of the upstream.
     pub upstream: Upstream,
+    /// Rank of the upstream among those of the session, from 1; `None` if it is none of them. It is
+    /// for the log only.
+    pub rank: Option<u64>,
     /// Whether the upstream is in the daemon's availability zone.
     pub is_same_zone: bool,
     /// Estimated number of running and waiting requests.
--- a/cactusglade-policy/tests/affinity.rs
+++ b/cactusglade-policy/tests/affinity.rs
@@ -86,6 +86,10 @@
         let (mine, theirs) = (started.compared(0.3), other.compared(0.7));
         assert_eq!(mine, theirs);
         assert_eq!(mine.len(), 3);
+        let ranks = mine.iter().map(|(key, _)| started.rank(*key));
+        assert!(ranks.eq([Some(1), Some(2), Some(3)]));
+        let ranked = (0..UPSTREAMS).filter(|one| started.rank(*one).is_some());
+        assert_eq!(ranked.count(), 3);
         let shares = mine.iter().map(|(_, share)| *share);
         assert!(shares.is_sorted_by(|first, next| first > next));
     }
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -412,6 +412,7 @@
 fn a_request_goes_to_an_upstream_that_can_serve_it_in_time() {
     let fixture = engines(&["x", "y"]);
     let candidate = |name, backlog, uncached, load| Candidate {
+        rank: None,
         upstream: fixture.key(name),
         is_same_zone: true,
         load,
--- a/cactusglade-policy/tests/prefill.rs
+++ b/cactusglade-policy/tests/prefill.rs
@@ -4,11 +4,13 @@
 mod support;
 
 use cactusglade_core::arena;
+use cactusglade_core::call::Part;
 use cactusglade_core::call::Prompt;
 use cactusglade_core::catalog::Route;
 use cactusglade_core::fleet::Prefill;
 use cactusglade_core::units::Millis;
 use cactusglade_policy::affinity;
+use cactusglade_policy::broker::Basis;
 use cactusglade_policy::broker::Broker;
 use cactusglade_policy::broker::Fastest;
 use cactusglade_policy::broker::Options;
@@ -148,3 +150,58 @@
     // Eighty a second over all daemons are one a second for each, after the first eight.
     assert!((10..=19).contains(&told), "{told} in ten seconds");
 }
+
+/// Returns the inputs of the selection for a request of a session, and the engine.
+fn select(fixture: &mut Fixture, at: u64) -> (arena::Upstream, Basis) {
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = Prompt {
+        input_tokens: LONG,
+        max_output_tokens: 10,
+        parts: vec![part(1, 500), part(2, 500), part(3, LONG - 1_000)],
+    };
+    let query = Query {
+        route: fixture.route,
+        organisation: None,
+        prompt: Some(&prompt),
+        tried: &[],
+        is_retry: false,
+        draw: 0.5,
+    };
+    let grant = fixture.broker.place(Millis(at), &query);
+    let grant = grant.expect("an engine is available");
+    (grant.upstream, grant.basis)
+}
+
+/// Whether a session was sent to its own engine, and behind what, could not be seen in the log. An
+/// engine of a service that ranks none but the first one has no other rank.
+#[test]
+fn a_selection_states_the_rank_of_the_engine_and_what_it_has_to_read() {
+    for (target, second) in [(500, Some(2)), (800, None)] {
+        let mut fixture = set_up("one", Millis(target));
+        let (first, basis) = select(&mut fixture, 10);
+        assert_eq!((basis.rank, basis.backlog), (Some(1), 0));
+        let (same, basis) = select(&mut fixture, 11);
+        assert_eq!((same, basis.rank), (first, Some(1)), "its prompt is there");
+        assert!(basis.backlog > LONG / 2, "{}", basis.backlog);
+        fixture.broker.record_load(Millis(12), first, 500, 500);
+        let (other, basis) = select(&mut fixture, 13);
+        assert_ne!(other, first, "it is overloaded");
+        assert_eq!((basis.rank, basis.backlog), (second, 0));
+    }
+}
+
+/// A request without a session has no upstreams of its own.
+#[test]
+fn a_selection_without_a_session_has_no_rank() {
+    let mut fixture = set_up("one", Millis(500));
+    let query = Query {
+        route: fixture.route,
+        organisation: None,
+        prompt: None,
+        tried: &[],
+        is_retry: false,
+        draw: 0.5,
+    };
+    let grant = fixture.broker.place(Millis(10), &query);
+    assert_eq!(grant.map(|grant| grant.basis.rank), Ok(None));
+}
