--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -99,6 +99,7 @@
 
     async fn handle(&mut self, prefills: LearnPrefills, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
+        self.metrics.prefills.heard.inc_by(prefills.0.len() as u64);
         for prefill in &prefills.0 {
             self.policy.learn_prefill(now, prefill);
         }
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -29,6 +29,7 @@
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Sighting;
+use cactusglade_core::refusal::Reason;
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 
@@ -119,6 +120,10 @@
     pub limit: Option<Rate>,
     /// Expected time for work at the selected upstream, in percent of the usual time.
     pub pace: u64,
+    /// Rank of the selected upstream among those of the session, from 1; `None` if it is none of them.
+    pub rank: Option<u64>,
+    /// Prompt tokens that the selected upstream had still to read, without those of this request.
+    pub backlog: u64,
 }
 
 /// `Grant` assigns an upstream to a request for one attempt.
@@ -141,39 +146,16 @@
     pub kind: Kind,
     /// Time after which a retry by the caller may succeed, where it is known.
     pub retry_after: Option<Millis>,
-    /// What keeps upstreams that are available from taking the request.
+    /// What keeps the request from being sent.
     pub reason: Option<Reason>,
 }
 
-/// `Reason` is what keeps the available upstreams of a service from taking a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reason {
-    /// Some are cold.
-    Cold,
-    /// Some have stated a limit, and none is cold.
-    Limit,
-    /// All have asked for no requests for some time.
-    Spared,
-}
-
-impl Reason {
-    /// Returns the name of the reason in the log.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Cold => "cold",
-            Self::Limit => "limit",
-            Self::Spared => "spared",
-        }
-    }
-}
-
 impl From<Kind> for Denied {
     fn from(kind: Kind) -> Self {
         Self {
             kind,
             retry_after: kind.answer().retry_after,
-            reason: None,
+            reason: Reason::implied(kind),
         }
     }
 }
@@ -413,7 +395,10 @@
         let budget = self.budgets.entry(service).or_default();
         if query.is_retry {
             if !budget.try_retry(now, &bounds, daemons) {
-                return Err(Kind::Overloaded.into());
+                return Err(Denied {
+                    reason: Some(Reason::RetryBudget),
+                    ..Kind::Overloaded.into()
+                });
             }
         } else {
             budget.record_request(now, &bounds);
@@ -424,6 +409,7 @@
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn grant(
         &mut self,
         now: Millis,
@@ -432,11 +418,8 @@
         candidates: usize,
         prompt: Option<&Prompt>,
     ) -> Grant {
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let uncached = candidate.uncached as u64;
-        let pace = pace::percent(candidate.pace);
         let expected = self.expected_load(now, candidate, prompt);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let load = expected.round() as u64;
         let chosen = self.upstreams.get(candidate.upstream);
         let basis = Basis {
@@ -445,7 +428,9 @@
             load_age: chosen.and_then(|upstream| self.load_age(now, upstream, prompt)),
             is_estimated: self.estimates(prompt),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
-            pace,
+            pace: pace::percent(candidate.pace),
+            rank: candidate.rank,
+            backlog: candidate.backlog.round() as u64,
         };
         self.announce_prefill(now, service, candidate.upstream, uncached);
         self.record_own(now, candidate.upstream, true);
