Quarantine: parts that were answered lately wait for their next answer

One daemon had judged five cuts at an age of 0.4 s, before it could hear of the answers that began after them: an answer proves its parts 0.3 s after it began, and the proof needs up to 0.4 s to all daemons. All others took the hold over.

Cuts of a part that was answered within the last minute now count from an age of 1 s on. The test fails without the change. A part that was never answered is judged as soon as before.

--- a/cactusglade-policy/src/quarantine/mod.rs
+++ b/cactusglade-policy/src/quarantine/mod.rs
@@ -32,6 +32,9 @@
 const MIN_INCIDENTS_IF_ANSWERED: usize = 5;
 /// Time after an incident in which other daemons' evidence on it arrives.
 const SETTLE_TIME: Millis = Millis(400);
+/// Time after an incident in which an answer to a part that was answered lately proves it to be
+/// sound: one that begins after the cut, goes on for [`PROOF_TIME`], and is told to the others.
+const PROOF_SETTLE_TIME: Millis = Millis(1_000);
 /// Age from which an incident, or an answer, no longer counts.
 const MAX_EVIDENCE_AGE: Millis = Millis(60_000);
 /// Maximum number of incidents that are kept.
@@ -266,8 +269,12 @@
         let open = self.incidents.iter().filter(is_settled).filter(is_open);
         let open = open.collect::<Vec<_>>();
         let mut counts = BTreeMap::<u64, usize>::new();
-        for part in open.iter().flat_map(|one| one.parts()) {
-            *counts.entry(part).or_default() += 1;
+        for incident in &open {
+            let is_proof_due = now - incident.at >= PROOF_SETTLE_TIME;
+            let parts = incident.parts().into_iter();
+            for part in parts.filter(|part| is_proof_due || !self.was_answered(now, *part)) {
+                *counts.entry(part).or_default() += 1;
+            }
         }
         let enough = counts.into_iter().filter(|(part, incidents)| {
             let min = if self.was_answered(now, *part) {
--- a/cactusglade-policy/tests/quarantine.rs
+++ b/cactusglade-policy/tests/quarantine.rs
@@ -423,6 +423,22 @@
     }
 }
 
+/// While answers of many upstreams were lost, one daemon judged the common part of a route with few
+/// requests before it heard that others had been answered since, and all daemons refused the route.
+#[test]
+fn a_part_is_not_refused_before_its_next_answer_can_prove_it_sound() {
+    let mut fleet = Fleet::new();
+    fleet.answer(3, &[COMMON]);
+    for number in 0..60 {
+        fleet.cut(0, number, &[COMMON, 100 + u64::from(number)]);
+        fleet.pass(HEARTBEAT);
+        if number % 8 == 0 {
+            fleet.answer(4, &[COMMON]);
+        }
+        assert_eq!(fleet.refusing(&[COMMON, 99]), 0, "after {number} cuts");
+    }
+}
+
 /// An upstream that is back some seconds after a crash must not hide that it has crashed.
 #[test]
 fn an_upstream_that_has_restarted_does_not_clear_its_crash() {
