Silence under load: decide whether a load explains that an answer is missing

Cause: engines with all slots taken answer late, and each daemon counts that as a loss, so that sound engines are ejected while the rest gets their load.

--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -336,6 +336,7 @@
                 let report = Report {
                     is_good: Some(true),
                     is_lost: false,
+                    is_explained: false,
                     latency: latency_ms.map(millis),
                 };
                 let broker = &mut self.brokers[daemon];
@@ -391,6 +392,7 @@
         let report = Report {
             is_good: Some(false),
             is_lost: true,
+            is_explained: false,
             latency: None,
         };
         let draw = self.random.random();
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod sample;
 mod sighting;
+mod silence;
 mod strategy;
 mod upstream;
 mod warmups;
@@ -167,6 +168,9 @@
     pub is_good: Option<bool>,
     /// Whether the connection failed, so that the upstream backs off.
     pub is_lost: bool,
+    /// Whether the load of the upstream explains the loss, so that the upstream doesn't back off and
+    /// other daemons aren't told.
+    pub is_explained: bool,
     /// Time until the head of the answer.
     pub latency: Option<Millis>,
 }
@@ -537,7 +541,7 @@
                 upstream.backoff.record_success();
             }
         }
-        if !report.is_lost {
+        if !report.is_lost || report.is_explained {
             return false;
         }
         let own = self.own;
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -70,6 +70,8 @@
     /// Estimate of the load, where it is balanced by estimates.
     pub estimate: Estimate,
     other_load: f64,
+    /// Load by the last report, with this daemon's requests.
+    reported_load: u64,
     reported: Option<Millis>,
     latency: f64,
     delay: f64,
@@ -104,6 +106,7 @@
             backlog: 0,
             estimate: Estimate::default(),
             other_load: 0.0,
+            reported_load: 0,
             reported: None,
             latency: INITIAL_LATENCY_MS,
             delay: 0.0,
@@ -143,6 +146,7 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn record_load(&mut self, now: Millis, running: u64, waiting: u64) {
         self.other_load = (running + waiting).saturating_sub(self.in_flight) as f64;
+        self.reported_load = running.saturating_add(waiting);
         self.reported = Some(now);
         self.loss = None;
     }
@@ -168,6 +172,18 @@
         !self.backoff.is_over(now) || now < self.doubted_until
     }
 
+    /// Returns when the load was last reported.
+    #[must_use]
+    pub const fn heard(&self) -> Option<Millis> {
+        self.reported
+    }
+
+    /// Returns the number of running and waiting requests by the last report.
+    #[must_use]
+    pub const fn reported_load(&self) -> u64 {
+        self.reported_load
+    }
+
     /// Returns the time since the last reported load.
     #[must_use]
     pub fn load_age(&self, now: Millis) -> Option<Millis> {
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -7,9 +7,10 @@
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
 //! daemon's platform adapter, together with [`affinity`], [`allowance`], [`attempt`], [`budget`],
 //! [`capacity`], [`estimate`], [`evacuation`], [`lag`], [`pace`], [`prefill`], [`quarantine`],
-//! [`quota`], [`relay`], [`roster`], [`throttle`], [`usage`] and [`warmup`]; the dispatch for the
-//! daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`], [`limit`],
-//! [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
+//! [`quota`], [`relay`], [`roster`], [`silence`], [`throttle`], [`usage`] and [`warmup`]; the
+//! dispatch for the daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`],
+//! [`limit`], [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and
+//! [`retry`].
 
 pub mod affinity;
 pub mod allowance;
@@ -37,6 +38,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod roster;
+pub mod silence;
 pub mod stream;
 pub mod throttle;
 pub mod usage;
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -241,6 +241,7 @@
     let lost = Report {
         is_good: Some(false),
         is_lost: true,
+        is_explained: false,
         latency: None,
     };
     let key = fixture.key("x");
@@ -353,6 +354,7 @@
     let lost = Report {
         is_good: Some(false),
         is_lost: true,
+        is_explained: false,
         latency: None,
     };
     fixture.broker.finish(Millis(6), key, &lost, 1.0);
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -29,12 +29,14 @@
 const GOOD: Report = Report {
     is_good: Some(true),
     is_lost: false,
+    is_explained: false,
     latency: Some(Millis(60)),
 };
 
 const FAILED: Report = Report {
     is_good: Some(false),
     is_lost: false,
+    is_explained: false,
     latency: None,
 };
 
