Wait on for answers that an upstream's load explains

Cause: the time without an answer ended after two targets whatever the upstream's load was. Change: when the time for the head or the first event is over, the daemon asks its broker; the request and its connection are kept meanwhile. Log line answer_awaited, counters of extensions and of explained losses. An explained loss doesn't rate the upstream either.

--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -6,6 +6,7 @@
 mod idle;
 mod inventory;
 mod messages;
+mod silence;
 mod statements;
 mod warmups;
 
@@ -60,6 +61,7 @@
 pub use messages::Spare;
 pub use messages::Sweep;
 pub use messages::Withhold;
+pub use silence::ExplainSilence;
 pub use statements::Curb;
 pub use statements::LearnPaces;
 pub use statements::LearnPrefills;
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -12,6 +12,7 @@
 use cactusglade_policy::attempt::Attempt;
 use cactusglade_policy::attempt::Next;
 use cactusglade_policy::attempt::Outcome;
+use cactusglade_policy::silence::Wait;
 use cactusglade_wire::port;
 use kameo::error::SendError;
 use slog::info;
@@ -28,6 +29,7 @@
 use super::sending::Fault;
 use super::sending::Reservation;
 use super::sending::Started;
+use super::silence::Timer;
 
 /// Time without an answer after which a retryable request is sent to another upstream, as a
 /// multiple of its route's latency target.
@@ -83,8 +85,8 @@
     pub async fn send(&mut self, last_event: Option<u64>) -> Result<Started, Ending> {
         loop {
             let placement = self.place().await?;
-            let until = self.answer_deadline();
-            match sending::send(&self.entry, placement, last_event, until).await {
+            let timer = self.timer();
+            match sending::send(&self.entry, placement, last_event, timer).await {
                 Ok(started) => return Ok(started),
                 Err((fault, reservation)) => self.handle_failure(fault, reservation)?,
             }
@@ -131,7 +133,7 @@
         info!(self.entry.context.log, "sending_failed"; "id" => &self.entry.call.id,
             "upstream" => &reservation.name, "outcome" => ?fault.outcome, "next" => ?next,
             "sent" => self.attempt.sent(), "cut" => fault.is_cut, "flood" => fault.is_flood,
-            "events" => reservation.events,
+            "explained" => fault.is_explained, "events" => reservation.events,
             "parts" => parts);
     }
 
@@ -253,16 +255,43 @@
     pub fn answer_deadline(&self) -> Millis {
         let route = self.entry.catalog_route();
         let target = route.map_or(Millis(0), |route| route.latency_target);
-        let can_retry = route.is_some_and(|route| route.semantics.is_retryable())
-            && self.attempt.sent() + 1 < route.map_or(0, |route| route.max_attempts);
-        if can_retry {
-            let now = self.entry.context.clock.now();
-            let max_silence = Millis((self.entry.deadline - now).0 * MAX_SILENCE_PERCENT / 100);
-            now + max_silence.min(Millis(target.0 * MAX_SILENCE_TARGETS))
+        let now = self.entry.context.clock.now();
+        let max_silence = Millis(target.0 * MAX_SILENCE_TARGETS);
+        if self.can_retry() {
+            self.latest_answer(now).min(now + max_silence)
         } else {
             self.entry.deadline
         }
     }
+
+    /// Returns the time up to which the load of the upstream may extend the wait for its answer.
+    fn latest_answer(&self, now: Millis) -> Millis {
+        let remaining = self.entry.deadline - now;
+        if self.can_retry() {
+            now + Millis(remaining.0 * MAX_SILENCE_PERCENT / 100)
+        } else {
+            self.entry.deadline
+        }
+    }
+
+    /// Returns whether the request can be sent to another upstream if the next one doesn't answer.
+    fn can_retry(&self) -> bool {
+        self.entry.catalog_route().is_some_and(|route| {
+            route.semantics.is_retryable() && self.attempt.sent() + 1 < route.max_attempts
+        })
+    }
+
+    /// Starts the wait for the answer to an attempt.
+    fn timer(&self) -> Timer {
+        let route = self.entry.catalog_route();
+        let sent_at = self.entry.context.clock.now();
+        let wait = Wait {
+            sent_at,
+            target: route.map_or(Millis(0), |route| route.latency_target),
+            latest: self.latest_answer(sent_at),
+        };
+        Timer::new(self.answer_deadline(), wait)
+    }
 }
 
 /// Returns whether the broker has charged a first attempt to the quota of the organisation. It checks
--- a/cactusglade-daemon/src/edge/front/mod.rs
+++ b/cactusglade-daemon/src/edge/front/mod.rs
@@ -1,7 +1,7 @@
 //! Service for callers: connections, requests, and the attempts to have upstreams answer them.
 //!
 //! Each module uses only those after it in this list: `connection`, `request`, `stream`, `plain`,
-//! `exchange`, `sending`, `entry`, `context`.
+//! `exchange`, `sending`, `silence`, `entry`, `context`.
 
 mod connection;
 mod context;
@@ -10,6 +10,7 @@
 mod plain;
 mod request;
 mod sending;
+mod silence;
 mod stream;
 
 use std::sync::Arc;
--- a/cactusglade-daemon/src/edge/front/plain.rs
+++ b/cactusglade-daemon/src/edge/front/plain.rs
@@ -57,6 +57,7 @@
         head,
         body,
         mut reservation,
+        ..
     } = started;
     let entry = exchange.entry.clone();
     let organisation = entry
--- a/cactusglade-daemon/src/edge/front/sending.rs
+++ b/cactusglade-daemon/src/edge/front/sending.rs
@@ -32,6 +32,8 @@
 use crate::edge::broker::Proved;
 
 use super::entry::Entry;
+use super::silence::Timer;
+use super::silence::Verdict;
 
 /// Timeout of connecting to an upstream. Zones are about 1 ms apart, and a lost packet is
 /// retransmitted after 200 ms.
@@ -47,6 +49,8 @@
     pub is_cut: bool,
     /// Whether the upstream sent more than an answer may have, so that this daemon gave it up.
     pub is_flood: bool,
+    /// Whether the load of the upstream explains that it did not answer in time.
+    pub is_explained: bool,
 }
 
 impl Fault {
@@ -56,26 +60,35 @@
             outcome,
             is_cut: false,
             is_flood: false,
+            is_explained: false,
         }
     }
 
     /// Returns the fault of an attempt that ended with the upstream's connection.
     pub const fn cut(outcome: Outcome) -> Self {
         Self {
-            outcome,
             is_cut: true,
-            is_flood: false,
+            ..Self::new(outcome)
         }
     }
 
     /// Returns the fault of an attempt that this daemon gave up because of what the upstream sent.
     pub const fn flood(outcome: Outcome) -> Self {
         Self {
-            outcome,
-            is_cut: false,
             is_flood: true,
+            ..Self::new(outcome)
         }
     }
+
+    /// Returns the fault of an attempt whose upstream did not begin to answer in time; `None` while
+    /// it may still do so.
+    pub fn silence(outcome: Outcome, verdict: Verdict) -> Option<Self> {
+        let fault = Self {
+            is_explained: verdict == Verdict::Explained,
+            ..Self::new(outcome)
+        };
+        (verdict != Verdict::Wait).then_some(fault)
+    }
 }
 
 /// `Started` is an answer whose head has been received.
@@ -85,6 +98,8 @@
     pub head: response::Parts,
     /// Body of the answer.
     pub body: Incoming,
+    /// Limit of the wait for the answer to begin.
+    pub timer: Timer,
     /// Reservation at the upstream.
     pub reservation: Reservation,
 }
@@ -141,6 +156,16 @@
         self.grant.upstream
     }
 
+    /// Returns the grant under which the request was sent.
+    pub const fn grant(&self) -> Grant {
+        self.grant
+    }
+
+    /// Returns whether the upstream has begun to answer.
+    pub const fn has_begun(&self) -> bool {
+        self.began.is_some()
+    }
+
     /// Reports to the broker that the upstream has begun to answer, once for each attempt, and later
     /// that the answer goes on.
     pub async fn begin(&mut self, organisation: Option<arena::Organisation>) {
@@ -182,7 +207,9 @@
     /// Releases the place after an attempt that failed.
     pub fn fail(mut self, fault: Fault) {
         let connection = self.connection.take();
-        let is_good = (fault.outcome != Outcome::Unrun).then_some(false);
+        // Neither a refusal nor a wait that the load explains tells how good the answers are.
+        let is_rated = fault.outcome != Outcome::Unrun && !fault.is_explained;
+        let is_good = is_rated.then_some(false);
         let connection = match fault.outcome {
             Outcome::Unrun | Outcome::Failed { .. } => connection,
             Outcome::Misdirected | Outcome::Unsent | Outcome::Lost | Outcome::Broken => None,
@@ -209,6 +236,7 @@
             report: Report {
                 is_good,
                 is_lost,
+                is_explained: fault.is_some_and(|fault| fault.is_explained),
                 latency: self.latency,
             },
             connection: connection.map(|connection| (connection, self.keep_alive)),
@@ -230,7 +258,8 @@
     }
 }
 
-/// Sends a request and reads the head of the answer, until a time on the daemon's clock.
+/// Sends a request and reads the head of the answer, until a time on the daemon's clock that the
+/// load of the upstream may extend.
 ///
 /// # Errors
 ///
@@ -240,7 +269,7 @@
     entry: &Entry<F>,
     placement: Placement,
     last_event: Option<u64>,
-    until: Millis,
+    mut timer: Timer,
 ) -> Result<Started, (Fault, Reservation)> {
     let unsent = Fault::new(Outcome::Unsent);
     let (mut reservation, address) = Reservation::new(entry, placement);
@@ -255,18 +284,51 @@
     let Some(request) = upstream_request(entry, &reservation.name, last_event) else {
         return Err((unsent, reservation));
     };
-    let until = entry.context.clock.instant(until);
-    let answered = tokio::time::timeout_at(until, connection.send(request));
-    let response = match answered.await {
-        Ok(Ok(response)) => response,
-        Ok(Err(link::Error::NotSent)) => return Err((unsent, reservation)),
-        // The upstream's process goes on, so this is no evidence that the prompt crashes upstreams.
-        Ok(Err(link::Error::Flooded)) => return Err((Fault::flood(Outcome::Lost), reservation)),
-        Ok(Err(_)) => return Err((Fault::cut(Outcome::Lost), reservation)),
-        Err(_) => return Err((Fault::new(Outcome::Lost), reservation)),
+    let exchanged = await_answer(entry, &reservation, &mut connection, request, &mut timer);
+    let response = match exchanged.await {
+        Ok(response) => response,
+        Err(fault) => return Err((fault, reservation)),
     };
     reservation.connection = Some(connection);
-    read_head(entry, reservation, response, is_kept).await
+    let (head, body, reservation) = read_head(entry, reservation, response, is_kept).await?;
+    Ok(Started {
+        head,
+        body,
+        timer,
+        reservation,
+    })
+}
+
+/// Sends a request on a connection and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns the fault of the attempt where there is none.
+async fn await_answer<F: port::Codec>(
+    entry: &Entry<F>,
+    reservation: &Reservation,
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    timer: &mut Timer,
+) -> Result<Response<Incoming>, Fault> {
+    let mut answered = std::pin::pin!(connection.send(request));
+    loop {
+        let until = entry.context.clock.instant(timer.until);
+        match tokio::time::timeout_at(until, answered.as_mut()).await {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(link::Error::NotSent)) => return Err(Fault::new(Outcome::Unsent)),
+            // The upstream's process goes on, so this is no evidence that the prompt crashes
+            // upstreams.
+            Ok(Err(link::Error::Flooded)) => return Err(Fault::flood(Outcome::Lost)),
+            Ok(Err(_)) => return Err(Fault::cut(Outcome::Lost)),
+            Err(_) => {
+                let extended = timer.extend(entry, reservation.grant, &reservation.name);
+                if let Some(fault) = Fault::silence(Outcome::Lost, extended.await) {
+                    return Err(fault);
+                }
+            }
+        }
+    }
 }
 
 /// Decodes the head of an answer, and rejects an answer that doesn't belong to the request.
@@ -278,7 +340,7 @@
     mut reservation: Reservation,
     response: Response<Incoming>,
     is_kept: bool,
-) -> Result<Started, (Fault, Reservation)> {
+) -> Result<(response::Parts, Incoming, Reservation), (Fault, Reservation)> {
     let (parts, body) = response.into_parts();
     let reply = entry.context.codec.decode_reply(&parts);
     reservation.keep_alive = reply.keep_alive;
@@ -320,11 +382,7 @@
         reservation.connection = None;
         return Err((Fault::new(Outcome::Unrun), reservation));
     }
-    Ok(Started {
-        head: parts,
-        body,
-        reservation,
-    })
+    Ok((parts, body, reservation))
 }
 
 /// Returns the request for the upstream; `None` where the target can't be encoded.
--- a/cactusglade-daemon/src/edge/front/stream.rs
+++ b/cactusglade-daemon/src/edge/front/stream.rs
@@ -29,6 +29,7 @@
 use super::sending::Fault;
 use super::sending::Reservation;
 use super::sending::Started;
+use super::silence::Timer;
 
 /// Time without an event after which a stream is resumed at another upstream, as a multiple of the
 /// route's maximum gap between two events. Callers wait for eight such gaps.
@@ -110,6 +111,8 @@
     cursor: Option<u64>,
     /// Time until which the next new event must arrive.
     event_due: Millis,
+    /// Limit of the wait for the first event of the upstream.
+    timer: Timer,
     /// Bytes received since the last new event that are part of none.
     filler: usize,
     is_counted: bool,
@@ -118,8 +121,11 @@
 
 impl<F: port::Codec> Flow<F> {
     fn new(exchange: Exchange<F>, started: Started) -> Self {
+        let mut timer = started.timer;
+        timer.renew(exchange.answer_deadline());
         Self {
-            event_due: exchange.answer_deadline(),
+            event_due: timer.until,
+            timer,
             may_end: exchange.entry.call.last_event.is_some() || is_framed(&started.head.headers),
             cursor: exchange.entry.call.last_event,
             splitter: Splitter::new(exchange.entry.context.codec.event_fields()),
@@ -185,10 +191,12 @@
         if let Some(fault) = self.fault.take() {
             return Err(fault);
         }
-        let broken = Fault::new(Outcome::Broken);
-        let deadline = self.exchange.entry.context.clock.instant(self.event_due);
-        let Ok(frame) = tokio::time::timeout_at(deadline, self.body.frame()).await else {
-            return Err(broken);
+        let frame = loop {
+            let deadline = self.exchange.entry.context.clock.instant(self.event_due);
+            match tokio::time::timeout_at(deadline, self.body.frame()).await {
+                Ok(frame) => break frame,
+                Err(_) => self.await_longer().await?,
+            }
         };
         match frame {
             Some(Ok(frame)) => {
@@ -218,6 +226,26 @@
         }
     }
 
+    /// Extends the time for the first event of the upstream, where its load explains that there is
+    /// none yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault of the attempt where the time is not extended.
+    async fn await_longer(&mut self) -> Result<(), Fault> {
+        let reservation = self.reservation.as_ref();
+        let Some(reservation) = reservation.filter(|reservation| !reservation.has_begun()) else {
+            return Err(Fault::new(Outcome::Broken));
+        };
+        let entry = &self.exchange.entry;
+        let extended = self
+            .timer
+            .extend(entry, reservation.grant(), &reservation.name);
+        let fault = Fault::silence(Outcome::Broken, extended.await);
+        self.event_due = self.timer.until;
+        fault.map_or(Ok(()), Err)
+    }
+
     /// Appends the complete events that were received and not yet forwarded.
     ///
     /// Only events with content move the time by which the next one must arrive: an upstream that
@@ -308,7 +336,9 @@
             let started = self.exchange.send(self.cursor).await?;
             self.reservation = Some(started.reservation);
             if started.head.status.is_success() {
-                self.event_due = self.exchange.answer_deadline();
+                self.timer = started.timer;
+                self.timer.renew(self.exchange.answer_deadline());
+                self.event_due = self.timer.until;
                 self.filler = 0;
                 self.may_end = self.cursor.is_some() || is_framed(&started.head.headers);
                 self.body = started.body;
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -3,6 +3,8 @@
 //! The values of labels come from the object set and from fixed lists, which bounds the number of
 //! time series; `docs/OPERATIONS.md` lists all metrics.
 
+mod silences;
+
 use cactusglade_core::refusal::Reason;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
@@ -15,6 +17,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+pub use silences::Silences;
+
 /// `Error` is a failure to register or encode a metric.
 pub type Error = prometheus::Error;
 
@@ -77,6 +81,8 @@
     pub paces: Paces,
     /// Long prompts that daemons tell each other of.
     pub prefills: Prefills,
+    /// Upstreams that have not begun to answer in time.
+    pub silences: Silences,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -204,6 +210,7 @@
             )?,
             paces: Paces::try_new(&registry)?,
             prefills: Prefills::try_new(&registry)?,
+            silences: Silences::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
