Model: daemons that give up requests at engines with too much to do

Cause: the model's daemons waited without end for an engine that answers late. Change: Spread::silence says what they do; the engines drop requests that they had not begun with. The test is a trial so far.

--- a/cactusglade-model/src/engine/mod.rs
+++ b/cactusglade-model/src/engine/mod.rs
@@ -28,6 +28,8 @@
     pub first_token: f64,
     /// Time of the last token.
     pub end: f64,
+    /// Time to read the prompt.
+    pub prefill: f64,
     /// Prompt tokens that were found in the cache.
     pub cached: u64,
 }
@@ -89,6 +91,7 @@
             start,
             first_token,
             end,
+            prefill,
             cached,
         }
     }
@@ -102,10 +105,21 @@
             start,
             first_token: end,
             end,
+            prefill: 0.0,
             cached: 0,
         }
     }
 
+    /// Drops a request that the engine has not begun with, whose caller has left; one that it has
+    /// begun with runs to its end. Requests behind it keep their times, and later ones gain.
+    pub fn cancel(&mut self, now: f64, run: &Run) {
+        let position = self.ends.iter().position(|end| *end >= run.end);
+        if let Some(position) = position.filter(|_| run.start > now) {
+            self.ends.remove(position);
+            self.prefill_free -= run.prefill;
+        }
+    }
+
     /// Returns whether a request would run at once.
     #[must_use]
     pub fn has_room(&self, now: f64) -> bool {
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod churn;
 mod placement;
 mod setup;
+mod silence;
 mod spread;
 
 use std::collections::BTreeMap;
@@ -28,10 +29,12 @@
 use crate::load::Class;
 
 use bound::Loads;
+use silence::Attempt;
 
 pub use bound::Rule;
 pub use churn::Churn;
 pub use placement::Placement;
+pub use silence::Silence;
 pub use spread::Noise;
 pub use spread::Spread;
 
@@ -129,6 +132,14 @@
     pub needless_waits: u64,
     /// Standard deviation of the numbers of requests at the engines, in windows of 100 ms.
     pub deviations: Vec<f64>,
+    /// Times in milliseconds, and the number of sound engines that a daemon sent no requests to.
+    pub ejected: Vec<(f64, usize)>,
+    /// Extensions of the time for an answer.
+    pub extensions: u64,
+    /// Requests that were given up at an engine that does answer.
+    pub repeated: u64,
+    /// Arrivals and times to the first token in milliseconds, and whether that was on time.
+    pub answers: Vec<(f64, f64, bool)>,
 }
 
 impl Outcome {
@@ -216,6 +227,8 @@
         request: usize,
         tried: Vec<arena::Upstream>,
     },
+    /// An engine has not begun to answer.
+    Silent(Attempt),
     Share,
     Deliver(Vec<(usize, Sighting)>),
     /// Other engines become slow.
@@ -347,7 +360,8 @@
                 grant,
                 request,
                 tried,
-            } => self.lose(now, daemon, &grant, request, tried),
+            } => self.lose(now, daemon, &grant, false, request, tried),
+            Event::Silent(attempt) => self.handle_silence(now, attempt),
             Event::Share => self.share(now),
             Event::Deliver(sightings) => self.deliver(now, &sightings),
             Event::Reclaim(zone) => self.reclaim(now, zone),
@@ -386,13 +400,14 @@
         now: f64,
         daemon: usize,
         grant: &Grant,
+        is_explained: bool,
         request: usize,
         mut tried: Vec<arena::Upstream>,
     ) {
         let report = Report {
-            is_good: Some(false),
+            is_good: (!is_explained).then_some(false),
             is_lost: true,
-            is_explained: false,
+            is_explained,
             latency: None,
         };
         let draw = self.random.random();
@@ -468,21 +483,29 @@
             self.schedule(now + silence, lost);
             return;
         }
-        self.serve(now, daemon, grant, request, engine);
+        self.serve(now, daemon, grant, request, engine, tried);
     }
 
-    /// Has an engine process a request, and counts its result.
-    fn serve(&mut self, now: f64, daemon: usize, grant: Grant, request: usize, engine: usize) {
+    /// Has an engine process a request.
+    fn serve(
+        &mut self,
+        now: f64,
+        daemon: usize,
+        grant: Grant,
+        request: usize,
+        index: usize,
+        tried: Vec<arena::Upstream>,
+    ) {
         let options = self.options;
         let arrival = &self.requests[request];
         let class = &options.classes[arrival.class];
         let parts = &arrival.prompt.parts;
-        let has_other = self.has_other_room(now, engine, parts);
+        let has_other = self.has_other_room(now, index, parts);
         let shared = arrival.prompt.shared();
         let engines = self.engines.iter().zip(&self.lives);
         let live = engines.filter(|(engine, (_, end))| !engine.is_dark && end.is_none());
         let possible = live.map(|(engine, _)| engine.cached(shared)).max();
-        let engine = &mut self.engines[engine];
+        let engine = &mut self.engines[index];
         let found = engine.cached(shared);
         let load = engine.load(now);
         let run = match options.spread.work_ms {
@@ -492,26 +515,56 @@
         if arrival.at >= options.warm_up_ms {
             self.summary.waits.push(run.start - now);
             self.summary.needless_waits += u64::from(run.start > now && has_other);
-            let latency = run.first_token - arrival.at;
-            let outcome = self.summary.classes.entry(class.name.clone()).or_default();
-            outcome.latencies.push(latency);
-            outcome.on_time += u64::from(latency <= class.target_ms);
             self.summary.prompt_tokens += arrival.prompt.input_tokens;
             self.summary.cached_tokens += run.cached;
             self.summary.shared_found += found;
             self.summary.shared_possible += possible.unwrap_or_default().max(found);
         }
-        let first_token = Event::FirstToken {
+        self.await_first_token(Attempt {
             daemon,
             grant,
+            request,
+            engine: index,
+            tried,
+            sent_at: now,
+            run,
             load: (!options.spread.states_at_answer).then_some(load + 1),
-            latency_ms: run.first_token - now,
+        });
+    }
+
+    /// Counts the result of a request that its engine answers.
+    fn complete(&mut self, attempt: &Attempt) {
+        let options = self.options;
+        let Attempt {
+            daemon,
+            grant,
+            sent_at,
+            run,
+            load,
+            ..
+        } = *attempt;
+        let arrival = &self.requests[attempt.request];
+        let class = &options.classes[arrival.class];
+        if arrival.at >= options.warm_up_ms {
+            let latency = run.first_token - arrival.at;
+            let is_on_time = latency <= class.target_ms;
+            let outcome = self.summary.classes.entry(class.name.clone()).or_default();
+            outcome.latencies.push(latency);
+            outcome.on_time += u64::from(is_on_time);
+            let answer = (arrival.at, latency, is_on_time);
+            self.summary.answers.push(answer);
+        }
+        let first_token = Event::FirstToken {
+            daemon,
+            grant,
+            load,
+            latency_ms: run.first_token - sent_at,
         };
         self.schedule(run.first_token, first_token);
         let end = Event::End {
             daemon,
             grant,
-            latency_ms: options.spread.work_ms.map(|_| run.end - now),
+            latency_ms: options.spread.work_ms.map(|_| run.end - sent_at),
         };
         self.schedule(run.end, end);
     }
--- a/cactusglade-model/src/fleet/spread.rs
+++ b/cactusglade-model/src/fleet/spread.rs
@@ -8,6 +8,7 @@
 use super::Event;
 use super::Model;
 use super::Rule;
+use super::Silence;
 
 /// Interval at which the loads of the engines are compared, in milliseconds.
 const WINDOW_MS: f64 = 100.0;
@@ -37,6 +38,8 @@
     /// Whether an answer states the load at its beginning, and not that at the arrival of its
     /// request.
     pub states_at_answer: bool,
+    /// What daemons do about an engine that has not begun to answer.
+    pub silence: Silence,
 }
 
 impl<R: Strategy> Model<'_, R> {
@@ -62,6 +65,8 @@
         let mean = loads.clone().sum::<f64>() / count;
         let variance = loads.map(|load| (load - mean).powi(2)).sum::<f64>() / count;
         self.summary.deviations.push(variance.sqrt());
+        let ejected = self.ejected(now);
+        self.summary.ejected.push((now, ejected));
         if now < self.options.span_ms {
             self.schedule(now + WINDOW_MS, Event::Compare);
         }
--- /dev/null
+++ b/cactusglade-model/tests/silence.rs
@@ -0,0 +1,130 @@
+//! Guards against an overload that ejects sound engines, gives the rest their load, and so outlasts
+//! its cause.
+
+use cactusglade_core::units::Millis;
+use cactusglade_model::engine::Profile;
+use cactusglade_model::fleet;
+use cactusglade_model::fleet::Churn;
+use cactusglade_model::fleet::Options;
+use cactusglade_model::fleet::Placement;
+use cactusglade_model::fleet::Silence;
+use cactusglade_model::fleet::Spread;
+use cactusglade_model::fleet::Summary;
+use cactusglade_model::load::Class;
+
+/// Interval of heartbeats in a zone of 32 daemons, and time until all zones have a report.
+const GOSSIP_MS: (f64, f64) = (200.0, 350.0);
+/// Latency target of the model's route, at which the service is latency-critical.
+const TIGHT: Option<Millis> = Some(Millis(1_000));
+/// When a third of the engines is reclaimed, and for how long.
+const OVERLOAD_MS: (f64, f64) = (15_000.0, 5_000.0);
+const ENGINES: usize = 90;
+
+fn class(name: &str, per_s: f64, tokens: (u64, u64, u64), target_ms: f64) -> Class {
+    let (common_tokens, session_tokens, own_tokens) = tokens;
+    Class {
+        name: name.to_owned(),
+        per_s,
+        common_tokens,
+        session_tokens,
+        own_tokens,
+        own_sigma: 0.9,
+        sessions: 800,
+        hot_share: 0.0,
+        answer_tokens: 300,
+        target_ms,
+    }
+}
+
+/// Callers at `scale` times some 560 requests per second.
+fn options(seed: u64, scale: f64, silence: Silence) -> Options {
+    let mut tag = class("tag", 200.0 * scale, (341, 227, 1_800), 600.0);
+    tag.answer_tokens = 24;
+    Options {
+        seed,
+        daemons: 90,
+        engines: ENGINES,
+        zones: 3,
+        profile: Profile {
+            slots: 16,
+            prefill_per_ms: 66.2,
+            cache_tokens: 500_000,
+        },
+        classes: vec![
+            class(
+                "reconciliation",
+                180.0 * scale,
+                (512, 4_870, 6_610),
+                2_000.0,
+            ),
+            class("dispute", 180.0 * scale, (119, 79, 628), 500.0),
+            tag,
+        ],
+        span_ms: 35_000.0,
+        warm_up_ms: 10_000.0,
+        gossip_ms: Some(GOSSIP_MS),
+        dark: None,
+        churn: Some(Churn {
+            first_ms: OVERLOAD_MS.0,
+            interval_ms: 60_000.0,
+            reclaims: 1,
+            boot_ms: OVERLOAD_MS.1,
+        }),
+        tight_target: TIGHT,
+        placement: Placement::Product,
+        spread: Spread {
+            silence,
+            states_at_answer: true,
+            ..Spread::default()
+        },
+    }
+}
+
+fn play(options: &Options) -> Summary {
+    let summary = fleet::play(options).expect("the options are valid");
+    println!(
+        "{:?}: repeated {}, extensions {}, most ejected {}",
+        options.spread.silence,
+        summary.repeated,
+        summary.extensions,
+        most_ejected(&summary)
+    );
+    for second in 14..32 {
+        let from = f64::from(second) * 1_000.0;
+        let ejected = summary
+            .ejected
+            .iter()
+            .filter(|(at, _)| *at >= from && *at < from + 1_000.0);
+        let ejected = ejected.map(|(_, count)| *count).max();
+        println!(
+            "  {second} s: {:.3} on time, {:?} ejected",
+            on_time(&summary, from, from + 1_000.0),
+            ejected
+        );
+    }
+    summary
+}
+
+fn most_ejected(summary: &Summary) -> usize {
+    let counts = summary.ejected.iter().map(|(_, count)| *count);
+    counts.max().unwrap_or_default()
+}
+
+/// Share of the answers to requests of a time that were on time.
+#[allow(clippy::cast_precision_loss)]
+fn on_time(summary: &Summary, from: f64, to: f64) -> f64 {
+    let answers = summary.answers.iter();
+    let answers = answers.filter(|(at, _, _)| *at >= from && *at < to);
+    let (count, good) = answers.fold((0_u64, 0_u64), |(count, good), (_, _, is_on_time)| {
+        (count + 1, good + u64::from(*is_on_time))
+    });
+    good as f64 / count.max(1) as f64
+}
+
+#[test]
+fn trial() {
+    let scale = std::env::var("SCALE").map_or(2.0, |scale| scale.parse().expect("a number"));
+    for silence in [Silence::Endless, Silence::Lost, Silence::Explained] {
+        play(&options(1, scale, silence));
+    }
+}
