Silence under load: reports count for two targets

Cause: an engine that reads a prompt of 54,600 tokens begins no answer for 825 ms, so that reports were older than one target, and silence at full engines counted as loss. Change: a report counts for two targets after it is received, if it speaks of a time after the request was sent. The prompts pending when the request was sent count as those pending now. The model's engines state their load also after a reclaim.

--- a/cactusglade-model/src/fleet/bound.rs
+++ b/cactusglade-model/src/fleet/bound.rs
@@ -62,13 +62,6 @@
         }
     }
 
-    /// Returns the load that an upstream states with an answer that begins now.
-    pub fn now(&self, now: f64, key: arena::Upstream, engines: &[Engine]) -> u64 {
-        let known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let index = known.get(&key).map(|(index, _)| *index);
-        index.map_or(0, |index| engines[index].load(now).max(1))
-    }
-
     fn get(&self, key: arena::Upstream) -> Option<f64> {
         let known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         known.get(&key).map(|(_, load)| *load)
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -138,7 +138,8 @@
     pub extensions: u64,
     /// Requests that were given up at an engine that does answer.
     pub repeated: u64,
-    /// Arrivals and times to the first token in milliseconds, and whether that was on time.
+    /// Arrivals and times to the first token in milliseconds, and whether that was on time; the time is
+    /// infinite for a request that was given up.
     pub answers: Vec<(f64, f64, bool)>,
 }
 
@@ -212,6 +213,8 @@
     FirstToken {
         daemon: usize,
         grant: Grant,
+        engine: usize,
+        /// Load that is stated, `None` if it is the one at this moment.
         load: Option<u64>,
         latency_ms: f64,
     },
@@ -331,11 +334,11 @@
             Event::FirstToken {
                 daemon,
                 grant,
+                engine,
                 load,
                 latency_ms,
             } => {
-                let load =
-                    load.unwrap_or_else(|| self.loads.now(now, grant.upstream, &self.engines));
+                let load = load.unwrap_or_else(|| self.engines[engine].load(now).max(1));
                 let broker = &mut self.brokers[daemon];
                 broker.record_load(millis(now), grant.upstream, load, 0);
                 broker.finish_prefill(&grant);
@@ -460,6 +463,10 @@
         };
         let Some(grant) = granted else {
             outcome.failed += u64::from(is_counted);
+            if is_counted {
+                let failed = (arrival.at, f64::INFINITY, false);
+                self.summary.answers.push(failed);
+            }
             return;
         };
         let name = broker.upstream(grant.upstream);
@@ -538,6 +545,7 @@
         let Attempt {
             daemon,
             grant,
+            engine,
             sent_at,
             run,
             load,
@@ -557,6 +565,7 @@
         let first_token = Event::FirstToken {
             daemon,
             grant,
+            engine,
             load,
             latency_ms: run.first_token - sent_at,
         };
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -483,6 +483,7 @@
     pub fn record_load(&mut self, now: Millis, key: arena::Upstream, running: u64, waiting: u64) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_load(now, running, waiting);
+            upstream.hear(now);
             let hash = affinity::short_hash(&upstream.instance.name);
             let load = running.saturating_add(waiting);
             self.sighting(hash).load = Some(load);
--- a/cactusglade-policy/src/broker/sighting.rs
+++ b/cactusglade-policy/src/broker/sighting.rs
@@ -21,6 +21,7 @@
         let upstream = self.upstreams.get_mut(key)?;
         if let Some(load) = sighting.load {
             upstream.record_load(now, load, 0);
+            upstream.hear(now - SIGHTING_AGE);
             self.record_estimate(now - SIGHTING_AGE, key, load);
             self.quarantine.record_alive(now, sighting.upstream);
         }
--- a/cactusglade-policy/src/broker/silence.rs
+++ b/cactusglade-policy/src/broker/silence.rs
@@ -19,11 +19,13 @@
         let upstream = upstream.filter(|_| self.is_tight(grant.service))?;
         let speed = self.reading_speed(now, upstream);
         let pending = upstream.backlog as f64 + upstream.reading.tokens(now, speed);
+        let at_first = grant.basis.backlog.saturating_add(grant.uncached) as f64;
         let condition = Condition {
-            heard: upstream.heard(),
+            heard: upstream.heard()?,
+            received: now - upstream.load_age(now)?,
             load: upstream.reported_load(),
             slots: upstream.instance.slots,
-            pending_ms: pending / speed,
+            pending_ms: pending.max(at_first) / speed,
             pace: upstream.pace.factor(now),
         };
         wait.extend(now, &condition)
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -72,6 +72,8 @@
     other_load: f64,
     /// Load by the last report, with this daemon's requests.
     reported_load: u64,
+    /// Time of which the last report speaks.
+    heard: Option<Millis>,
     reported: Option<Millis>,
     latency: f64,
     delay: f64,
@@ -107,6 +109,7 @@
             estimate: Estimate::default(),
             other_load: 0.0,
             reported_load: 0,
+            heard: None,
             reported: None,
             latency: INITIAL_LATENCY_MS,
             delay: 0.0,
@@ -172,10 +175,15 @@
         !self.backoff.is_over(now) || now < self.doubted_until
     }
 
-    /// Returns when the load was last reported.
+    /// Records that a report speaks of a time.
+    pub fn hear(&mut self, at: Millis) {
+        self.heard = self.heard.max(Some(at));
+    }
+
+    /// Returns the time of which the last report of the load speaks.
     #[must_use]
     pub const fn heard(&self) -> Option<Millis> {
-        self.reported
+        self.heard
     }
 
     /// Returns the number of running and waiting requests by the last report.
--- a/cactusglade-policy/src/silence/mod.rs
+++ b/cactusglade-policy/src/silence/mod.rs
@@ -11,6 +11,9 @@
 
 /// Expected time for each request that waits for a slot, in milliseconds, as in the cost of a choice.
 const QUEUED_MS: f64 = 60.0;
+/// Latency targets for which a report counts. An engine that reads one prompt of 50,000 tokens begins
+/// no answer for most of a second, and what other daemons see arrives half a second late.
+const REPORT_TARGETS: u64 = 2;
 /// Least time by which a wait is extended, as a part of the latency target, so that a request doesn't
 /// ask again and again.
 const MIN_EXTENSION_PARTS: u64 = 4;
@@ -29,13 +32,16 @@
 /// `Condition` of an upstream, by the last report on it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Condition {
-    /// When this daemon last received a report on the load, `None` if it never did.
-    pub heard: Option<Millis>,
+    /// Time of which the last report on the load speaks.
+    pub heard: Millis,
+    /// When that report was received.
+    pub received: Millis,
     /// Number of running and waiting requests by that report.
     pub load: u64,
     /// Number of requests that run concurrently.
     pub slots: u64,
-    /// Time to read the prompts that are known to be pending, in milliseconds.
+    /// Time to read the prompts that were known to be pending when the request was sent, or are now, in
+    /// milliseconds.
     pub pending_ms: f64,
     /// Time that work takes relative to the usual time.
     pub pace: f64,
@@ -54,36 +60,39 @@
 impl Wait {
     /// Returns how long to wait on, if the load of the upstream explains that it has not answered.
     ///
-    /// A report counts for one latency target, and an extension is at most as long. So an upstream
-    /// that has failed with all slots taken is noticed within two targets of its last sign of life,
-    /// the time in which the silence of any other is.
+    /// An extension ends two targets after the last report was received, or after its least time. So a
+    /// request at an upstream that has failed with all slots taken is lost two targets after it was
+    /// sent, or at most two and a quarter after the last report.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
     pub fn extend(&self, now: Millis, condition: &Condition) -> Option<Extension> {
-        let heard = condition.heard?;
-        if heard < self.sent_at || now - heard > self.target {
+        let counts_until = condition.received + Millis(self.target.0 * REPORT_TARGETS);
+        if condition.heard < self.sent_at || now >= counts_until {
             return None;
         }
         let is_full = condition.slots > 0 && condition.load >= condition.slots;
         let read_ms = condition.pending_ms + FIRST_EVENT.0 as f64;
         let is_reading = read_ms >= (now - self.sent_at).0 as f64;
         (is_full || is_reading).then(|| Extension {
-            until: self.latest.min(now + self.expected(condition)),
+            until: self
+                .latest
+                .min(self.next_check(now, counts_until, condition)),
             load: condition.load,
         })
     }
 
-    /// Returns the time for which an upstream is expected to go on reading prompts and waiting for
-    /// slots before it answers.
+    /// Returns when the upstream has probably read its prompts and freed as many slots as requests
+    /// wait for, or when to decide again.
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss
     )]
-    fn expected(&self, condition: &Condition) -> Millis {
+    fn next_check(&self, now: Millis, counts_until: Millis, condition: &Condition) -> Millis {
         let waiting = condition.load.saturating_sub(condition.slots);
         let wait_ms = condition.pending_ms + condition.pace * QUEUED_MS * waiting as f64;
         let least = Millis(self.target.0 / MIN_EXTENSION_PARTS);
-        Millis(wait_ms as u64).max(least).min(self.target)
+        let until = (now + Millis(wait_ms as u64)).min(counts_until);
+        until.max(now + least)
     }
 }
