--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -148,8 +148,8 @@
     /// Records the reported load; requests beyond this daemon's own are those of other daemons.
     #[allow(clippy::cast_precision_loss)]
     pub fn record_load(&mut self, now: Millis, running: u64, waiting: u64) {
-        self.other_load = (running + waiting).saturating_sub(self.in_flight) as f64;
         self.reported_load = running.saturating_add(waiting);
+        self.other_load = self.reported_load.saturating_sub(self.in_flight) as f64;
         self.reported = Some(now);
         self.loss = None;
     }
--- a/cactusglade-policy/src/silence/mod.rs
+++ b/cactusglade-policy/src/silence/mod.rs
@@ -92,7 +92,7 @@
         let waiting = condition.load.saturating_sub(condition.slots);
         let wait_ms = condition.pending_ms + condition.pace * QUEUED_MS * waiting as f64;
         let least = Millis(self.target.0 / MIN_EXTENSION_PARTS);
-        let until = (now + Millis(wait_ms as u64)).min(counts_until);
-        until.max(now + least)
+        let span = Millis(wait_ms as u64).min(counts_until - now);
+        now + span.max(least)
     }
 }
