--- a/cactusglade-policy/src/silence/mod.rs
+++ b/cactusglade-policy/src/silence/mod.rs
@@ -73,10 +73,9 @@
         let is_full = condition.slots > 0 && condition.load >= condition.slots;
         let read_ms = condition.pending_ms + FIRST_EVENT.0 as f64;
         let is_reading = read_ms >= (now - self.sent_at).0 as f64;
-        (is_full || is_reading).then(|| Extension {
-            until: self
-                .latest
-                .min(self.next_check(now, counts_until, condition)),
+        let until = self.next_check(now, counts_until, condition);
+        (is_full || is_reading).then_some(Extension {
+            until: until.min(self.latest),
             load: condition.load,
         })
     }
