--- a/cactusglade-model/src/engine/mod.rs
+++ b/cactusglade-model/src/engine/mod.rs
@@ -28,10 +28,23 @@
     pub first_token: f64,
     /// Time of the last token.
     pub end: f64,
+    /// Time to read the prompt.
+    pub prefill: f64,
     /// Prompt tokens that were found in the cache.
     pub cached: u64,
 }
 
+impl Run {
+    /// A request at an engine that doesn't answer.
+    pub const NEVER: Self = Self {
+        start: f64::INFINITY,
+        first_token: f64::INFINITY,
+        end: f64::INFINITY,
+        prefill: 0.0,
+        cached: 0,
+    };
+}
+
 /// `Engine` is the state of one engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -89,6 +102,7 @@
             start,
             first_token,
             end,
+            prefill,
             cached,
         }
     }
@@ -102,10 +116,21 @@
             start,
             first_token: end,
             end,
+            prefill: 0.0,
             cached: 0,
         }
     }
 
+    /// Drops a request that the engine has not begun with, whose caller has left; one that it has
+    /// begun with runs to its end. Requests behind it keep their times, and later ones gain.
+    pub fn cancel(&mut self, now: f64, run: &Run) {
+        let position = self.ends.iter().position(|end| *end >= run.end);
+        if let Some(position) = position.filter(|_| run.start > now) {
+            self.ends.remove(position);
+            self.prefill_free -= run.prefill;
+        }
+    }
+
     /// Returns whether a request would run at once.
     #[must_use]
     pub fn has_room(&self, now: f64) -> bool {
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod churn;
 mod placement;
 mod setup;
+mod silence;
 mod spread;
 
 use std::collections::BTreeMap;
@@ -23,15 +24,18 @@
 
 use crate::engine::Engine;
 use crate::engine::Profile;
+use crate::engine::Run;
 use crate::load;
 use crate::load::Arrival;
 use crate::load::Class;
 
 use bound::Loads;
+use silence::Attempt;
 
 pub use bound::Rule;
 pub use churn::Churn;
 pub use placement::Placement;
+pub use silence::Silence;
 pub use spread::Noise;
 pub use spread::Spread;
 
@@ -129,6 +133,15 @@
     pub needless_waits: u64,
     /// Standard deviation of the numbers of requests at the engines, in windows of 100 ms.
     pub deviations: Vec<f64>,
+    /// Times in milliseconds, and the number of sound engines that a daemon sent no requests to.
+    pub ejected: Vec<(f64, usize)>,
+    /// Extensions of the time for an answer.
+    pub extensions: u64,
+    /// Requests that were given up at an engine that does answer.
+    pub repeated: u64,
+    /// Arrivals and times to the first token in milliseconds, and whether that was on time; the time is
+    /// infinite for a request that was given up.
+    pub answers: Vec<(f64, f64, bool)>,
 }
 
 impl Outcome {
@@ -201,6 +214,8 @@
     FirstToken {
         daemon: usize,
         grant: Grant,
+        engine: usize,
+        /// Load that is stated, `None` if it is the one at this moment.
         load: Option<u64>,
         latency_ms: f64,
     },
@@ -216,6 +231,8 @@
         request: usize,
         tried: Vec<arena::Upstream>,
     },
+    /// An engine has not begun to answer.
+    Silent(Attempt),
     Share,
     Deliver(Vec<(usize, Sighting)>),
     /// Other engines become slow.
@@ -318,11 +335,11 @@
             Event::FirstToken {
                 daemon,
                 grant,
+                engine,
                 load,
                 latency_ms,
             } => {
-                let load =
-                    load.unwrap_or_else(|| self.loads.now(now, grant.upstream, &self.engines));
+                let load = load.unwrap_or_else(|| self.engines[engine].load(now).max(1));
                 let broker = &mut self.brokers[daemon];
                 broker.record_load(millis(now), grant.upstream, load, 0);
                 broker.finish_prefill(&grant);
@@ -336,6 +353,7 @@
                 let report = Report {
                     is_good: Some(true),
                     is_lost: false,
+                    is_explained: false,
                     latency: latency_ms.map(millis),
                 };
                 let broker = &mut self.brokers[daemon];
@@ -346,7 +364,8 @@
                 grant,
                 request,
                 tried,
-            } => self.lose(now, daemon, &grant, request, tried),
+            } => self.lose(now, daemon, &grant, false, request, tried),
+            Event::Silent(attempt) => self.handle_silence(now, attempt),
             Event::Share => self.share(now),
             Event::Deliver(sightings) => self.deliver(now, &sightings),
             Event::Reclaim(zone) => self.reclaim(now, zone),
@@ -385,12 +404,14 @@
         now: f64,
         daemon: usize,
         grant: &Grant,
+        is_explained: bool,
         request: usize,
         mut tried: Vec<arena::Upstream>,
     ) {
         let report = Report {
-            is_good: Some(false),
+            is_good: (!is_explained).then_some(false),
             is_lost: true,
+            is_explained,
             latency: None,
         };
         let draw = self.random.random();
@@ -443,6 +464,10 @@
         };
         let Some(grant) = granted else {
             outcome.failed += u64::from(is_counted);
+            if is_counted {
+                let failed = (arrival.at, f64::INFINITY, false);
+                self.summary.answers.push(failed);
+            }
             return;
         };
         let name = broker.upstream(grant.upstream);
@@ -452,35 +477,51 @@
         };
         if self.engines[engine].is_dark {
             self.summary.losses += 1;
+            if self.random.random_bool(KEPT_SHARE) {
+                self.await_first_token(Attempt {
+                    daemon,
+                    grant,
+                    request,
+                    engine,
+                    tried,
+                    sent_at: now,
+                    run: Run::NEVER,
+                    load: None,
+                });
+                return;
+            }
             let lost = Event::Lost {
                 daemon,
                 grant,
                 request,
                 tried,
             };
-            let silence = if self.random.random_bool(KEPT_SHARE) {
-                class.target_ms * LOSS_TARGETS
-            } else {
-                CONNECT_TIMEOUT_MS
-            };
-            self.schedule(now + silence, lost);
+            self.schedule(now + CONNECT_TIMEOUT_MS, lost);
             return;
         }
-        self.serve(now, daemon, grant, request, engine);
+        self.serve(now, daemon, grant, request, engine, tried);
     }
 
-    /// Has an engine process a request, and counts its result.
-    fn serve(&mut self, now: f64, daemon: usize, grant: Grant, request: usize, engine: usize) {
+    /// Has an engine process a request.
+    fn serve(
+        &mut self,
+        now: f64,
+        daemon: usize,
+        grant: Grant,
+        request: usize,
+        index: usize,
+        tried: Vec<arena::Upstream>,
+    ) {
         let options = self.options;
         let arrival = &self.requests[request];
         let class = &options.classes[arrival.class];
         let parts = &arrival.prompt.parts;
-        let has_other = self.has_other_room(now, engine, parts);
+        let has_other = self.has_other_room(now, index, parts);
         let shared = arrival.prompt.shared();
         let engines = self.engines.iter().zip(&self.lives);
         let live = engines.filter(|(engine, (_, end))| !engine.is_dark && end.is_none());
         let possible = live.map(|(engine, _)| engine.cached(shared)).max();
-        let engine = &mut self.engines[engine];
+        let engine = &mut self.engines[index];
         let found = engine.cached(shared);
         let load = engine.load(now);
         let run = match options.spread.work_ms {
@@ -490,26 +531,58 @@
         if arrival.at >= options.warm_up_ms {
             self.summary.waits.push(run.start - now);
             self.summary.needless_waits += u64::from(run.start > now && has_other);
-            let latency = run.first_token - arrival.at;
-            let outcome = self.summary.classes.entry(class.name.clone()).or_default();
-            outcome.latencies.push(latency);
-            outcome.on_time += u64::from(latency <= class.target_ms);
             self.summary.prompt_tokens += arrival.prompt.input_tokens;
             self.summary.cached_tokens += run.cached;
             self.summary.shared_found += found;
             self.summary.shared_possible += possible.unwrap_or_default().max(found);
         }
-        let first_token = Event::FirstToken {
+        self.await_first_token(Attempt {
             daemon,
             grant,
+            request,
+            engine: index,
+            tried,
+            sent_at: now,
+            run,
             load: (!options.spread.states_at_answer).then_some(load + 1),
-            latency_ms: run.first_token - now,
+        });
+    }
+
+    /// Counts the result of a request that its engine answers.
+    fn complete(&mut self, attempt: &Attempt) {
+        let options = self.options;
+        let Attempt {
+            daemon,
+            grant,
+            engine,
+            sent_at,
+            run,
+            load,
+            ..
+        } = *attempt;
+        let arrival = &self.requests[attempt.request];
+        let class = &options.classes[arrival.class];
+        if arrival.at >= options.warm_up_ms {
+            let latency = run.first_token - arrival.at;
+            let is_on_time = latency <= class.target_ms;
+            let outcome = self.summary.classes.entry(class.name.clone()).or_default();
+            outcome.latencies.push(latency);
+            outcome.on_time += u64::from(is_on_time);
+            let answer = (arrival.at, latency, is_on_time);
+            self.summary.answers.push(answer);
+        }
+        let first_token = Event::FirstToken {
+            daemon,
+            grant,
+            engine,
+            load,
+            latency_ms: run.first_token - sent_at,
         };
         self.schedule(run.first_token, first_token);
         let end = Event::End {
             daemon,
             grant,
-            latency_ms: options.spread.work_ms.map(|_| run.end - now),
+            latency_ms: options.spread.work_ms.map(|_| run.end - sent_at),
         };
         self.schedule(run.end, end);
     }
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod sample;
 mod sighting;
+mod silence;
 mod strategy;
 mod upstream;
 mod warmups;
@@ -167,6 +168,9 @@
     pub is_good: Option<bool>,
     /// Whether the connection failed, so that the upstream backs off.
     pub is_lost: bool,
+    /// Whether the load of the upstream explains the loss, so that the upstream doesn't back off and
+    /// other daemons aren't told.
+    pub is_explained: bool,
     /// Time until the head of the answer.
     pub latency: Option<Millis>,
 }
@@ -479,6 +483,7 @@
     pub fn record_load(&mut self, now: Millis, key: arena::Upstream, running: u64, waiting: u64) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_load(now, running, waiting);
+            upstream.hear(now);
             let hash = affinity::short_hash(&upstream.instance.name);
             let load = running.saturating_add(waiting);
             self.sighting(hash).load = Some(load);
@@ -537,7 +542,7 @@
                 upstream.backoff.record_success();
             }
         }
-        if !report.is_lost {
+        if !report.is_lost || report.is_explained {
             return false;
         }
         let own = self.own;
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -70,6 +70,10 @@
     /// Estimate of the load, where it is balanced by estimates.
     pub estimate: Estimate,
     other_load: f64,
+    /// Load by the last report, with this daemon's requests.
+    reported_load: u64,
+    /// Time of which the last report speaks.
+    heard: Option<Millis>,
     reported: Option<Millis>,
     latency: f64,
     delay: f64,
@@ -104,6 +108,8 @@
             backlog: 0,
             estimate: Estimate::default(),
             other_load: 0.0,
+            reported_load: 0,
+            heard: None,
             reported: None,
             latency: INITIAL_LATENCY_MS,
             delay: 0.0,
@@ -142,7 +148,8 @@
     /// Records the reported load; requests beyond this daemon's own are those of other daemons.
     #[allow(clippy::cast_precision_loss)]
     pub fn record_load(&mut self, now: Millis, running: u64, waiting: u64) {
-        self.other_load = (running + waiting).saturating_sub(self.in_flight) as f64;
+        self.reported_load = running.saturating_add(waiting);
+        self.other_load = self.reported_load.saturating_sub(self.in_flight) as f64;
         self.reported = Some(now);
         self.loss = None;
     }
@@ -168,6 +175,23 @@
         !self.backoff.is_over(now) || now < self.doubted_until
     }
 
+    /// Records that a report speaks of a time.
+    pub fn hear(&mut self, at: Millis) {
+        self.heard = self.heard.max(Some(at));
+    }
+
+    /// Returns the time of which the last report of the load speaks.
+    #[must_use]
+    pub const fn heard(&self) -> Option<Millis> {
+        self.heard
+    }
+
+    /// Returns the number of running and waiting requests by the last report.
+    #[must_use]
+    pub const fn reported_load(&self) -> u64 {
+        self.reported_load
+    }
+
     /// Returns the time since the last reported load.
     #[must_use]
     pub fn load_age(&self, now: Millis) -> Option<Millis> {
