Keep capacity plans at every daemon, so that a successor orders at once

A daemon that took the lease on the duties started with new capacity plans, which observe for 3 s before they place orders.

Every daemon now keeps the plans up to date in each round (`Plan::observe`) and discards the records of orders while it doesn't hold the lease, so that the first orders set every count that differs from what exists. Reclaims are noticed by what the plan wants in a zone instead of what was ordered there: a daemon that only observes has ordered nothing. A daemon without the lease that was frozen, or could not read the registry, for 2.3 s discards its plans (`capacity::Observation`). `duties` has `observed_ms`; the event `capacity_unobserved` and two metrics are new.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -106,6 +106,7 @@
             kernel,
             catalogs,
             phases,
+            registry_outage: watch::Sender::new(false),
             clock: Clock::default(),
             metrics,
             log: log.clone(),
@@ -178,6 +179,8 @@
     kernel: Kernel,
     catalogs: watch::Receiver<Arc<Catalog>>,
     phases: watch::Receiver<Phase>,
+    /// Publishes whether the registry of upstreams can't be read.
+    registry_outage: watch::Sender<bool>,
     clock: Clock,
     metrics: Metrics,
     log: Logger,
@@ -347,6 +350,7 @@
             broker: orders.broker.clone(),
             has_orders,
             orders_due: Instant::now() + source_watch::MAX_ORDER_WAIT,
+            outage: self.registry_outage.clone(),
         };
         let orders = source_watch::Options {
             name: OPERATOR,
@@ -387,6 +391,8 @@
             window: from_seconds(self.settings.usage_window_s),
             report_within: from_seconds(self.settings.usage_late_s),
             zones: self.settings.zones.clone(),
+            registry_outage: self.registry_outage.subscribe(),
+            metrics: self.metrics.clone(),
             eras,
             clock: self.clock,
             log: self.log.clone(),
--- a/cactusglade-daemon/src/edge/duty/election.rs
+++ b/cactusglade-daemon/src/edge/duty/election.rs
@@ -65,17 +65,16 @@
         self.state.held_lease(now)
     }
 
-    /// Acquires or renews the lease where that is due; `observed` is the lease in another daemon's
+    /// Acquires or renews the lease where that is due; `heard` is the lease in another daemon's
     /// heartbeat.
-    pub async fn acquire_or_renew(&mut self, clock: Clock, observed: Option<Row>) {
-        let mut step = self.state.begin(clock.now(), observed);
+    pub async fn acquire_or_renew(&mut self, clock: Clock, heard: Option<Row>) {
+        let mut step = self.state.begin(clock.now(), heard);
         if step == Step::Read {
             step = self.read(clock).await;
         }
         if let Step::Write(row, revision) = step {
             self.write(clock, row, revision).await;
         }
-        self.log_transition(clock.now());
     }
 
     /// Reads the row from the store and returns the next step.
@@ -116,8 +115,9 @@
         self.state.written(sent_at, row, &outcome);
     }
 
-    /// Logs when the lease has been taken or lost since the last call.
-    fn log_transition(&mut self, now: Millis) {
+    /// Logs when the lease has been taken or lost since the last call, with the time for which the
+    /// capacity plans have observed.
+    pub fn log_transition(&mut self, now: Millis, observed: Millis) {
         let fencing_token = self.fencing_token(now);
         if fencing_token.is_some() != self.is_held {
             self.is_held = fencing_token.is_some();
@@ -127,7 +127,8 @@
                 "lease_lost"
             };
             let epoch = self.state.row().map_or(0, |row| row.epoch);
-            info!(self.log, "duties"; "what" => event, "fence" => epoch);
+            info!(self.log, "duties"; "what" => event, "fence" => epoch,
+                "observed_ms" => observed.0);
         }
     }
 }
--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -19,6 +19,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_link::clock;
 use cactusglade_link::clock::Clock;
+use cactusglade_policy::capacity::Sight;
 use cactusglade_policy::usage::Ledger;
 use cactusglade_wire::port::Holder;
 use cactusglade_wire::port::Platform;
@@ -37,8 +38,11 @@
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
+use crate::edge::broker::Inventory;
 use crate::edge::mesh;
+use crate::edge::mesh::Fleet;
 use crate::edge::mesh::Mesh;
+use crate::metrics::Metrics;
 
 use capacity::Capacity;
 use election::Election;
@@ -71,6 +75,10 @@
     pub report_within: Millis,
     /// Names of all availability zones.
     pub zones: Vec<String>,
+    /// Whether the registry of upstreams can't be read.
+    pub registry_outage: watch::Receiver<bool>,
+    /// Metrics of the daemon.
+    pub metrics: Metrics,
     /// Era of the store after it was last restored from a copy.
     pub eras: watch::Receiver<u64>,
     /// Monotonic clock of the daemon.
@@ -142,13 +150,18 @@
             .ask(broker::Survey)
             .await
             .unwrap_or_default();
+        self.observe(&fleet, &inventory);
         if let Some(ledger) = &fleet.ledger {
             self.publish(ledger).await;
+            self.capacity.wake(clock.now());
         }
         self.election
             .acquire_or_renew(clock, fleet.lease.clone())
             .await;
         let now = clock.now();
+        self.capacity.wake(now);
+        self.election
+            .log_transition(now, self.capacity.observed(now));
         let held = self
             .election
             .fencing_token(now)
@@ -160,7 +173,7 @@
             .tell(mesh::Leadership(self.election.held_lease(clock.now())))
             .await;
         let Some((fencing_token, until)) = held else {
-            self.capacity.reset();
+            self.capacity.release();
             return;
         };
         let holder = Holder {
@@ -168,27 +181,55 @@
             fencing_token,
             until: clock.uptime_at(until),
         };
+        self.carry_out(&holder, until, &fleet, &inventory).await;
+    }
+}
+
+impl<P: Platform> Duty<P> {
+    /// Brings the capacity plans up to date, whether or not this daemon holds the lease.
+    fn observe(&mut self, fleet: &Fleet, inventory: &Inventory) {
+        let now = self.options.clock.now();
+        let sight = Sight {
+            has_registry: !*self.options.registry_outage.borrow(),
+            // The mesh doesn't state how many daemons it hears (`docs/design/succession.md`).
+            has_fleet: true,
+        };
+        let is_holder = self.election.fencing_token(now).is_some();
+        self.capacity.check(now, sight, is_holder);
+        let catalog = self.options.catalogs.borrow().clone();
+        self.capacity.observe(now, &catalog, fleet, inventory);
+    }
+
+    /// Carries out what is due while the lease is held without another renewal, until `until`.
+    async fn carry_out(
+        &mut self,
+        holder: &Holder,
+        until: Millis,
+        fleet: &Fleet,
+        inventory: &Inventory,
+    ) {
+        let clock = self.options.clock;
         let report = Leased::new(self.options.platform.report(), clock, until);
         self.roll_back(report).await;
+        self.capacity.wake(clock.now());
         let provider = Leased::new(self.options.platform.provider(), clock, until);
         let catalog = self.options.catalogs.borrow().clone();
         let tenure = self.election.tenure();
         self.usage
-            .report(&provider, &holder, tenure, &catalog, &fleet.counted)
+            .report(&provider, holder, tenure, &catalog, &fleet.counted)
             .await;
-        let orders = self
-            .capacity
-            .orders(clock.now(), &catalog, &fleet, &inventory);
+        let now = clock.now();
+        self.capacity.wake(now);
+        let orders = self.capacity.orders(now, &catalog, &inventory.evacuated);
         for order in orders {
             if !provider.is_held() {
                 return;
             }
-            self.capacity.send(&provider, &holder, order).await;
+            self.capacity.send(&provider, holder, order).await;
+            self.capacity.wake(clock.now());
         }
     }
-}
 
-impl<P: Platform> Duty<P> {
     /// Writes the zone's ledger to the store where that is due.
     async fn publish(&mut self, ledger: &Ledger) {
         if self.options.eras.has_changed().unwrap_or(false) {
--- a/cactusglade-daemon/src/edge/watch/mod.rs
+++ b/cactusglade-daemon/src/edge/watch/mod.rs
@@ -341,6 +341,8 @@
     pub has_orders: watch::Receiver<bool>,
     /// Until when the registry waits for them.
     pub orders_due: Instant,
+    /// Publishes whether the registry can't be read.
+    pub outage: watch::Sender<bool>,
 }
 
 impl Sink<Change> for Entries {
@@ -358,6 +360,7 @@
     }
 
     async fn set_unreachable(&mut self, is_unreachable: bool) {
+        self.outage.send_replace(is_unreachable);
         let _ = self.broker.tell(broker::Outage { is_unreachable }).await;
     }
 }
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -4,6 +4,8 @@
 //! time series; `docs/OPERATIONS.md` lists all metrics.
 
 use cactusglade_core::refusal::Reason;
+use cactusglade_policy::capacity::Cause;
+use prometheus::Gauge;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -77,6 +79,8 @@
     pub paces: Paces,
     /// Long prompts that daemons tell each other of.
     pub prefills: Prefills,
+    /// Capacity plans, which every daemon keeps.
+    pub plans: Plans,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -120,6 +124,35 @@
     }
 }
 
+/// `Plans` holds the metrics on the capacity plans.
+#[derive(Clone, Debug)]
+pub struct Plans {
+    /// Seconds for which the plans have observed, by the one that has done so for the shortest time.
+    pub observed: Gauge,
+    /// Times at which this daemon discarded what it had observed, by cause.
+    pub breaks: IntCounterVec,
+}
+
+impl Plans {
+    fn try_new(registry: &Registry) -> Result<Self> {
+        let observed = Gauge::new(
+            "cactusglade_capacity_observed_seconds",
+            "Seconds for which the capacity plans have observed",
+        )?;
+        registry.register(Box::new(observed.clone()))?;
+        let breaks = Opts::new(
+            "cactusglade_capacity_unobserved_total",
+            "Times at which what the capacity plans had observed was discarded",
+        );
+        let breaks = IntCounterVec::new(breaks, &["cause"])?;
+        registry.register(Box::new(breaks.clone()))?;
+        for cause in Cause::ALL {
+            breaks.with_label_values(&[cause.name()]);
+        }
+        Ok(Self { observed, breaks })
+    }
+}
+
 /// `Prefills` counts the long prompts that daemons tell each other of.
 #[derive(Clone, Debug)]
 pub struct Prefills {
@@ -203,6 +236,7 @@
                 "Times at which another daemon had a newer configuration",
             )?,
             paces: Paces::try_new(&registry)?,
+            plans: Plans::try_new(&registry)?,
             prefills: Prefills::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
--- a/cactusglade-policy/tests/capacity.rs
+++ b/cactusglade-policy/tests/capacity.rs
@@ -9,8 +9,11 @@
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 use cactusglade_policy::capacity;
+use cactusglade_policy::capacity::Cause;
+use cactusglade_policy::capacity::Observation;
 use cactusglade_policy::capacity::Order;
 use cactusglade_policy::capacity::Plan;
+use cactusglade_policy::capacity::Sight;
 use cactusglade_policy::capacity::Zone;
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
@@ -324,3 +327,229 @@
         "the same number per zone: {orders:?}"
     );
 }
+
+/// Returns a scale whose greatest number in a zone is beyond what the tests of succession need.
+fn roomy() -> Scale {
+    Scale { max: 40, ..scale() }
+}
+
+/// Creates the plan of a daemon that has observed without the lease while another one ordered, and
+/// lets the orders of that one take effect.
+fn follower(existing: &mut BTreeMap<String, Zone>) -> Plan {
+    let mut holder = observed_plan(existing);
+    let mut plan = observed_plan(existing);
+    for at in [3_200, 3_600] {
+        let at = Millis(at);
+        plan.observe(at, &roomy(), existing);
+        let orders = holder.orders(at, &roomy(), existing);
+        carry_out(existing, &orders);
+    }
+    plan.observe(Millis(4_000), &roomy(), existing);
+    plan
+}
+
+fn total(orders: &[Order], reclaimable: bool) -> u64 {
+    let orders = orders.iter();
+    let orders = orders.filter(|order| order.reclaimable == reclaimable);
+    orders.map(|order| order.count).sum()
+}
+
+/// A zone was reclaimed after the holder was cut off and before its successor took the lease: a plan
+/// that starts then takes what is left for all there was, orders for 3 s nothing, and nothing on
+/// demand for the zones that may be reclaimed next.
+#[test]
+fn a_zone_reclaimed_between_two_holders_is_replaced_by_the_first_orders() {
+    let mut existing = zones(1, 4);
+    let mut plan = follower(&mut existing);
+    let wanted = existing["a"].reclaimable;
+    existing
+        .get_mut("a")
+        .expect("the zone is known")
+        .reclaimable = 0;
+    // No daemon holds the lease.
+    plan.observe(Millis(5_000), &roomy(), &existing);
+    plan.release();
+    let orders = plan.orders(Millis(8_000), &roomy(), &existing);
+    let replaced = orders
+        .iter()
+        .find(|order| order.zone == "a" && order.reclaimable);
+    assert_eq!(
+        replaced.map(|order| order.count),
+        Some(wanted),
+        "{orders:?}"
+    );
+    let on_demand = existing.values().map(|zone| zone.on_demand).sum::<u64>();
+    assert!(total(&orders, false) > on_demand, "{orders:?}");
+}
+
+/// A daemon that has just taken the lease has ordered nothing where all there was is what it wants,
+/// and took no reclaim there for one.
+#[test]
+fn a_zone_reclaimed_from_a_successor_that_had_nothing_to_order_is_noticed() {
+    let mut existing = zones(1, 4);
+    let mut plan = follower(&mut existing);
+    plan.release();
+    assert_eq!(plan.orders(Millis(4_400), &roomy(), &existing), Vec::new());
+    let on_demand = existing.values().map(|zone| zone.on_demand).sum::<u64>();
+    existing
+        .get_mut("a")
+        .expect("the zone is known")
+        .reclaimable = 0;
+    let orders = plan.orders(Millis(4_800), &roomy(), &existing);
+    assert!(total(&orders, false) > on_demand, "{orders:?}");
+}
+
+/// The load doubles while no daemon holds the lease.
+#[test]
+fn a_surge_between_two_holders_is_met_by_the_first_orders() {
+    let mut existing = zones(1, 4);
+    let mut plan = follower(&mut existing);
+    let needed = plan.need();
+    for at in [5_000, 6_000, 7_000] {
+        plan.measure(Millis(at), needed, &existing);
+        plan.observe(Millis(at), &roomy(), &existing);
+    }
+    plan.release();
+    let mut ordered = existing.clone();
+    let orders = plan.orders(Millis(8_000), &roomy(), &existing);
+    carry_out(&mut ordered, &orders);
+    let count = |zones: &BTreeMap<String, Zone>| {
+        let counts = zones.values().map(|zone| zone.on_demand + zone.reclaimable);
+        counts.sum::<u64>()
+    };
+    assert!(plan.need() >= 2.0 * needed, "{}", plan.need());
+    assert!(count(&ordered) > count(&existing), "{orders:?}");
+}
+
+/// Another daemon ordered fewer upstreams meanwhile: the earlier orders of the one that comes back are
+/// no longer in force, although its plan wants the same.
+#[test]
+fn a_holder_that_comes_back_repeats_what_another_one_changed() {
+    let mut existing = zones(3, 0);
+    let mut plan = observed_plan(&existing);
+    for at in [3_200, 3_600] {
+        let orders = plan.orders(Millis(at), &roomy(), &existing);
+        assert_ne!(orders, Vec::new());
+        carry_out(&mut existing, &orders);
+    }
+    assert_eq!(plan.orders(Millis(4_000), &roomy(), &existing), Vec::new());
+    // The lease is lost, and another holder orders one upstream more in a zone.
+    plan.release();
+    let zone = existing.get_mut("b").expect("the zone is known");
+    let wanted = zone.reclaimable;
+    zone.reclaimable += 1;
+    plan.observe(Millis(4_400), &roomy(), &existing);
+    let orders = plan.orders(Millis(4_800), &roomy(), &existing);
+    let repeated = Order {
+        zone: "b".to_owned(),
+        reclaimable: true,
+        count: wanted,
+    };
+    assert_eq!(orders, vec![repeated]);
+}
+
+/// Upstreams of a version that was taken back leave during a succession: an order for fewer than there
+/// are removes those that serve, whoever places it.
+#[test]
+fn a_successor_waits_for_a_withheld_version_as_its_predecessor_did() {
+    let mut existing = zones(1, 4);
+    let mut plan = follower(&mut existing);
+    let zone = existing.get_mut("a").expect("the zone is known");
+    (zone.reclaimable, zone.withheld) = (0, 4);
+    plan.observe(Millis(5_000), &roomy(), &existing);
+    plan.release();
+    assert_eq!(plan.orders(Millis(5_400), &roomy(), &existing), Vec::new());
+    // The time counts from when the successor saw it, before it had the lease.
+    assert_eq!(plan.orders(Millis(24_900), &roomy(), &existing), Vec::new());
+    assert_ne!(plan.orders(Millis(25_000), &roomy(), &existing), Vec::new());
+}
+
+const CLEAR: Sight = Sight {
+    has_registry: true,
+    has_fleet: true,
+};
+
+/// Records a round every 400 ms while something is out of sight; returns the last cause.
+fn watch(
+    observation: &mut Observation,
+    rounds: std::ops::Range<u64>,
+    sight: Sight,
+) -> Option<Cause> {
+    let rounds = rounds.map(|round| observation.record(Millis(round * 400), sight));
+    rounds.last().flatten()
+}
+
+/// A successor that was cut off from the other daemons measures a fraction of the load, and would
+/// order fewer upstreams; one that can't read the registry counts upstreams that are gone.
+#[test]
+fn a_successor_that_was_cut_off_while_it_observed_observes_anew() {
+    let isolated = Sight {
+        has_fleet: false,
+        ..CLEAR
+    };
+    let unread = Sight {
+        has_registry: false,
+        ..CLEAR
+    };
+    for (sight, cause) in [(isolated, Cause::Isolated), (unread, Cause::Registry)] {
+        let mut observation = Observation::default();
+        assert_eq!(watch(&mut observation, 0..10, CLEAR), None);
+        // A lost call or a few lost datagrams change nothing.
+        assert_eq!(watch(&mut observation, 10..15, sight), None);
+        assert_eq!(watch(&mut observation, 15..16, CLEAR), None);
+        assert_eq!(watch(&mut observation, 16..22, sight), None);
+        // While it lasts, nothing is kept.
+        assert_eq!(watch(&mut observation, 22..23, sight), Some(cause));
+        assert_eq!(watch(&mut observation, 23..40, sight), Some(cause));
+        assert_eq!(watch(&mut observation, 40..41, CLEAR), None);
+    }
+}
+
+/// The load that a plan knows must not fall in a break that is not noticed so far that it orders fewer
+/// upstreams.
+#[test]
+fn a_break_that_is_not_noticed_removes_no_upstream() {
+    let mut existing = zones(0, 6);
+    let mut plan = observed_plan(&existing);
+    plan.measure(Millis(3_200), 4.0, &existing);
+    let orders = plan.orders(Millis(3_200), &roomy(), &existing);
+    carry_out(&mut existing, &orders);
+    let mut at = Millis(3_200);
+    while at < Millis(3_200) + capacity::MAX_GAP {
+        at = at + Millis(400);
+        plan.measure(at, 0.1, &existing);
+        assert_eq!(plan.orders(at, &roomy(), &existing), Vec::new(), "{at:?}");
+    }
+}
+
+/// A frozen daemon has missed reclaims and surges; a round with many slow calls is no freeze.
+#[test]
+fn a_frozen_daemon_observes_anew() {
+    let mut observation = Observation::default();
+    assert_eq!(watch(&mut observation, 0..10, CLEAR), None);
+    for call in 1..5 {
+        observation.wake(Millis(3_600 + call * 1_600));
+    }
+    assert_eq!(observation.record(Millis(10_400), CLEAR), None);
+    assert_eq!(
+        observation.record(Millis(12_700), CLEAR),
+        Some(Cause::Frozen)
+    );
+    assert_eq!(observation.record(Millis(13_100), CLEAR), None);
+    // Frozen while a call of the round was under way.
+    observation.wake(Millis(16_000));
+    assert_eq!(
+        observation.record(Millis(16_400), CLEAR),
+        Some(Cause::Frozen)
+    );
+    // Its plan is as new as that of a daemon that starts.
+    let mut plan = Plan::default();
+    let existing = zones(1, 4);
+    plan.measure(Millis(16_400), 5.0, &existing);
+    let before = Millis(16_400) + capacity::OBSERVATION_PERIOD;
+    assert_eq!(
+        plan.orders(Millis(before.0 - 1), &roomy(), &existing),
+        Vec::new()
+    );
+    assert_ne!(plan.orders(before, &roomy(), &existing), Vec::new());
+}
