Refuse configurations of earlier builds, which lack fields

A daemon that fetched a configuration from one of an earlier build filled in what that build doesn't know with defaults: no allowed regions and no cold rates. The same version from the store was then ignored, so that requests ran in other regions until the next version.

A configuration that lacks fields which this build knows is refused. The daemon's call to the store is made again once for each such version, and other daemons are asked as before. A daemon that the store refuses, and that reaches daemons of earlier builds only, stays at its version meanwhile.

Platform test `configuration`, a_configuration_that_lacks_fields_is_read_from_the_store: failed before ("sent to another region", 3 s after the store answered again), passes now.

--- a/cactusglade-daemon/src/edge/configuration/exchange.rs
+++ b/cactusglade-daemon/src/edge/configuration/exchange.rs
@@ -40,9 +40,9 @@
     /// The daemon has no configuration.
     #[error("answered with status {0}, expected {OK}")]
     Status(u16),
-    /// The answer is no configuration.
-    #[error("malformed configuration: {0}")]
-    Malformed(#[from] configuration::Error),
+    /// The answer is no configuration, or one that lacks fields.
+    #[error("unusable configuration: {0}")]
+    Unusable(#[from] configuration::Error),
     /// The daemon has an older configuration than it was said to have.
     #[error("has version {found}, expected {expected} or a newer one")]
     Outdated {
@@ -53,6 +53,13 @@
     },
 }
 
+impl Error {
+    /// Returns whether the daemon is of an earlier build, which does not know all fields.
+    pub const fn is_partial(&self) -> bool {
+        matches!(self, Self::Unusable(configuration::Error::Partial(_)))
+    }
+}
+
 /// Result of fetching a configuration.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/cactusglade-daemon/src/edge/configuration/mod.rs
+++ b/cactusglade-daemon/src/edge/configuration/mod.rs
@@ -241,6 +241,15 @@
         let Unfetched(notice, reason) = unfetched;
         warn!(self.log, "configuration_unfetched"; "in_force" => self.catalog.version,
             "stated" => notice.version, "holder" => %notice.holder, "reason" => %reason);
+        if reason.is_partial() {
+            // Only the store, or a daemon of this build, has it in full. A call to the store is made
+            // again once for each version, so that fetches don't cut off every call.
+            self.missed.send_if_modified(|missed| {
+                let is_new = *missed < notice.version;
+                *missed = notice.version.max(*missed);
+                is_new
+            });
+        }
         self.lag.record_failure(self.clock.now());
     }
 }
