Refuse as `evacuated` only where no open zone was tried

A request that an upstream in an open zone did not run, and whose other upstreams were all in evacuated zones, was refused as `evacuated`. Operators took a failure of the zones that serve for an effect of their evacuation.

Such a request is refused as `no_upstream`, also with status 503 and not run. The test an_evacuated_zone_gets_neither_first_attempts_nor_retries expected `evacuated` there; it now expects `no_upstream`, and a new test covers both kinds.

--- a/cactusglade-policy/src/broker/limits.rs
+++ b/cactusglade-policy/src/broker/limits.rs
@@ -97,6 +97,14 @@
         let available = available.filter(|one| one.is_available(now));
         let available = available.collect::<Vec<_>>();
         if available.is_empty() {
+            let mut tried = query
+                .tried
+                .iter()
+                .filter_map(|key| self.upstreams.get(*key));
+            // Upstreams in open zones that did not run the request are a reason too.
+            if tried.any(|one| one.is_available(now)) {
+                return Kind::NoUpstream.into();
+            }
             return Kind::Evacuated.into();
         }
         // They take no request now, or one of them would have been chosen.
