Relay of a large zone forwards through a fan-out tree

In zones of more than 40 daemons that reach each other it sends the datagram to the square root of their number, each with a list of those to which it passes the datagram on. Only neighbours that state with each heartbeat that they know the new kind of datagram are used; the others get the datagram as before. A daemon of a large zone that lacks a forwarded part of the registry reads the store after 300 to 600 ms, counted from when it learns so, and parts are cut by their bytes.

Not measured yet; the existing tests of relay, roster, datagrams and layout pass.

--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -261,6 +261,7 @@
             ),
             clock: self.clock,
             log: self.log.clone(),
+            metrics: self.metrics.datagrams.clone(),
         });
         let mesh = mesh.map_err(|reason| Error::Listen {
             address: settings.peers,
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -16,6 +16,9 @@
     /// Revision up to which the relay has read the entries; `None` while no other daemon relays the
     /// registry to this one, or its state is too old.
     pub revision: Option<Revision>,
+    /// Whether the relay forwards through a fan-out tree, in which many daemons may lack the same
+    /// datagram.
+    pub is_zone_large: bool,
 }
 
 /// `Changeset` reports what this daemon has read of the registry from the store.
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -1,5 +1,6 @@
 //! Service that exchanges heartbeats and other datagrams with the other daemons.
 
+mod fanout;
 mod members;
 mod messages;
 mod registry;
@@ -24,6 +25,8 @@
 use cactusglade_link::clock::Clock;
 use cactusglade_policy::lag::Notice;
 use cactusglade_policy::relay;
+use cactusglade_policy::relay::fanout::Guard;
+use cactusglade_policy::relay::fanout::Planner;
 use cactusglade_policy::roster::Announcement;
 use cactusglade_policy::roster::Consumption;
 use cactusglade_policy::roster::Roster;
@@ -51,6 +54,7 @@
 
 use crate::edge::broker;
 use crate::edge::broker::Broker;
+use crate::metrics::Datagrams;
 
 pub use members::Discovery;
 pub use messages::Changeset;
@@ -106,6 +110,8 @@
     pub clock: Clock,
     /// Log of the daemon.
     pub log: Logger,
+    /// Counters of the datagrams sent.
+    pub metrics: Datagrams,
 }
 
 /// `Mesh` owns the state of the other daemons.
@@ -116,6 +122,7 @@
     broker: ActorRef<Broker>,
     clock: Clock,
     log: Logger,
+    metrics: Datagrams,
     socket: Arc<UdpSocket>,
     incarnation: u64,
     sequence: u64,
@@ -150,6 +157,12 @@
     paces: Backlog<Pace>,
     /// What the relay has still to pass on about long prompts.
     prefills: Backlog<Prefill>,
+    /// Ways of what the relay forwards.
+    planner: Planner,
+    /// Number of neighbours that pass on what this daemon forwards.
+    forwarders: usize,
+    /// Whether this daemon passes datagrams on.
+    guard: Guard,
     /// Daemons among which limits are divided, as last reported to the broker.
     layout: Option<Layout>,
     reachable: u64,
@@ -207,6 +220,7 @@
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, u32>) -> u32 {
         let now = self.clock.now();
+        self.guard.tick(now, self.roster.interval());
         // The broker stops after this service, so the call succeeds.
         let meter = broker::Meter {
             restates_holds: self.sequence.is_multiple_of(HEARTBEATS_PER_BROADCAST),
@@ -231,9 +245,10 @@
         self.send_evacuations(now, &statistics.evacuations).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
-            self.publish_progress(Watermark::default());
+            self.publish_progress(now, Watermark::default());
         }
         self.send_heartbeat(now).await;
+        self.send_ready(now).await;
         if self.sequence % HEARTBEATS_PER_BROADCAST == 1 {
             self.send_version(now).await;
         }
@@ -257,7 +272,12 @@
 
     async fn handle(&mut self, received: Received, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        let added = match received.0 {
+        let datagram = match received.0 {
+            Datagram::Fanout(fanout) => self.receive_fanout(now, fanout).await,
+            datagram => Some(datagram),
+        };
+        let Some(datagram) = datagram else { return };
+        let added = match datagram {
             Datagram::Heartbeat(heartbeat) => self.receive_heartbeat(now, heartbeat),
             Datagram::Summary(summary) => {
                 let added = self.receive_summary(now, summary);
@@ -276,7 +296,7 @@
                 let _ = self.entries.try_send(entries);
                 return;
             }
-            Datagram::Undated => return,
+            Datagram::Undated | Datagram::Fanout(_) => return,
             Datagram::Sightings(sightings) => {
                 self.receive_sightings(now, sightings).await;
                 return;
@@ -399,6 +419,7 @@
             broker: options.broker,
             clock: options.clock,
             log: options.log,
+            metrics: options.metrics,
             socket: Arc::new(UdpSocket::from_std(options.socket)?),
             incarnation,
             sequence: 0,
@@ -420,6 +441,9 @@
             limits: Backlog::default(),
             paces: Backlog::default(),
             prefills: Backlog::default(),
+            planner: Planner::default(),
+            forwarders: 0,
+            guard: Guard::default(),
             layout: None,
             reachable: 0,
             daemons: 0,
@@ -440,7 +464,7 @@
             let key = ledger_key(heartbeat.from, heartbeat.incarnation);
             self.ledger.record(&key, &heartbeat.counts);
             if self.roster.relay(now) == Some(heartbeat.from) {
-                self.publish_progress(heartbeat.registry);
+                self.publish_progress(now, heartbeat.registry);
             }
         }
         let announcement = Announcement {
@@ -494,14 +518,26 @@
 
     /// Sends a datagram to each of these addresses.
     async fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
-        let Some(bytes) = datagram.encode() else {
+        if let Some(bytes) = self.encode(datagram) {
+            self.send_bytes(&bytes, to).await;
+        }
+    }
+
+    fn encode(&self, datagram: &Datagram) -> Option<Vec<u8>> {
+        let bytes = datagram.encode();
+        if bytes.is_none() {
             warn!(self.log, "datagram_too_long";
                 "organisations" => self.own_totals.quota_used.len());
-            return;
-        };
+        }
+        bytes
+    }
+
+    async fn send_bytes(&self, bytes: &[u8], to: impl IntoIterator<Item = SocketAddr>) {
         for address in to {
             // Datagrams carry totals, so the next one makes up for one that is lost.
-            let _ = self.socket.send_to(&bytes, address).await;
+            let _ = self.socket.send_to(bytes, address).await;
+            self.metrics.sent.inc();
+            self.metrics.sent_bytes.inc_by(bytes.len() as u64);
         }
     }
 }
--- a/cactusglade-daemon/src/edge/mesh/registry.rs
+++ b/cactusglade-daemon/src/edge/mesh/registry.rs
@@ -33,22 +33,22 @@
         if !self.roster.is_relay(now) {
             return;
         }
-        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for part in Entries::split(base, changeset.revision, &changeset.changes) {
-            self.send(&Datagram::Entries(part), neighbours.iter().copied())
-                .await;
-        }
+        let max_bytes = self.max_forwarded_bytes(now);
+        let parts = Entries::split_within(base, changeset.revision, &changeset.changes, max_bytes);
+        let parts = parts.into_iter().map(Datagram::Entries);
+        self.forward(now, &parts.collect::<Vec<_>>()).await;
     }
 }
 
 impl Mesh {
     /// Publishes the relay's state of the registry; one that is too old counts as none.
-    pub(super) fn publish_progress(&self, registry: Watermark) {
+    pub(super) fn publish_progress(&self, now: Millis, registry: Watermark) {
         let is_fresh = registry
             .age_ms
             .is_some_and(|age| Millis(age) < MAX_WATERMARK_AGE);
         let progress = Progress {
             revision: is_fresh.then_some(registry.revision),
+            is_zone_large: self.is_zone_large(now),
         };
         self.progress.send_if_modified(|published| {
             let is_changed = *published != progress;
--- a/cactusglade-daemon/src/edge/mesh/sightings.rs
+++ b/cactusglade-daemon/src/edge/mesh/sightings.rs
@@ -70,10 +70,9 @@
             self.send(&Datagram::Sightings(part), relays.iter().copied())
                 .await;
         }
-        for part in Sightings::split(&self.zone, true, &inbound) {
-            self.send(&Datagram::Sightings(part), neighbours.iter().copied())
-                .await;
-        }
+        let parts = Sightings::split(&self.zone, true, &inbound);
+        let parts = parts.into_iter().map(Datagram::Sightings);
+        self.forward(now, &parts.collect::<Vec<_>>()).await;
     }
 
     /// Passes sightings on to the broker, and keeps them for the relay to pass on.
--- a/cactusglade-daemon/src/edge/mesh/statements.rs
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -162,9 +162,8 @@
         for part in T::encode(&self.zone, false, &outbound) {
             self.send(&part, relays.iter().copied()).await;
         }
-        for part in T::encode(&self.zone, true, &inbound) {
-            self.send(&part, neighbours.iter().copied()).await;
-        }
+        let parts = T::encode(&self.zone, true, &inbound);
+        self.forward(now, &parts).await;
     }
 
     /// Keeps statements for the relay to pass on.
--- a/cactusglade-daemon/src/edge/mesh/summaries.rs
+++ b/cactusglade-daemon/src/edge/mesh/summaries.rs
@@ -33,7 +33,7 @@
     }
 
     /// Sends the zone's summary to the other zones, and forwards their summaries within the zone.
-    pub(super) async fn send_summaries(&self, now: Millis) {
+    pub(super) async fn send_summaries(&mut self, now: Millis) {
         let lease = self.lease.clone();
         let (daemons, reachable, announcement) = self.roster.summary(now, &self.own_totals, lease);
         let summary = Datagram::Summary(Summary {
@@ -48,9 +48,8 @@
             lease: announcement.lease,
         });
         self.send(&summary, self.roster.relays(now)).await;
-        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for (name, zone) in self.roster.zones(now).filter(|_| !neighbours.is_empty()) {
-            let summary = Datagram::Summary(Summary {
+        let summaries = self.roster.zones(now).map(|(name, zone)| {
+            Datagram::Summary(Summary {
                 zone: name.clone(),
                 relay: zone.relay,
                 incarnation: zone.announcement.incarnation,
@@ -60,9 +59,10 @@
                 quota_used: zone.announcement.quota_used.clone(),
                 work: zone.announcement.work.clone(),
                 lease: zone.announcement.lease.clone(),
-            });
-            self.send(&summary, neighbours.iter().copied()).await;
-        }
+            })
+        });
+        let summaries = summaries.collect::<Vec<_>>();
+        self.forward(now, &summaries).await;
     }
 
     /// Returns the windows in which daemons of the zone have counted requests, and the newest one of
@@ -81,7 +81,7 @@
     }
 
     /// Sends the newest window of the zone to the other zones, and forwards theirs within the zone.
-    pub(super) async fn send_counted(&self, now: Millis) {
+    pub(super) async fn send_counted(&mut self, now: Millis) {
         let statement = |zone: &str, window| {
             Datagram::Counted(Counted {
                 zone: zone.to_owned(),
@@ -92,10 +92,9 @@
             let own = statement(&self.zone, *newest);
             self.send(&own, self.roster.relays(now)).await;
         }
-        let neighbours = self.roster.neighbours(now).collect::<Vec<_>>();
-        for (zone, window) in self.frontier.zones() {
-            self.send(&statement(zone, window), neighbours.iter().copied())
-                .await;
-        }
+        let zones = self.frontier.zones();
+        let counted = zones.map(|(zone, window)| statement(zone, window));
+        let counted = counted.collect::<Vec<_>>();
+        self.forward(now, &counted).await;
     }
 }
--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -16,6 +16,7 @@
 use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::edge::mesh;
 use crate::edge::mesh::Mesh;
@@ -26,6 +27,9 @@
 const RELAY_MAX_WAIT: Millis = Millis(900);
 /// Time to wait for forwarded changes to arrive before the store is read instead.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest random time that is added in a large zone, where the end of a forwarding neighbour leaves
+/// its whole list without the same changes.
+const MAX_FORWARD_SPREAD: Duration = Duration::from_millis(300);
 /// Interval at which the relay's state is checked again while nothing changes.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -57,8 +61,10 @@
     }
 
     async fn watch(&mut self, after: Revision, _: Millis) -> Result<Update<Change>> {
+        let mut due = None;
         loop {
-            let Some(relay_revision) = self.progress.borrow_and_update().revision else {
+            let progress = *self.progress.borrow_and_update();
+            let Some(relay_revision) = progress.revision else {
                 return self.poll_store(after, RELAY_MAX_WAIT).await;
             };
             if std::mem::take(&mut self.has_read_store) {
@@ -70,10 +76,14 @@
                 return self.poll_store(after, RELAY_MAX_WAIT).await;
             }
             let is_behind = relay_revision > after;
-            let pause = if is_behind {
-                FORWARD_TIMEOUT
-            } else {
-                RECHECK_INTERVAL
+            let pause = match (is_behind, progress.is_zone_large) {
+                (true, true) => {
+                    // Parts of later changes arrive meanwhile and don't extend the time.
+                    let due = due.get_or_insert_with(|| Instant::now() + forward_timeout());
+                    due.saturating_duration_since(Instant::now())
+                }
+                (true, false) => FORWARD_TIMEOUT,
+                (false, _) => RECHECK_INTERVAL,
             };
             tokio::select! {
                 Some(entries) = self.entries.recv() => {
@@ -136,6 +146,11 @@
     }
 }
 
+/// Returns the time to wait for forwarded changes in a large zone.
+fn forward_timeout() -> Duration {
+    FORWARD_TIMEOUT + MAX_FORWARD_SPREAD.mul_f64(rand::random())
+}
+
 const fn new_update(revision: Revision, items: Vec<Change>) -> Update<Change> {
     Update {
         items,
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -77,6 +77,8 @@
     pub paces: Paces,
     /// Long prompts that daemons tell each other of.
     pub prefills: Prefills,
+    /// Datagrams to other daemons.
+    pub datagrams: Datagrams,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -149,6 +151,49 @@
     }
 }
 
+/// `Datagrams` counts the datagrams that this daemon sends to other daemons.
+#[derive(Clone, Debug)]
+pub struct Datagrams {
+    /// All datagrams.
+    pub sent: IntCounter,
+    /// Bytes of these, without the headers of the network.
+    pub sent_bytes: IntCounter,
+    /// Those that this daemon passed on for the relay of its zone.
+    pub passed_on: IntCounter,
+    /// Neighbours that pass on what this daemon forwards as the relay of its zone.
+    pub forwarders: IntGauge,
+}
+
+impl Datagrams {
+    fn try_new(registry: &Registry) -> Result<Self> {
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let forwarders = IntGauge::new(
+            "cactusglade_fanout_forwarders",
+            "Neighbours that pass on what this daemon forwards",
+        )?;
+        registry.register(Box::new(forwarders.clone()))?;
+        Ok(Self {
+            sent: counter(
+                "cactusglade_datagrams_total",
+                "Datagrams sent to other daemons",
+            )?,
+            sent_bytes: counter(
+                "cactusglade_datagram_bytes_total",
+                "Bytes of datagrams sent to other daemons",
+            )?,
+            passed_on: counter(
+                "cactusglade_datagrams_passed_on_total",
+                "Datagrams passed on for the relay of the zone",
+            )?,
+            forwarders,
+        })
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -204,6 +249,7 @@
             )?,
             paces: Paces::try_new(&registry)?,
             prefills: Prefills::try_new(&registry)?,
+            datagrams: Datagrams::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
--- a/cactusglade-policy/src/relay/mod.rs
+++ b/cactusglade-policy/src/relay/mod.rs
@@ -3,6 +3,10 @@
 //! The store has one revision for all of its tables, so the revision up to which a daemon has read
 //! the registry advances although no upstream changed. A relay that announced that revision would
 //! make each daemon of its zone look for changes that do not exist.
+//!
+//! [`fanout`] decides by which ways the datagrams go in a large zone.
+
+pub mod fanout;
 
 use cactusglade_core::revision::Revision;
 use cactusglade_core::units::Millis;
--- a/cactusglade-policy/src/roster/mod.rs
+++ b/cactusglade-policy/src/roster/mod.rs
@@ -125,6 +125,12 @@
         self.interval = interval;
     }
 
+    /// Returns the interval between heartbeats.
+    #[must_use]
+    pub const fn interval(&self) -> Millis {
+        self.interval
+    }
+
     /// Adds the address of a daemon, and its zone if known.
     pub fn add(&mut self, now: Millis, address: SocketAddr, zone: Option<&str>) {
         if address == self.own {
@@ -372,6 +378,12 @@
         self.peers.keys().copied()
     }
 
+    /// Returns whether this is the address of a daemon of the own zone, or one whose zone is unknown.
+    #[must_use]
+    pub fn is_peer(&self, address: &SocketAddr) -> bool {
+        self.peers.contains_key(address)
+    }
+
     /// Iterates over the addresses of the reachable daemons of the own zone.
     pub fn neighbours(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
         self.reachable_peers(now).map(|(address, _)| *address)
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -4,22 +4,29 @@
 //! of a lost or repeated one. For this reason, and because no connections between all daemons are
 //! needed, these are datagrams and not calls; see `docs/PLATFORM.md`.
 
+mod entries;
+mod fanout;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bincode::Options;
-use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Evacuation;
 use cactusglade_core::fleet::Limit;
 use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Prefill;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
-use cactusglade_core::revision::Revision;
 use cactusglade_core::row::Lease;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use entries::Entries;
+pub use entries::Watermark;
+pub use fanout::Fanout;
+pub use fanout::Forward;
+pub use fanout::MAX_FORWARDED_BYTES;
+
 /// Longest datagram in bytes, short enough to cross any link without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -84,50 +91,6 @@
     pub members: Vec<(SocketAddr, String)>,
 }
 
-/// `Watermark` says how far a daemon has read the registry of upstreams.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Watermark {
-    /// Revision of the last change that it knows.
-    pub revision: Revision,
-    /// Milliseconds since the store itself last confirmed that revision, where it ever did.
-    pub age_ms: Option<u64>,
-}
-
-/// `Entries` is one part of the registry changes that a daemon has read.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Entries {
-    /// Revision to which the changes apply.
-    pub after: Revision,
-    /// Revision that is reached once all parts have arrived.
-    pub revision: Revision,
-    /// Index of this part.
-    pub part: usize,
-    /// Number of parts.
-    pub parts: usize,
-    /// The changes, in order.
-    pub changes: Vec<Change>,
-}
-
-/// Changes in one part, each about a hundred bytes long.
-const CHANGES_PER_PART: usize = 10;
-
-impl Entries {
-    /// Splits changes into parts that each fit a datagram.
-    #[must_use]
-    pub fn split(after: Revision, revision: Revision, changes: &[Change]) -> Vec<Self> {
-        let parts = changes.chunks(CHANGES_PER_PART).enumerate();
-        let count = changes.len().div_ceil(CHANGES_PER_PART);
-        let parts = parts.map(|(part, changes)| Self {
-            after,
-            revision,
-            part,
-            parts: count,
-            changes: changes.to_vec(),
-        });
-        parts.collect()
-    }
-}
-
 /// `Sightings` is what the daemons of one zone have seen of upstreams since they last reported it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Sightings {
@@ -340,6 +303,8 @@
     Evacuations(Evacuations),
     /// Sent by the relay of another zone, or forwarded by the relay of the own zone.
     Counted(Counted),
+    /// Sent between daemons of one large zone. Builds without this kind drop it.
+    Fanout(Fanout),
 }
 
 impl Datagram {
