--- a/cactusglade-daemon/src/edge/mesh/fanout.rs
+++ b/cactusglade-daemon/src/edge/mesh/fanout.rs
@@ -85,16 +85,17 @@
         self.metrics.forwarders.set(gauge);
     }
 
-    /// Notes that this daemon is not the relay, and states to the relay of a large zone that this
-    /// daemon passes datagrams on.
+    /// Notes that this daemon is not the relay, and states to the relay of a large zone and to its
+    /// successor that this daemon passes datagrams on.
     pub(super) async fn send_ready(&mut self, now: Millis) {
-        let Some(relay) = self.roster.relay(now) else {
+        if self.roster.is_relay(now) {
             return;
-        };
+        }
         self.report_plan(&Plan::default());
         if self.is_zone_large(now) {
             let ready = Datagram::Fanout(Fanout::Ready(self.address));
-            self.send(&ready, [relay]).await;
+            let relays = fanout::relays(self.address, self.roster.neighbours(now));
+            self.send(&ready, relays).await;
         }
     }
 
--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -8,6 +8,7 @@
 
 use cactusglade_core::fleet::Change;
 use cactusglade_core::units::Millis;
+use cactusglade_policy::relay::fanout;
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::port::Result;
 use cactusglade_wire::port::Revision;
@@ -25,11 +26,6 @@
 /// Time for which the store may hold a call of the relay open. The relay's state of the registry is
 /// never older than this plus the pause after changes.
 const RELAY_MAX_WAIT: Millis = Millis(900);
-/// Time to wait for forwarded changes to arrive before the store is read instead.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest random time that is added in a large zone, where the end of a forwarding neighbour leaves
-/// its whole list without the same changes.
-const MAX_FORWARD_SPREAD: Duration = Duration::from_millis(300);
 /// Interval at which the relay's state is checked again while nothing changes.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -75,21 +71,26 @@
                 // The relay has not noticed that the store was restored.
                 return self.poll_store(after, RELAY_MAX_WAIT).await;
             }
-            let is_behind = relay_revision > after;
+            let is_behind = relay_revision > after || due.is_some();
             let pause = match (is_behind, progress.is_zone_large) {
                 (true, true) => {
                     // Parts of later changes arrive meanwhile and don't extend the time.
-                    let due = due.get_or_insert_with(|| Instant::now() + forward_timeout());
+                    let due = due.get_or_insert_with(|| Instant::now() + forward_timeout(true));
                     due.saturating_duration_since(Instant::now())
                 }
-                (true, false) => FORWARD_TIMEOUT,
+                (true, false) => forward_timeout(false),
                 (false, _) => RECHECK_INTERVAL,
             };
             tokio::select! {
                 Some(entries) = self.entries.recv() => {
+                    let revision = entries.revision;
                     if let Some(update) = self.reassemble(after, entries) {
                         return Ok(update);
                     }
+                    if progress.is_zone_large && revision > after {
+                        // A part without the others tells of changes before the next heartbeat does.
+                        due.get_or_insert_with(|| Instant::now() + forward_timeout(true));
+                    }
                 }
                 Ok(()) = self.progress.changed(), if !is_behind => {}
                 () = tokio::time::sleep(pause) => {
@@ -146,9 +147,8 @@
     }
 }
 
-/// Returns the time to wait for forwarded changes in a large zone.
-fn forward_timeout() -> Duration {
-    FORWARD_TIMEOUT + MAX_FORWARD_SPREAD.mul_f64(rand::random())
+fn forward_timeout(is_zone_large: bool) -> Duration {
+    Duration::from_millis(fanout::forward_timeout(is_zone_large, rand::random()).0)
 }
 
 const fn new_update(revision: Revision, items: Vec<Change>) -> Update<Change> {
--- a/cactusglade-model/src/lib.rs
+++ b/cactusglade-model/src/lib.rs
@@ -4,6 +4,7 @@
 //! time and a run repeats from its seed. See `docs/DESIGN.md`.
 
 pub mod engine;
+pub mod fanout;
 pub mod fleet;
 pub mod load;
 pub mod warmup;
--- a/cactusglade-policy/src/relay/fanout/mod.rs
+++ b/cactusglade-policy/src/relay/fanout/mod.rs
@@ -26,12 +26,49 @@
 /// counts as unreachable, so that the end of a forwarding neighbour doesn't change quotas.
 const MAX_SILENT_INTERVALS: u64 = 2;
 
+/// Number of daemons to which a daemon states that it passes datagrams on: the relay and its
+/// successor, which would else send everything itself at first.
+const RELAYS_TOLD: usize = 2;
+/// Time to wait for forwarded changes of the registry before the store is read instead.
+const FORWARD_TIMEOUT: Millis = Millis(300);
+/// Longest random time that is added in a large zone, where the end of a forwarding neighbour leaves
+/// its whole list without the same changes.
+const MAX_FORWARD_SPREAD: Millis = Millis(300);
+
 /// Returns whether the relay of a zone with this number of reachable daemons uses a fan-out tree.
 #[must_use]
 pub const fn is_large(reachable: u64) -> bool {
     reachable > MAX_DIRECT_DAEMONS
 }
 
+/// Returns the neighbours to which a daemon states that it passes datagrams on, of all `neighbours`
+/// in the order of their addresses.
+pub fn relays(
+    own: SocketAddr,
+    neighbours: impl Iterator<Item = SocketAddr>,
+) -> impl Iterator<Item = SocketAddr> {
+    neighbours
+        .take(RELAYS_TOLD)
+        .filter(move |address| *address < own)
+}
+
+/// Returns the time for which a daemon that lacks changes of the registry waits for them before it
+/// reads the store; `draw` from 0 to 1 is the random part.
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+pub fn forward_timeout(is_zone_large: bool, draw: f64) -> Millis {
+    if is_zone_large {
+        let spread = MAX_FORWARD_SPREAD.0 as f64 * draw.clamp(0.0, 1.0);
+        FORWARD_TIMEOUT + Millis(spread as u64)
+    } else {
+        FORWARD_TIMEOUT
+    }
+}
+
 /// `Branch` is a forwarding neighbour with the neighbours to which it passes datagrams on.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Branch {
