--- a/cactusglade-daemon/src/edge/watch/relayed.rs
+++ b/cactusglade-daemon/src/edge/watch/relayed.rs
@@ -8,6 +8,7 @@
 
 use cactusglade_core::fleet::Change;
 use cactusglade_core::units::Millis;
+use cactusglade_policy::relay::fanout;
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::port::Result;
 use cactusglade_wire::port::Revision;
@@ -16,6 +17,7 @@
 use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::edge::mesh;
 use crate::edge::mesh::Mesh;
@@ -24,8 +26,6 @@
 /// Time for which the store may hold a call of the relay open. The relay's state of the registry is
 /// never older than this plus the pause after changes.
 const RELAY_MAX_WAIT: Millis = Millis(900);
-/// Time to wait for forwarded changes to arrive before the store is read instead.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which the relay's state is checked again while nothing changes.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -57,8 +57,10 @@
     }
 
     async fn watch(&mut self, after: Revision, _: Millis) -> Result<Update<Change>> {
+        let mut due = None;
         loop {
-            let Some(relay_revision) = self.progress.borrow_and_update().revision else {
+            let progress = *self.progress.borrow_and_update();
+            let Some(relay_revision) = progress.revision else {
                 return self.poll_store(after, RELAY_MAX_WAIT).await;
             };
             if std::mem::take(&mut self.has_read_store) {
@@ -69,17 +71,26 @@
                 // The relay has not noticed that the store was restored.
                 return self.poll_store(after, RELAY_MAX_WAIT).await;
             }
-            let is_behind = relay_revision > after;
-            let pause = if is_behind {
-                FORWARD_TIMEOUT
-            } else {
-                RECHECK_INTERVAL
+            let is_behind = relay_revision > after || due.is_some();
+            let pause = match (is_behind, progress.is_zone_large) {
+                (true, true) => {
+                    // Parts of later changes arrive meanwhile and don't extend the time.
+                    let due = due.get_or_insert_with(|| Instant::now() + forward_timeout(true));
+                    due.saturating_duration_since(Instant::now())
+                }
+                (true, false) => forward_timeout(false),
+                (false, _) => RECHECK_INTERVAL,
             };
             tokio::select! {
                 Some(entries) = self.entries.recv() => {
+                    let revision = entries.revision;
                     if let Some(update) = self.reassemble(after, entries) {
                         return Ok(update);
                     }
+                    if progress.is_zone_large && revision > after {
+                        // A part without the others tells of changes before the next heartbeat does.
+                        due.get_or_insert_with(|| Instant::now() + forward_timeout(true));
+                    }
                 }
                 Ok(()) = self.progress.changed(), if !is_behind => {}
                 () = tokio::time::sleep(pause) => {
@@ -136,6 +147,10 @@
     }
 }
 
+fn forward_timeout(is_zone_large: bool) -> Duration {
+    Duration::from_millis(fanout::forward_timeout(is_zone_large, rand::random()).0)
+}
+
 const fn new_update(revision: Revision, items: Vec<Change>) -> Update<Change> {
     Update {
         items,
