--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -192,6 +192,24 @@
         self.needless_waits as f64 / self.waits.len().max(1) as f64
     }
 
+    /// Returns the most sound engines that a daemon sent no requests to at the same time.
+    #[must_use]
+    pub fn most_ejected(&self) -> usize {
+        let counts = self.ejected.iter().map(|(_, count)| *count);
+        counts.max().unwrap_or_default()
+    }
+
+    /// Returns the share of the requests that arrived in a time, in milliseconds, and were answered on
+    /// time.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn on_time_between(&self, from: f64, to: f64) -> f64 {
+        let arrived = |(at, _, _): &&(f64, f64, bool)| *at >= from && *at < to;
+        let answers = self.answers.iter().filter(arrived);
+        let on_time = answers.clone().filter(|(_, _, is_on_time)| *is_on_time);
+        on_time.count() as f64 / answers.count().max(1) as f64
+    }
+
     /// Returns the share of the prompt tokens that engines had cached.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
--- a/cactusglade-model/tests/silence.rs
+++ b/cactusglade-model/tests/silence.rs
@@ -88,28 +88,12 @@
 
 fn play(options: &Options) -> Summary {
     let summary = fleet::play(options).expect("the options are valid");
-    let (repeated, ejected) = (summary.repeated, most_ejected(&summary));
+    let (repeated, ejected) = (summary.repeated, summary.most_ejected());
     let silence = options.spread.silence;
     println!("{silence:?}: repeated {repeated}, most ejected {ejected}");
     summary
 }
 
-fn most_ejected(summary: &Summary) -> usize {
-    let counts = summary.ejected.iter().map(|(_, count)| *count);
-    counts.max().unwrap_or_default()
-}
-
-/// Share of the answers to requests of a time that were on time.
-#[allow(clippy::cast_precision_loss)]
-fn on_time(summary: &Summary, from: f64, to: f64) -> f64 {
-    let answers = summary.answers.iter();
-    let answers = answers.filter(|(at, _, _)| *at >= from && *at < to);
-    let (count, good) = answers.fold((0_u64, 0_u64), |(count, good), (_, _, is_on_time)| {
-        (count + 1, good + u64::from(*is_on_time))
-    });
-    good as f64 / count.max(1) as f64
-}
-
 /// Each engine gets half as much again for 5 s. Today's rule takes engines for failed that have too
 /// much to do, the rest gets their load, and most are still ejected 8 s later. Engines that answer
 /// late must stay, prompts must not be read twice, and the fleet must recover by itself.
@@ -120,10 +104,10 @@
     for seed in 1..=3 {
         let [endless, lost, explained] = [Silence::Endless, Silence::Lost, Silence::Explained]
             .map(|silence| play(&options(seed, 1.6, silence)));
-        let share = |summary| on_time(summary, recovered, recovered + 5_000.0);
-        assert!(most_ejected(&lost) > ENGINES / 2);
+        let share = |summary: &Summary| summary.on_time_between(recovered, recovered + 5_000.0);
+        assert!(lost.most_ejected() > ENGINES / 2);
         assert!(share(&lost) < 0.6, "today's rule recovers by itself");
-        assert!(most_ejected(&explained) <= MAX_EJECTED);
+        assert!(explained.most_ejected() <= MAX_EJECTED);
         assert!(share(&explained) >= share(&endless) - CHANCE);
         assert!(share(&explained) >= 0.9);
         let answers = explained.answers.len() as u64;
@@ -142,7 +126,7 @@
             options.dark = Some((9, OVERLOAD_MS.0));
             options.span_ms = 22_000.0;
             let summary = fleet::play(&options).expect("the options are valid");
-            let share = on_time(&summary, OVERLOAD_MS.0, OVERLOAD_MS.0 + 3_000.0);
+            let share = summary.on_time_between(OVERLOAD_MS.0, OVERLOAD_MS.0 + 3_000.0);
             println!("{silence:?}: losses {}, on time {share:.4}", summary.losses);
             (summary.losses, share)
         });
