Admission queue for requests with a prompt to latency-critical services

While engines lack room, requests with a long latency target took all slots, and those with a short one waited behind them.

policy::admission holds the queue, its order and the condition for room; policy::broker::admission decides: sent, waits, or refused with the new reasons room and late. The daemon keeps the reply of a waiting request as a oneshot channel, a timer runs only while requests wait, and a daemon that shuts down sends them. Quotas are checked on arrival and charged when the request is sent. Services without a latency-critical route are unchanged.

Not measured yet.

--- a/cactusglade-core/src/arena/mod.rs
+++ b/cactusglade-core/src/arena/mod.rs
@@ -27,6 +27,8 @@
     pub struct Objective;
     /// Key of a request that the daemon is processing.
     pub struct Ticket;
+    /// Key of a request that waits at the daemon for room at an upstream.
+    pub struct Waiting;
 }
 
 /// `Table` stores values in an arena and indexes their keys by name.
--- a/cactusglade-core/src/refusal/mod.rs
+++ b/cactusglade-core/src/refusal/mod.rs
@@ -18,6 +18,10 @@
     Limit,
     /// All available upstreams have asked for no requests for some time.
     Spared,
+    /// The requests that wait at this daemon use up the time for which the caller can wait.
+    Room,
+    /// No upstream is expected to begin an answer in time.
+    Late,
     /// All upstreams that are left are in availability zones that are evacuated.
     Evacuated,
     /// All upstreams that are left are in regions in which the request may not run.
@@ -44,12 +48,14 @@
 
 impl Reason {
     /// All reasons, in the order of the table in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::Quota,
         Self::RetryBudget,
         Self::Cold,
         Self::Limit,
         Self::Spared,
+        Self::Room,
+        Self::Late,
         Self::Evacuated,
         Self::Region,
         Self::NoUpstream,
@@ -72,6 +78,8 @@
             Self::Cold => "cold",
             Self::Limit => "limit",
             Self::Spared => "spared",
+            Self::Room => "room",
+            Self::Late => "late",
             Self::Evacuated => "evacuated",
             Self::Region => "region",
             Self::NoUpstream => "no_upstream",
--- a/cactusglade-daemon/src/edge/boot/mod.rs
+++ b/cactusglade-daemon/src/edge/boot/mod.rs
@@ -80,6 +80,7 @@
     faults: mpsc::UnboundedReceiver<Fault>,
     draining: watch::Sender<bool>,
     phase: watch::Sender<Phase>,
+    broker: ActorRef<Broker>,
     front: ActorRef<Front<P::Codec>>,
     duty: ActorRef<Duty<Measured<P>>>,
     grace: Millis,
@@ -116,13 +117,14 @@
         let (eras, era) = watch::channel(0);
         let mesh = starter.start_mesh(&broker, rollouts, eras).await?;
         let duty = starter.start_duty(&broker, mesh, ordered, era).await?;
-        let front = starter.start_front(callers, broker).await?;
+        let front = starter.start_front(callers, broker.clone()).await?;
         info!(log, "daemon_started"; "zone" => &settings.zone, "callers" => %settings.callers);
         Ok(Self {
             kernel: starter.kernel,
             faults,
             draining,
             phase,
+            broker,
             front,
             duty,
             grace: from_seconds(settings.grace_s),
@@ -151,6 +153,8 @@
         self.draining.send_replace(true);
         self.phase.send_replace(Phase::Draining);
         info!(self.log, "draining"; "limit_ms" => self.grace.0);
+        // Fails only if the service has ended unexpectedly, and with it the daemon.
+        let _ = self.broker.tell(broker::Drain).await;
         self.clock.sleep_until(began + LAME_DUCK_PERIOD).await;
         self.phase.send_replace(Phase::Closing);
         let drain = Drain {
--- a/cactusglade-daemon/src/edge/broker/evidence.rs
+++ b/cactusglade-daemon/src/edge/broker/evidence.rs
@@ -59,8 +59,9 @@
 }
 
 impl Broker {
-    /// Refuses a request with a part of the prompt that crashes upstreams.
-    pub(super) fn check_prompt(&mut self, now: Millis, place: &Place) -> Result<(), Refused> {
+    /// Refuses a request with a part of the prompt that crashes upstreams; returns whether the request
+    /// is a trial of such a part.
+    pub(super) fn check_prompt(&mut self, now: Millis, place: &Place) -> Result<bool, Refused> {
         let shared = place.prompt.as_deref().map_or(&[][..], Prompt::shared);
         let admission = self.policy.quarantine.admit(now, shared, rand::random());
         let refused = |until: Millis| Refused {
@@ -68,11 +69,11 @@
             ..Kind::Quarantined.into()
         };
         match admission {
-            Admission::Open => Ok(()),
+            Admission::Open => Ok(false),
             Admission::Trial => {
                 let ids = place.prompt.as_deref().map(Prompt::shared_ids);
                 info!(self.log, "parts_tried"; "parts" => ids);
-                Ok(())
+                Ok(true)
             }
             Admission::Wait(until) => Err(Refused {
                 trial: Some(until),
--- a/cactusglade-daemon/src/edge/broker/explain.rs
+++ b/cactusglade-daemon/src/edge/broker/explain.rs
@@ -52,15 +52,19 @@
             Some(found) => found,
             None => None,
         };
+        let now = self.clock.now();
+        let timeout = catalog.routes.get(route).map(|route| route.timeout);
         let query = Query {
             route,
             organisation,
             prompt: explain.prompt.as_ref(),
             tried: &[],
             is_retry: false,
+            arrived: now,
+            deadline: now + timeout.unwrap_or_default(),
             draw: rand::random(),
         };
-        let explanation = self.policy.explain(self.clock.now(), &query);
+        let explanation = self.policy.explain(now, &query);
         let explanation = explanation.map_err(Unexplained)?;
         let route = catalog.routes.get(route);
         let route = route.map_or("-", |route| route.name.as_str());
@@ -79,10 +83,11 @@
         // Writing to a string can't fail.
         let _ = writeln!(
             text,
-            "route={route} service={service} version={} compared={} excluded={}",
+            "route={route} service={service} version={} compared={} excluded={}{}",
             catalog.version,
             explanation.compared.len(),
-            explanation.excluded.len()
+            explanation.excluded.len(),
+            if explanation.waits { " waits=true" } else { "" }
         );
         let mut order = (0..explanation.compared.len()).collect::<Vec<_>>();
         order.sort_by_key(|index| explanation.selected != Some(*index));
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -26,10 +26,12 @@
 use cactusglade_policy::roster::Totals;
 use cactusglade_policy::usage::Counts;
 use kameo::Reply;
+use kameo::actor::ActorRef;
 use kameo::message::Context;
 use kameo::message::Message;
 use slog::info;
 use slog::warn;
+use tokio::sync::oneshot;
 
 use super::Broker;
 use super::evacuation::Origin;
@@ -53,6 +55,94 @@
     pub is_retry: bool,
     /// Whether the request may run only once.
     pub runs_once: bool,
+    /// Times between which the request may wait; `None` for a retry or a continued stream, which are
+    /// sent immediately or refused.
+    pub wait: Option<Span>,
+}
+
+/// `Span` is the time of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Span {
+    /// When the daemon received the request.
+    pub arrived: Millis,
+    /// When the request fails unless it is answered.
+    pub deadline: Millis,
+}
+
+/// `Placed` is the reply to [`Place`] where the request is not refused.
+#[derive(Debug, Reply)]
+pub enum Placed {
+    /// It is to be sent.
+    Now(Placement),
+    /// It waits for room at an upstream.
+    Later(Later),
+}
+
+/// `Later` is a request that waits; dropping it ends the wait.
+#[derive(Debug)]
+pub struct Later {
+    /// Expected wait, where it is known.
+    pub expected: Option<Millis>,
+    receiver: oneshot::Receiver<Result<Placement, Refused>>,
+    broker: ActorRef<Broker>,
+    refund: Refund,
+}
+
+impl Later {
+    /// Creates the caller's end of a wait; `refund` is sent where the caller leaves after the request
+    /// was charged.
+    pub(super) const fn new(
+        receiver: oneshot::Receiver<Result<Placement, Refused>>,
+        expected: Option<Millis>,
+        broker: ActorRef<Broker>,
+        refund: Refund,
+    ) -> Self {
+        Self {
+            expected,
+            receiver,
+            broker,
+            refund,
+        }
+    }
+
+    /// Waits until the request is to be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is refused.
+    pub async fn wait(mut self) -> Result<Placement, Refused> {
+        let placed = (&mut self.receiver).await;
+        // The broker has stopped, so the daemon is stopping.
+        placed.unwrap_or_else(|_| Err(Kind::Draining.into()))
+    }
+}
+
+impl Drop for Later {
+    fn drop(&mut self) {
+        self.receiver.close();
+        let Ok(Ok(placement)) = self.receiver.try_recv() else {
+            return;
+        };
+        let ended = Ended {
+            grant: placement.grant,
+            events: 0,
+            began: None,
+            is_cut: false,
+            prompt: None,
+            report: Report {
+                is_good: None,
+                is_lost: false,
+                latency: None,
+            },
+            connection: None,
+        };
+        let (broker, refund) = (self.broker.clone(), self.refund.clone());
+        tokio::spawn(async move {
+            // Fails only while the daemon stops.
+            let _ = broker.tell(ended).await;
+            let _ = broker.tell(refund).await;
+        });
+    }
 }
 
 /// `Placement` is the upstream chosen for an attempt.
@@ -66,6 +156,8 @@
     pub name: String,
     /// Idle connection to the upstream, where there is one.
     pub connection: Option<Connection>,
+    /// Time that the request has waited for room, where it did.
+    pub waited: Option<Millis>,
 }
 
 /// `Refused` is the error where a request gets no upstream.
@@ -80,6 +172,8 @@
     pub trial: Option<Millis>,
     /// Why the request was refused.
     pub reason: Option<Reason>,
+    /// Whether the request was charged to its organisation's quota.
+    pub is_charged: bool,
 }
 
 impl From<Kind> for Refused {
@@ -89,6 +183,7 @@
             retry_after: kind.answer().retry_after,
             trial: None,
             reason: Reason::implied(kind),
+            is_charged: false,
         }
     }
 }
@@ -230,36 +325,40 @@
 pub struct Sweep;
 
 impl Message<Place> for Broker {
-    type Reply = Result<Placement, Refused>;
+    type Reply = Result<Placed, Refused>;
 
-    async fn handle(&mut self, place: Place, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+    async fn handle(
+        &mut self,
+        place: Place,
+        context: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
         let now = self.clock.now();
-        self.check_prompt(now, &place)?;
-        self.charge(now, &place)?;
+        let is_trial = self.check_prompt(now, &place)?;
+        let span = place.wait.unwrap_or_default();
         let query = policy::Query {
             route: place.route,
             organisation: place.organisation,
             prompt: place.prompt.as_deref(),
             tried: &place.tried,
             is_retry: place.is_retry,
+            arrived: span.arrived,
+            deadline: span.deadline,
             draw: rand::random(),
         };
+        // A trial that waited would keep other daemons from sending theirs.
+        let may_wait = place.wait.is_some() && !is_trial;
+        if may_wait && self.policy.admits(&query) {
+            return self.admit(now, &place, &query, context.actor_ref());
+        }
+        self.charge(now, &place)?;
         let grant = self.policy.place(now, &query).map_err(|denied| Refused {
             retry_after: denied.retry_after,
             reason: denied.reason,
+            is_charged: place.is_first,
             ..denied.kind.into()
         })?;
-        self.add_work(&grant, self.policy.prefill_ms(&grant));
-        self.count_attempt(&grant);
-        let upstream = self.policy.upstream(grant.upstream);
-        let upstream = upstream.ok_or(Refused::from(Kind::NoUpstream))?;
-        let (address, name) = (upstream.instance.address, upstream.instance.name.clone());
-        Ok(Placement {
-            grant,
-            address,
-            name,
-            connection: self.take_idle(now, grant.upstream, place.runs_once),
-        })
+        let placement = self.placement(now, grant, place.runs_once);
+        placement.map(Placed::Now)
     }
 }
 
@@ -340,6 +439,7 @@
                 idle.push(Idle::new(connection, now, bound));
             }
         }
+        self.advance(now);
     }
 }
 
@@ -489,11 +589,43 @@
             retry_after: Some(wait),
             ..Kind::LimitExceeded.into()
         })?;
+        self.count_units(Some(organisation), place.prompt.as_deref());
+        Ok(())
+    }
+
+    /// Adds the units of a request that was charged to what its organisation has used.
+    pub(super) fn count_units(
+        &mut self,
+        organisation: Option<arena::Organisation>,
+        prompt: Option<&Prompt>,
+    ) {
+        let Some(key) = organisation else { return };
+        let units = self.policy.units(key, prompt);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        if let Some(object) = self.policy.catalog().organisations.get(organisation) {
+        if let Some(object) = self.policy.catalog().organisations.get(key) {
             add_total(&mut self.quota_used, &object.name, units as u64);
         }
-        Ok(())
+    }
+
+    /// Counts a grant, and returns it with the address of the upstream and an idle connection.
+    pub(super) fn placement(
+        &mut self,
+        now: Millis,
+        grant: Grant,
+        runs_once: bool,
+    ) -> Result<Placement, Refused> {
+        self.add_work(&grant, self.policy.prefill_ms(&grant));
+        self.count_attempt(&grant);
+        let upstream = self.policy.upstream(grant.upstream);
+        let upstream = upstream.ok_or(Refused::from(Kind::NoUpstream))?;
+        let (address, name) = (upstream.instance.address, upstream.instance.name.clone());
+        Ok(Placement {
+            grant,
+            address,
+            name,
+            connection: self.take_idle(now, grant.upstream, runs_once),
+            waited: None,
+        })
     }
 
     /// Logs that losses of two daemons have taken an upstream out.
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -7,6 +7,7 @@
 mod inventory;
 mod messages;
 mod statements;
+mod waiting;
 mod warmups;
 
 use std::collections::BTreeMap;
@@ -33,6 +34,7 @@
 use crate::metrics::Metrics;
 
 use idle::Idle;
+use waiting::Replies;
 
 pub use evacuation::Evacuate;
 pub use evacuation::Origin;
@@ -48,15 +50,18 @@
 pub use messages::Begun;
 pub use messages::Charge;
 pub use messages::Ended;
+pub use messages::Later;
 pub use messages::Learn;
 pub use messages::Meter;
 pub use messages::Outage;
 pub use messages::Place;
+pub use messages::Placed;
 pub use messages::Placement;
 pub use messages::Refund;
 pub use messages::Refused;
 pub use messages::Resize;
 pub use messages::Retire;
+pub use messages::Span;
 pub use messages::Spare;
 pub use messages::Sweep;
 pub use messages::Withhold;
@@ -65,6 +70,7 @@
 pub use statements::LearnPrefills;
 pub use statements::Observe;
 pub use statements::Rearrange;
+pub use waiting::Drain;
 
 /// Name of the service.
 pub const NAME: &str = "broker";
@@ -101,6 +107,7 @@
     /// Number of attempts sent to each service since the start.
     sent: Totals,
     idle: BTreeMap<arena::Upstream, Vec<Idle>>,
+    replies: Replies,
     catalogs: watch::Sender<Arc<Catalog>>,
     clock: Clock,
     log: Logger,
@@ -120,6 +127,7 @@
             work: Totals::new(),
             sent: Totals::new(),
             idle: BTreeMap::new(),
+            replies: Replies::default(),
             catalogs: options.catalogs,
             clock: options.clock,
             log: options.log,
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -16,10 +16,13 @@
 use kameo::error::SendError;
 use slog::info;
 
+use crate::edge::broker::Later;
 use crate::edge::broker::Place;
+use crate::edge::broker::Placed;
 use crate::edge::broker::Placement;
 use crate::edge::broker::Refund;
 use crate::edge::broker::Refused;
+use crate::edge::broker::Span;
 use crate::log::Field;
 
 use super::entry::Buffered;
@@ -191,6 +194,7 @@
         if entry.context.clock.now() >= entry.deadline {
             return Err(Kind::Expired.into());
         }
+        let may_wait = !self.is_charged && entry.call.last_event.is_none();
         let place = Place {
             route: entry.route,
             organisation: entry.organisation,
@@ -201,17 +205,36 @@
             runs_once: !entry
                 .catalog_route()
                 .is_some_and(|route| route.semantics.is_retryable()),
+            wait: may_wait.then_some(Span {
+                arrived: entry.arrived,
+                deadline: entry.deadline,
+            }),
         };
         let placed = match entry.context.broker.ask(place).await {
-            Ok(placement) => Ok(placement),
+            Ok(Placed::Now(placement)) => Ok(placement),
+            Ok(Placed::Later(later)) => {
+                self.log_deferral(&later);
+                later.wait().await
+            }
             Err(SendError::HandlerError(refused)) => Err(refused),
             // The broker has stopped, so the daemon is stopping.
             Err(_) => Err(Kind::Draining.into()),
         };
-        self.is_charged |= was_charged(&placed);
+        self.is_charged |= match &placed {
+            Ok(_) => true,
+            Err(refused) => refused.is_charged,
+        };
         placed
     }
 
+    /// Logs that the request waits for room.
+    fn log_deferral(&self, later: &Later) {
+        let route = self.entry.catalog_route();
+        info!(self.entry.context.log, "request_deferred"; "id" => &self.entry.call.id,
+            "route" => Field(route.map(|route| route.name.as_str())),
+            "expected_ms" => Field(later.expected.map(|wait| wait.0)));
+    }
+
     /// Logs the choice of an upstream.
     fn log_placement(&self, placement: &Placement) {
         let basis = placement.grant.basis;
@@ -228,6 +251,7 @@
             "rank" => Field(basis.rank), "backlog" => basis.backlog,
             "uncached" => placement.grant.uncached,
             "kept_connection" => placement.connection.is_some(), "sent" => self.attempt.sent(),
+            "waited_ms" => Field(placement.waited.map(|waited| waited.0)),
             "version" => self.entry.catalog.version);
     }
 
@@ -265,18 +289,6 @@
     }
 }
 
-/// Returns whether the broker has charged a first attempt to the quota of the organisation. It checks
-/// the parts of the prompt before, and whether the quota is used up.
-const fn was_charged(placed: &Result<Placement, Refused>) -> bool {
-    match placed {
-        Ok(_) => true,
-        Err(refused) => !matches!(
-            refused.kind,
-            Kind::Quarantined | Kind::LimitExceeded | Kind::Expired | Kind::Draining
-        ),
-    }
-}
-
 /// Returns the label of an attempt's outcome in the metrics.
 const fn label(outcome: Outcome) -> &'static str {
     match outcome {
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -11,6 +11,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -77,6 +78,8 @@
     pub paces: Paces,
     /// Long prompts that daemons tell each other of.
     pub prefills: Prefills,
+    /// Requests that wait for room at an upstream.
+    pub waits: Waits,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -149,6 +152,40 @@
     }
 }
 
+/// `Waits` holds the metrics on requests that wait for room at an upstream.
+#[derive(Clone, Debug)]
+pub struct Waits {
+    /// Requests that wait now, by service.
+    pub count: IntGaugeVec,
+    /// Seconds that requests had waited when they were sent.
+    pub time: Histogram,
+    /// Requests sent after a wait, by service and whether the upstream had room.
+    pub sent: IntCounterVec,
+}
+
+impl Waits {
+    fn try_new(registry: &Registry) -> Result<Self> {
+        let count = Opts::new(
+            "cactusglade_deferred",
+            "Requests that wait for room at an upstream",
+        );
+        let count = IntGaugeVec::new(count, &["service"])?;
+        registry.register(Box::new(count.clone()))?;
+        let sent = Opts::new(
+            "cactusglade_deferred_sent_total",
+            "Requests sent after a wait, by whether the upstream had room",
+        );
+        let sent = IntCounterVec::new(sent, &["service", "room"])?;
+        registry.register(Box::new(sent.clone()))?;
+        let time = histogram(
+            registry,
+            "cactusglade_deferred_seconds",
+            "Time that requests waited for room before they were sent",
+        )?;
+        Ok(Self { count, time, sent })
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -204,6 +241,7 @@
             )?,
             paces: Paces::try_new(&registry)?,
             prefills: Prefills::try_new(&registry)?,
+            waits: Waits::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
--- a/cactusglade-model/src/fleet/bound.rs
+++ b/cactusglade-model/src/fleet/bound.rs
@@ -101,4 +101,8 @@
     fn cost(&self, candidate: &Candidate, terms: &Terms) -> f64 {
         Fastest.cost(candidate, terms)
     }
+
+    fn expected(&self, candidate: &Candidate, terms: &Terms) -> f64 {
+        Fastest.expected(candidate, terms)
+    }
 }
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -432,6 +432,8 @@
             prompt: options.spread.work_ms.is_none().then_some(&arrival.prompt),
             tried: &excluded,
             is_retry: !tried.is_empty(),
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: self.random.random(),
         };
         self.loads.update(now, &self.engines);
--- a/cactusglade-model/src/warmup/daemon.rs
+++ b/cactusglade-model/src/warmup/daemon.rs
@@ -154,6 +154,8 @@
             prompt: None,
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: 0.5,
         };
         self.broker.place(now, &query).is_ok()
--- a/cactusglade-policy/benches/placement.rs
+++ b/cactusglade-policy/benches/placement.rs
@@ -66,6 +66,8 @@
             prompt: Some(&prompt),
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: f64::from(number) / f64::from(REQUESTS),
         };
         let now = Millis(1_000 + u64::from(number));
--- a/cactusglade-policy/src/broker/explain.rs
+++ b/cactusglade-policy/src/broker/explain.rs
@@ -63,6 +63,8 @@
     pub selected: Option<usize>,
     /// Upstreams of the service that are not compared.
     pub excluded: Vec<(arena::Upstream, Exclusion)>,
+    /// Whether the request would wait for room first ([`crate::admission`]).
+    pub waits: bool,
 }
 
 impl<R: Strategy> Broker<R> {
@@ -105,6 +107,7 @@
             compared: compared.collect(),
             selected,
             excluded,
+            waits: self.would_wait(now, query),
         })
     }
 }
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -3,6 +3,7 @@
 //! The broker has no queue: engines order their waiting requests by priority, so a request is sent
 //! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
 
+mod admission;
 mod candidates;
 mod evacuation;
 mod explain;
@@ -33,6 +34,7 @@
 use cactusglade_core::units::Millis;
 use cactusglade_core::units::Rate;
 
+use crate::admission::Line;
 use crate::affinity;
 use crate::affinity::Demand;
 use crate::allowance::Allowance;
@@ -52,6 +54,8 @@
 use crate::warmup;
 use crate::warmup::Standing;
 
+pub use admission::Decision;
+pub use admission::Turn;
 pub use explain::Exclusion;
 pub use explain::Explanation;
 pub use strategy::Candidate;
@@ -101,6 +105,10 @@
     pub tried: &'a [arena::Upstream],
     /// Whether the attempt is a retry, which is charged to the retry budget.
     pub is_retry: bool,
+    /// When the daemon received the request.
+    pub arrived: Millis,
+    /// When the request fails unless it is answered.
+    pub deadline: Millis,
     /// Random number from 0 to 1.
     pub draw: f64,
 }
@@ -210,8 +218,13 @@
     demand: Demand,
     budgets: BTreeMap<arena::Service, Budget>,
     buckets: BTreeMap<arena::Organisation, Bucket>,
-    /// Latency-critical services of the catalog in force.
-    tight: BTreeSet<arena::Service>,
+    /// Latency-critical services of the catalog in force, with the shortest latency target of their
+    /// routes for streams.
+    tight: BTreeMap<arena::Service, Millis>,
+    /// Requests that wait for room.
+    line: Line,
+    /// Whether requests are sent without waiting, since the daemon shuts down.
+    is_draining: bool,
     /// Regions of the settings, in order; an upstream's is an index into these.
     regions: Vec<String>,
     /// What is usual at the upstreams, by service.
@@ -268,7 +281,9 @@
             demand: Demand::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
-            tight: BTreeSet::new(),
+            tight: BTreeMap::new(),
+            line: Line::default(),
+            is_draining: false,
             regions: regions.into_iter().collect(),
             flows: BTreeMap::new(),
             tuning: Tuning::default(),
@@ -299,16 +314,7 @@
         }
         let is_first = self.catalog.version == 0;
         self.catalog = catalog;
-        self.tight = self
-            .options
-            .tight_target
-            .map_or_else(BTreeSet::new, |target| {
-                let routes = self.catalog.routes.iter().map(|(_, route)| route);
-                let routes = routes
-                    .filter(|route| route.semantics.is_stream() && route.latency_target <= target);
-                let split = routes.flat_map(|route| &route.split);
-                split.map(|(service, _)| *service).collect()
-            });
+        self.tight = self.shortest_targets();
         self.forget_measured();
         self.update_buckets(now, is_first);
         self.allot_all_cold(now);
@@ -319,7 +325,24 @@
     /// behind one long prompt misses it.
     #[must_use]
     pub fn is_tight(&self, service: arena::Service) -> bool {
-        self.tight.contains(&service)
+        self.tight.contains_key(&service)
+    }
+
+    fn shortest_targets(&self) -> BTreeMap<arena::Service, Millis> {
+        let Some(greatest) = self.options.tight_target else {
+            return BTreeMap::new();
+        };
+        let routes = self.catalog.routes.iter().map(|(_, route)| route);
+        let routes =
+            routes.filter(|route| route.semantics.is_stream() && route.latency_target <= greatest);
+        let mut shortest = BTreeMap::new();
+        for route in routes {
+            for (service, _) in &route.split {
+                let target = shortest.entry(*service).or_insert(route.latency_target);
+                *target = route.latency_target.min(*target);
+            }
+        }
+        shortest
     }
 
     /// Sets the number of daemons, the number that this one reaches, itself included, and the time
@@ -403,9 +426,6 @@
         } else {
             budget.record_request(now, &bounds);
         }
-        if let Some(prompt) = query.prompt.filter(|_| self.is_tight(service)) {
-            self.demand.record(now, prompt);
-        }
         Ok(self.grant(now, service, &candidate, usable, query.prompt))
     }
 
@@ -418,6 +438,9 @@
         candidates: usize,
         prompt: Option<&Prompt>,
     ) -> Grant {
+        if let Some(prompt) = prompt.filter(|_| self.is_tight(service)) {
+            self.demand.record(now, prompt);
+        }
         let uncached = candidate.uncached as u64;
         let expected = self.expected_load(now, candidate, prompt);
         let load = expected.round() as u64;
--- a/cactusglade-policy/src/broker/paces.rs
+++ b/cactusglade-policy/src/broker/paces.rs
@@ -118,8 +118,8 @@
     /// Forgets what was measured at services that are not latency-critical in the catalog in force.
     pub(super) fn forget_measured(&mut self) {
         self.speeds
-            .retain(|service, _| self.tight.contains(service));
-        let tight = self.tight.iter();
+            .retain(|service, _| self.tight.contains_key(service));
+        let tight = self.tight.keys();
         let tight = tight.filter_map(|key| self.catalog.services.get(*key));
         let names = tight.map(|service| service.name.clone());
         let names = names.collect::<BTreeSet<_>>();
--- a/cactusglade-policy/src/broker/quotas.rs
+++ b/cactusglade-policy/src/broker/quotas.rs
@@ -80,6 +80,26 @@
         }
     }
 
+    /// Checks that a request with a prompt would be admitted by its organisation's quota.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next request can be admitted if the quota is used up.
+    pub(super) fn check_quota(
+        &mut self,
+        now: Millis,
+        key: Option<arena::Organisation>,
+    ) -> Result<(), Millis> {
+        let Some(bucket) = key.and_then(|key| self.buckets.get_mut(&key)) else {
+            return Ok(());
+        };
+        if bucket.admits(now, false) {
+            Ok(())
+        } else {
+            Err(bucket.retry_after())
+        }
+    }
+
     /// Refunds the units of a request that did not run.
     pub fn refund(&mut self, key: arena::Organisation, units: f64) {
         if let Some(bucket) = self.buckets.get_mut(&key) {
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -41,6 +41,9 @@
 
     /// Returns the cost of a candidate in milliseconds, by which candidates are compared.
     fn cost(&self, candidate: &Candidate, terms: &Terms) -> f64;
+
+    /// Returns the expected time to the first event of a request with a prompt in milliseconds.
+    fn expected(&self, candidate: &Candidate, terms: &Terms) -> f64;
 }
 
 /// `Terms` is what the cost of a request depends on besides the candidate.
@@ -114,15 +117,20 @@
     /// takes another target's time. It rises around the target, since times are estimates.
     #[allow(clippy::cast_precision_loss)]
     fn lateness(candidate: &Candidate, terms: &Terms, target: Millis) -> f64 {
-        let waiting = (candidate.load + 1.0 - candidate.slots).max(0.0);
-        let read = (candidate.backlog + candidate.uncached) / terms.tokens_per_ms;
-        let expected = FIRST_EVENT.0 as f64
-            + candidate.pace * (read + candidate.load * LOAD_COST_MS + waiting * QUEUE_COST_MS);
+        let expected = Self::first_event(candidate, terms);
         let target = target.0.max(1) as f64;
         let (earliest, latest) = LATENESS_RAMP;
         let share = (expected / target - earliest) / (latest - earliest);
         share.clamp(0.0, 1.0) * target
     }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn first_event(candidate: &Candidate, terms: &Terms) -> f64 {
+        let waiting = (candidate.load + 1.0 - candidate.slots).max(0.0);
+        let read = (candidate.backlog + candidate.uncached) / terms.tokens_per_ms;
+        FIRST_EVENT.0 as f64
+            + candidate.pace * (read + candidate.load * LOAD_COST_MS + waiting * QUEUE_COST_MS)
+    }
 }
 
 impl Strategy for Fastest {
@@ -144,4 +152,8 @@
     fn cost(&self, candidate: &Candidate, terms: &Terms) -> f64 {
         Self::expected_cost(candidate, terms)
     }
+
+    fn expected(&self, candidate: &Candidate, terms: &Terms) -> f64 {
+        Self::first_event(candidate, terms)
+    }
 }
--- a/cactusglade-policy/src/lib.rs
+++ b/cactusglade-policy/src/lib.rs
@@ -5,12 +5,13 @@
 //! in a daemon, in an experiment, and in a test under any order of events. See `docs/DESIGN.md`.
 //!
 //! [`broker`] and [`dispatch`] each admit requests and select upstreams. The broker does so for the
-//! daemon's platform adapter, together with [`affinity`], [`allowance`], [`attempt`], [`budget`],
+//! daemon's platform adapter, together with [`admission`], [`affinity`], [`allowance`], [`attempt`], [`budget`],
 //! [`capacity`], [`estimate`], [`evacuation`], [`lag`], [`pace`], [`prefill`], [`quarantine`],
 //! [`quota`], [`relay`], [`roster`], [`throttle`], [`usage`] and [`warmup`]; the dispatch for the
 //! daemon's own gate, together with [`choice`], [`fair`], [`gossip`], [`ledger`], [`limit`],
 //! [`pool`], [`prefix`], [`rollout`] and [`stream`]. Both sides use [`lease`] and [`retry`].
 
+pub mod admission;
 pub mod affinity;
 pub mod allowance;
 pub mod attempt;
--- a/cactusglade-policy/src/quota/mod.rs
+++ b/cactusglade-policy/src/quota/mod.rs
@@ -101,17 +101,22 @@
     /// A request may take more units than are left, so that small requests don't starve large ones;
     /// the bucket must refill before it admits the next one.
     pub fn take(&mut self, now: Millis, units: f64, is_small: bool) -> bool {
+        let allowed = self.admits(now, is_small);
+        if allowed {
+            self.level -= units;
+        }
+        allowed
+    }
+
+    /// Returns whether the bucket would admit a request now.
+    pub fn admits(&mut self, now: Millis, is_small: bool) -> bool {
         self.fill(now);
         let floor = if is_small {
             -self.capacity * SMALL_REQUEST_RESERVE
         } else {
             0.0
         };
-        let allowed = self.level > floor;
-        if allowed {
-            self.level -= units;
-        }
-        allowed
+        self.level > floor
     }
 
     /// Charges units that another daemon of the group admitted.
--- a/cactusglade-policy/tests/broker.rs
+++ b/cactusglade-policy/tests/broker.rs
@@ -120,6 +120,8 @@
             prompt,
             tried,
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: 0.5,
         };
         let placed = self.broker.place(Millis(at), &query);
@@ -155,6 +157,8 @@
             prompt: None,
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw,
         };
         let explained = |broker: &Broker<Fastest>| {
@@ -565,6 +569,8 @@
                 prompt: None,
                 tried: &tried,
                 is_retry: !tried.is_empty(),
+                arrived: Millis(0),
+                deadline: Millis(15_000),
                 draw: 0.5,
             };
             match broker.place(Millis(10), &query) {
@@ -598,6 +604,8 @@
             prompt: None,
             tried,
             is_retry,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: 0.5,
         };
         let denied = broker.place(Millis(at), &query).err()?;
@@ -632,6 +640,8 @@
             prompt: None,
             tried: &[new],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: 0.5,
         };
         let grant = fixture.broker.place(Millis(11_000), &query);
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -105,6 +105,8 @@
             prompt: None,
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: draw(self.draws),
         };
         let grant = self.broker.place(Millis(at), &query);
@@ -131,6 +133,8 @@
             prompt: Some(&prompt),
             tried,
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: draw(self.draws),
         };
         let grant = self.broker.place(Millis(at), &query);
--- a/cactusglade-policy/tests/prefill.rs
+++ b/cactusglade-policy/tests/prefill.rs
@@ -66,6 +66,8 @@
             prompt: Some(&prompt),
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: 0.5,
         };
         let grant = self.broker.place(Millis(at), &query);
@@ -165,6 +167,8 @@
         prompt: Some(&prompt),
         tried: &[],
         is_retry: false,
+        arrived: Millis(0),
+        deadline: Millis(15_000),
         draw: 0.5,
     };
     let grant = fixture.broker.place(Millis(at), &query);
@@ -200,6 +204,8 @@
         prompt: None,
         tried: &[],
         is_retry: false,
+        arrived: Millis(0),
+        deadline: Millis(15_000),
         draw: 0.5,
     };
     let grant = fixture.broker.place(Millis(10), &query);
--- a/cactusglade-policy/tests/warmup.rs
+++ b/cactusglade-policy/tests/warmup.rs
@@ -117,6 +117,8 @@
             prompt,
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: 0.5,
         };
         let grant = self.broker.place(Millis(self.now), &query)?;
