Admission: room at the upstream that has the prompt, and a model of a surge

Sending to any compared upstream with room had prompts read again elsewhere; sending without room at the last moment took all slots; a blocked head of the queue kept back requests for other upstreams.

A deferrable request is now sent where the choice selects an upstream that has room and as much of the prompt as any other compared one. At the last moment a tenth of the slots stays free instead of a quarter. The first two of the order look for room. Reports of loads count in full for 1 s here.

--- a/cactusglade-model/examples/even_load.rs
+++ b/cactusglade-model/examples/even_load.rs
@@ -158,6 +158,7 @@
                 slots: kind.slots,
                 prefill_per_ms: PREFILL_PER_MS,
                 cache_tokens: 1_000_000,
+                interleaves: false,
             },
             classes: classes(kind, load),
             span_ms: 14_000.0,
@@ -168,6 +169,7 @@
             churn: None,
             tight_target: case.tuning.map(|_| Millis(1_000)),
             placement: Placement::Product,
+            scarcity: None,
             spread: Spread {
                 rule: case.rule,
                 tuning: case.tuning.unwrap_or_default(),
--- a/cactusglade-model/src/engine/mod.rs
+++ b/cactusglade-model/src/engine/mod.rs
@@ -8,6 +8,10 @@
 const STEP_MS: f64 = 3.8;
 const STEP_MS_PER_REQUEST: f64 = 0.1;
 
+/// Time over which the share of the time spent with prompts is taken, in milliseconds, and its bound.
+const READING_SPAN_MS: f64 = 1_000.0;
+const MAX_READING_SHARE: f64 = 0.8;
+
 /// `Profile` holds the figures of an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Profile {
@@ -17,6 +21,8 @@
     pub prefill_per_ms: f64,
     /// Prompt tokens that the cache holds.
     pub cache_tokens: u64,
+    /// Whether streams wait while prompts are read, as they do between the chunks of a prompt.
+    pub interleaves: bool,
 }
 
 /// `Run` is how an engine processes one request, with times in milliseconds.
@@ -39,6 +45,8 @@
     /// Ends of the accepted requests, in order.
     ends: Vec<f64>,
     prefill_free: f64,
+    /// Times from which and to which prompts are read.
+    readings: Vec<(f64, f64)>,
     /// Last use and length of the cached parts.
     cache: BTreeMap<u64, (f64, u64)>,
     /// Whether it accepts connections and answers.
@@ -57,6 +65,7 @@
             profile,
             ends: Vec::new(),
             prefill_free: 0.0,
+            readings: Vec::new(),
             cache: BTreeMap::new(),
             is_dark: false,
             stretch: 1.0,
@@ -80,6 +89,7 @@
         let prefill = self.stretch * (prompt - cached) as f64 / self.profile.prefill_per_ms;
         let running = self.ends.len().min(self.profile.slots) as f64;
         let step = self.stretch * (STEP_MS + STEP_MS_PER_REQUEST * running);
+        let step = step * self.interleaving(now, start, prefill);
         let first_token = start + prefill + step;
         let end = first_token + tokens as f64 * step;
         self.prefill_free = start + prefill;
@@ -93,6 +103,23 @@
         }
     }
 
+    /// Returns the factor by which reading prompts lengthens the steps of streams that run when a prompt
+    /// has been read, which began at `start`.
+    fn interleaving(&mut self, now: f64, start: f64, prefill: f64) -> f64 {
+        if !self.profile.interleaves {
+            return 1.0;
+        }
+        let end = start + prefill;
+        let begin = end - READING_SPAN_MS;
+        self.readings
+            .retain(|(_, end)| *end > now - READING_SPAN_MS);
+        self.readings.push((start, end));
+        let times = self.readings.iter();
+        let times = times.map(|(from, to)| (to.min(end) - from.max(begin)).max(0.0));
+        let share = times.sum::<f64>() / READING_SPAN_MS;
+        1.0 / (1.0 - share.min(MAX_READING_SHARE))
+    }
+
     /// Accepts a request without a prompt, which takes `work_ms` and is answered at its end.
     pub fn accept_plain(&mut self, now: f64, work_ms: f64) -> Run {
         let start = self.admit(now);
--- a/cactusglade-model/src/fleet/mod.rs
+++ b/cactusglade-model/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod churn;
 mod placement;
+mod scarcity;
 mod setup;
 mod spread;
 
@@ -32,6 +33,8 @@
 pub use bound::Rule;
 pub use churn::Churn;
 pub use placement::Placement;
+pub use scarcity::Scarcity;
+pub use scarcity::Surge;
 pub use spread::Noise;
 pub use spread::Spread;
 
@@ -90,6 +93,8 @@
     pub placement: Placement,
     /// How upstreams are chosen and how their speeds vary.
     pub spread: Spread,
+    /// A surge of requests, if any.
+    pub scarcity: Option<Scarcity>,
 }
 
 /// `Outcome` counts the requests of one class.
@@ -129,6 +134,10 @@
     pub needless_waits: u64,
     /// Standard deviation of the numbers of requests at the engines, in windows of 100 ms.
     pub deviations: Vec<f64>,
+    /// Requests that were sent after a wait at a daemon.
+    pub deferred: u64,
+    /// Requests that were sent after a wait although no engine had room.
+    pub forced: u64,
 }
 
 impl Outcome {
@@ -216,6 +225,8 @@
         request: usize,
         tried: Vec<arena::Upstream>,
     },
+    /// The requests that wait at a daemon look for room.
+    Look(usize),
     Share,
     Deliver(Vec<(usize, Sighting)>),
     /// Other engines become slow.
@@ -249,6 +260,12 @@
 struct Model<'a, R> {
     options: &'a Options,
     route: arena::Route,
+    /// Routes of the classes, where each has its own.
+    routes: Vec<arena::Route>,
+    /// Requests that wait at daemons.
+    waiting: BTreeMap<(usize, arena::Waiting), usize>,
+    /// Daemons whose waiting requests are to look for room.
+    is_timed: Vec<bool>,
     brokers: Vec<Broker<R>>,
     engines: Vec<Engine>,
     /// When each engine was ready, and when it was reclaimed.
@@ -340,7 +357,9 @@
                 };
                 let broker = &mut self.brokers[daemon];
                 broker.finish(millis(now), grant.upstream, &report, 0.5);
+                self.advance(now, daemon);
             }
+            Event::Look(daemon) => self.look(now, daemon),
             Event::Lost {
                 daemon,
                 grant,
@@ -427,16 +446,22 @@
         let outcome = self.summary.classes.entry(class.name.clone()).or_default();
         outcome.asked += u64::from(is_counted && tried.is_empty());
         let query = Query {
-            route: self.route,
+            route: self.route_of(arrival.class),
             organisation: None,
             prompt: options.spread.work_ms.is_none().then_some(&arrival.prompt),
             tried: &excluded,
             is_retry: !tried.is_empty(),
-            arrived: Millis(0),
-            deadline: Millis(15_000),
+            arrived: millis(arrival.at),
+            deadline: millis(arrival.at) + setup::TIMEOUT,
             draw: self.random.random(),
         };
         self.loads.update(now, &self.engines);
+        if self.admits() && tried.is_empty() {
+            if let Some(grant) = self.admit(now, daemon, request, &query) {
+                self.dispatch(now, daemon, grant, request, tried);
+            }
+            return;
+        }
         let broker = &mut self.brokers[daemon];
         let granted = if tried.len() < MAX_ATTEMPTS {
             broker.place(millis(now), &query).ok()
@@ -444,9 +469,23 @@
             None
         };
         let Some(grant) = granted else {
-            outcome.failed += u64::from(is_counted);
+            self.refuse(request);
             return;
         };
+        self.dispatch(now, daemon, grant, request, tried);
+    }
+
+    /// Sends a request to the engine that was selected for it.
+    fn dispatch(
+        &mut self,
+        now: f64,
+        daemon: usize,
+        grant: Grant,
+        request: usize,
+        tried: Vec<arena::Upstream>,
+    ) {
+        let class = &self.options.classes[self.requests[request].class];
+        let broker = &self.brokers[daemon];
         let name = broker.upstream(grant.upstream);
         let engine = name.and_then(|upstream| setup::engine_index(&upstream.instance.name));
         let Some(engine) = engine.filter(|index| *index < self.engines.len()) else {
@@ -520,8 +559,12 @@
 impl<'a, R: Strategy> Model<'a, R> {
     fn try_new(options: &'a Options, loads: &Loads, strategy: impl Fn() -> R) -> Result<Self> {
         let mut random = StdRng::seed_from_u64(options.seed);
-        let requests = load::arrivals(&options.classes, options.span_ms, &mut random);
-        let (route, brokers) = setup::brokers(options, strategy)?;
+        let mut requests = load::arrivals(&options.classes, options.span_ms, &mut random);
+        if let Some(scarcity) = options.scarcity {
+            requests.extend(load::surge(&options.classes, &scarcity.surge, &mut random));
+            requests.sort_by(|a, b| a.at.total_cmp(&b.at));
+        }
+        let (route, routes, brokers) = setup::brokers(options, strategy)?;
         if let Some(broker) = brokers.first() {
             let upstreams = broker.upstreams();
             let names = upstreams.map(|(key, one)| (key, setup::engine_index(&one.instance.name)));
@@ -530,6 +573,9 @@
         Ok(Self {
             options,
             route,
+            routes,
+            waiting: BTreeMap::new(),
+            is_timed: vec![false; options.daemons],
             brokers,
             engines: vec![Engine::new(options.profile); options.engines],
             lives: vec![(0.0, None); options.engines],
--- a/cactusglade-model/src/fleet/setup.rs
+++ b/cactusglade-model/src/fleet/setup.rs
@@ -24,9 +24,12 @@
 use super::Error;
 use super::Options;
 use super::Result;
+use super::millis;
 
 const SERVICE: &str = "pool";
 const ROUTE: &str = "chat";
+/// Time after which a request fails.
+pub const TIMEOUT: Millis = Millis(12_000);
 const ENGINE_PREFIX: &str = "engine-";
 /// Time within which a partition is detected.
 const DETECTION_TIME: Millis = Millis(1_200);
@@ -43,7 +46,11 @@
     name.strip_prefix(ENGINE_PREFIX)?.parse().ok()
 }
 
-fn catalog() -> Result<Arc<Catalog>> {
+/// Returns a catalog with one route, and one for each class where each has its own.
+fn catalog(options: &Options) -> Result<Arc<Catalog>> {
+    let classes = options.scarcity.map(|_| options.classes.iter());
+    let classes = classes.into_iter().flatten();
+    let routes = classes.map(|class| rule(&class.name, millis(class.target_ms)));
     let draft = Draft {
         version: 1,
         services: vec![Service {
@@ -53,25 +60,7 @@
             cold_rate: None,
             cold_time: Millis(0),
         }],
-        routes: vec![Rule {
-            path: Path {
-                host: "model".to_owned(),
-                prefix: "/".to_owned(),
-            },
-            route: Route {
-                name: ROUTE.to_owned(),
-                semantics: Semantics::Resumable,
-                timeout: Millis(12_000),
-                latency_target: Millis(1_000),
-                max_gap: Millis(500),
-                priority: 0,
-                max_attempts: 2,
-                is_public: false,
-                regions: Vec::new(),
-                split: Vec::new(),
-            },
-            split: vec![(SERVICE.to_owned(), 1)],
-        }],
+        routes: routes.chain([rule(ROUTE, Millis(1_000))]).collect(),
         ..Draft::default()
     };
     let catalog = Catalog::try_new(draft, &Catalog::default());
@@ -80,6 +69,28 @@
     ))
 }
 
+fn rule(name: &str, latency_target: Millis) -> Rule {
+    Rule {
+        path: Path {
+            host: "model".to_owned(),
+            prefix: format!("/{name}/"),
+        },
+        route: Route {
+            name: name.to_owned(),
+            semantics: Semantics::Resumable,
+            timeout: TIMEOUT,
+            latency_target,
+            max_gap: Millis(500),
+            priority: 0,
+            max_attempts: 2,
+            is_public: false,
+            regions: Vec::new(),
+            split: Vec::new(),
+        },
+        split: vec![(SERVICE.to_owned(), 1)],
+    }
+}
+
 fn zone(options: &Options, index: usize) -> String {
     format!("zone-{}", index % options.zones.max(1))
 }
@@ -100,12 +111,16 @@
     }))
 }
 
-/// Returns one broker for each daemon, all with the same catalog and registry.
+/// Returns one broker for each daemon, all with the same catalog and registry, with the route and those
+/// of the classes.
 pub fn brokers<R: Strategy>(
     options: &Options,
     strategy: impl Fn() -> R,
-) -> Result<(arena::Route, Vec<Broker<R>>)> {
-    let catalog = catalog()?;
+) -> Result<(arena::Route, Vec<arena::Route>, Vec<Broker<R>>)> {
+    let catalog = catalog(options)?;
+    let classes = options.classes.iter();
+    let routes = classes.filter_map(|class| catalog.routes.find(&class.name));
+    let routes = routes.collect();
     let route = catalog.routes.find(ROUTE);
     let route = route.ok_or_else(|| Error::Catalog("it has no route".to_owned()))?;
     let instances = (0..options.engines).map(|index| entry(options, index));
@@ -137,5 +152,5 @@
         broker.apply(Millis(0), instances.clone());
         broker
     });
-    Ok((route, brokers.collect()))
+    Ok((route, routes, brokers.collect()))
 }
--- a/cactusglade-model/src/load/mod.rs
+++ b/cactusglade-model/src/load/mod.rs
@@ -5,9 +5,14 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use crate::fleet::Surge;
+
 /// Identifiers that are left for the parts of one class.
 const CLASS_STRIDE: u64 = 1 << 40;
 
+/// Number of the first request that a surge adds.
+const FIRST_ADDED: u64 = 1 << 32;
+
 /// Most own tokens of a prompt, as a multiple of their mean: 54,600 prompt tokens at a mean of 6,610
 /// own and 5,382 shared ones.
 const MAX_OWN_RATIO: f64 = 7.4;
@@ -89,6 +94,27 @@
     }
 }
 
+/// Returns the requests that a surge adds to those of its class.
+#[must_use]
+pub fn surge(classes: &[Class], surge: &Surge, random: &mut StdRng) -> Vec<Arrival> {
+    let class = &classes[surge.class];
+    let per_s = class.per_s * (surge.factor - 1.0);
+    let mut arrivals = Vec::new();
+    let mut at = surge.from_ms;
+    for number in FIRST_ADDED.. {
+        at -= random.random_range(f64::EPSILON..1.0).ln() * 1_000.0 / per_s;
+        if at >= surge.to_ms {
+            break;
+        }
+        arrivals.push(Arrival {
+            at,
+            class: surge.class,
+            prompt: class.prompt(number, surge.class as u64, random),
+        });
+    }
+    arrivals
+}
+
 /// Returns the requests of `span_ms`, in the order of their arrival.
 #[must_use]
 pub fn arrivals(classes: &[Class], span_ms: f64, random: &mut StdRng) -> Vec<Arrival> {
--- a/cactusglade-model/tests/affinity.rs
+++ b/cactusglade-model/tests/affinity.rs
@@ -66,6 +66,7 @@
             slots: 16,
             prefill_per_ms: 66.2,
             cache_tokens: 500_000,
+            interleaves: false,
         },
         classes: vec![review, query, summary],
         span_ms: 120_000.0,
@@ -76,6 +77,7 @@
         churn,
         tight_target,
         placement: Placement::Product,
+        scarcity: None,
     }
 }
 
--- a/cactusglade-model/tests/choice.rs
+++ b/cactusglade-model/tests/choice.rs
@@ -65,6 +65,7 @@
             slots: 12,
             prefill_per_ms: 56.6,
             cache_tokens: 300_000,
+            interleaves: false,
         },
         classes: vec![dossier(), chat(), check()],
         span_ms: 20_000.0,
@@ -74,6 +75,7 @@
         churn: None,
         tight_target: None,
         placement: Placement::Product,
+        scarcity: None,
         spread: Spread::default(),
     }
 }
@@ -176,6 +178,7 @@
             slots: 64,
             prefill_per_ms: 36.7,
             cache_tokens: 400_000,
+            interleaves: false,
         },
         classes: vec![
             class("brief", 8.9, 13_000, 3_720, 120, 1_200.0),
@@ -189,6 +192,7 @@
         churn: None,
         tight_target: None,
         placement: Placement::Product,
+        scarcity: None,
         spread: Spread::default(),
     }
 }
--- a/cactusglade-model/tests/even.rs
+++ b/cactusglade-model/tests/even.rs
@@ -26,6 +26,7 @@
             slots: 6,
             prefill_per_ms: 112.0,
             cache_tokens: 0,
+            interleaves: false,
         },
         classes: vec![Class {
             name: "check".to_owned(),
@@ -46,6 +47,7 @@
         churn: None,
         tight_target,
         placement: Placement::Product,
+        scarcity: None,
         spread: Spread {
             rule,
             noise: Some(Noise {
--- a/cactusglade-policy/src/admission/mod.rs
+++ b/cactusglade-policy/src/admission/mod.rs
@@ -21,6 +21,9 @@
 const MAX_PENDING_SHARE: f64 = 0.2;
 /// Share of an upstream's slots that deferrable requests leave free for urgent ones.
 const RESERVED_SHARE: f64 = 0.25;
+/// The same for a deferrable request that would be late if it waited longer. Where such requests were
+/// sent without a bound, they took all slots.
+const LAST_RESERVED_SHARE: f64 = 0.1;
 /// Bounds of the pause until waiting requests look for room again. It is random, so that daemons with
 /// the same information don't all send to the same upstream.
 const PAUSE: (Millis, Millis) = (Millis(50), Millis(150));
@@ -43,12 +46,18 @@
 
 impl Room {
     /// Returns whether a deferrable request leaves enough for urgent ones; `shortest` is the shortest
-    /// latency target of the service.
+    /// latency target of the service, and `is_last` says that the request would be late if it waited
+    /// longer.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
-    pub fn suffices(&self, shortest: Millis) -> bool {
+    pub fn suffices(&self, shortest: Millis, is_last: bool) -> bool {
+        let reserved = if is_last {
+            LAST_RESERVED_SHARE
+        } else {
+            RESERVED_SHARE
+        };
         self.pending_ms <= shortest.0 as f64 * MAX_PENDING_SHARE
-            && self.load + 1.0 <= self.slots * (1.0 - RESERVED_SHARE)
+            && self.load + 1.0 <= self.slots * (1.0 - reserved)
     }
 }
 
--- a/cactusglade-policy/src/broker/admission.rs
+++ b/cactusglade-policy/src/broker/admission.rs
@@ -24,6 +24,15 @@
 /// that are due first: an estimate costs up to 20 us in the largest fleet.
 const MAX_ESTIMATES: usize = 16;
 
+/// Number of waiting requests that look for room, the first in the order: where only the first does, its
+/// upstream keeps those waiting whose upstreams have room, and where all do, so many are sent that
+/// urgent requests wait.
+const MAX_LEADING: usize = 2;
+/// How many more uncached prompt tokens the selected upstream may have than the best of those compared,
+/// as a ratio and in tokens: these take some 10 ms to read.
+const UNCACHED_RATIO: f64 = 1.1;
+const UNCACHED_MARGIN: f64 = 500.0;
+
 /// `Decision` is what becomes of a request that was not refused.
 #[derive(Clone, Copy, Debug)]
 pub enum Decision {
@@ -100,17 +109,12 @@
         }
         let waiter = waiter(&subject, query, expected);
         let ahead = self.line.ahead(now, &waiter);
-        if is_last_moment(now, &waiter) {
+        let is_last = is_last_moment(now, &waiter);
+        if (is_last || ahead == 0) && self.has_room(now, &subject, &outlook, query, is_last) {
             return self
                 .send(now, &subject, &outlook, query)
                 .map(Decision::Sent);
         }
-        if ahead == 0 {
-            let free = roomy(&outlook, subject.shortest);
-            if !free.candidates.is_empty() {
-                return self.send(now, &subject, &free, query).map(Decision::Sent);
-            }
-        }
         let expected_wait = self.line.wait(now, subject.service, ahead);
         if let Some((wait, rate)) = expected_wait
             && now + wait > waiter.times.limit.min(waiter.times.deadline)
@@ -137,27 +141,26 @@
             return false;
         };
         let waiter = waiter(&subject, query, expected);
-        subject.is_deferrable
-            && !self.is_draining
-            && !is_last_moment(now, &waiter)
-            && (self.line.ahead(now, &waiter) > 0
-                || roomy(&outlook, subject.shortest).candidates.is_empty())
+        let is_last = is_last_moment(now, &waiter);
+        let is_next = is_last || self.line.ahead(now, &waiter) == 0;
+        let is_sent = is_next && self.has_room(now, &subject, &outlook, query, is_last);
+        subject.is_deferrable && !self.is_draining && !is_sent
     }
 
     /// Ends the waits of requests that can be sent now or are over: at most one of each service is sent
-    /// because there is room, and all whose last moment has come. `draw` returns random numbers from 0
-    /// to 1.
+    /// because there is room, and all whose last moment has come and that fit. `draw` returns random
+    /// numbers from 0 to 1.
     pub fn advance(&mut self, now: Millis, mut draw: impl FnMut() -> f64) -> Vec<Turn> {
         let mut turns = Vec::new();
         for service in self.line.services() {
             self.estimate_waiting(now, service, &mut draw);
-            let order = self.line.order(now, service);
-            let mut is_blocked = false;
-            for key in order {
+            let mut tried = 0;
+            let mut has_sent = false;
+            for key in self.line.order(now, service) {
                 let Some(waiter) = self.line.get(key) else {
                     continue;
                 };
-                let is_urgent = self.is_draining || is_last_moment(now, waiter);
+                let is_last = is_last_moment(now, waiter);
                 if waiter.is_over(now) {
                     let denied = if now >= waiter.times.deadline {
                         Kind::Expired.into()
@@ -165,9 +168,14 @@
                         late()
                     };
                     turns.extend(self.end(now, key, false, Err(denied)));
-                } else if is_urgent || !is_blocked {
-                    turns.extend(self.attempt(now, key, is_urgent, draw()));
-                    is_blocked |= !is_urgent;
+                    continue;
+                }
+                let may_lead = tried == 0 || (tried < MAX_LEADING && waiter.can_be_in_time(now));
+                if is_last || self.is_draining || (may_lead && !has_sent) {
+                    let turn = self.attempt(now, key, is_last, draw());
+                    tried += 1;
+                    has_sent |= turn.is_some_and(|turn| turn.has_room);
+                    turns.extend(turn);
                 }
             }
         }
@@ -196,13 +204,13 @@
         self.line.len(service)
     }
 
-    /// Sends a waiting request if there is room or `is_urgent` says that it must not wait on, and
-    /// refuses it if there is no upstream.
+    /// Sends a waiting request if there is room, and refuses it if there is no upstream; `is_last` says
+    /// that its last moment has come.
     fn attempt(
         &mut self,
         now: Millis,
         key: arena::Waiting,
-        is_urgent: bool,
+        is_last: bool,
         draw: f64,
     ) -> Option<Turn> {
         let waiter = self.line.get(key)?.clone();
@@ -219,15 +227,11 @@
             let denied = self.denied(now, subject.service, &subject.name, &query);
             return self.end(now, key, false, Err(denied));
         }
-        let free = roomy(&outlook, subject.shortest);
-        let has_room = !free.candidates.is_empty();
-        let outlook = if has_room {
-            free
-        } else if is_urgent {
-            outlook
-        } else {
+        let has_room = self.has_room(now, &subject, &outlook, &query, false);
+        let fits = has_room || (is_last && self.has_room(now, &subject, &outlook, &query, true));
+        if !fits && !self.is_draining {
             return None;
-        };
+        }
         let result = self.check_parts(now, &waiter.prompt, draw);
         let result = result.and_then(|()| self.send(now, &subject, &outlook, &query));
         self.end(now, key, has_room, result)
@@ -322,6 +326,42 @@
         }
     }
 
+    /// Returns whether the upstream that the choice selects has room for a deferrable request; `is_last`
+    /// says that the last moment of the request has come.
+    ///
+    /// Except then the upstream must have as much of the prompt cached as any other that is compared.
+    /// Requests sent to any upstream with room had so many prompts read again that more were late than
+    /// without a wait (see `docs/design/admission.md`).
+    fn has_room(
+        &self,
+        now: Millis,
+        subject: &Subject,
+        outlook: &Outlook,
+        query: &Query<'_>,
+        is_last: bool,
+    ) -> bool {
+        let (candidates, terms) = (&outlook.candidates, &outlook.terms);
+        let Some(index) = self.strategy.choose(candidates, terms, query.draw) else {
+            return false;
+        };
+        let candidate = &candidates[index];
+        let room = Room {
+            load: self.full_load(now, candidate),
+            slots: candidate.slots,
+            pending_ms: candidate.pace * candidate.backlog / terms.tokens_per_ms,
+        };
+        let least = candidates.iter().map(|one| one.uncached);
+        let least = least.fold(f64::INFINITY, f64::min);
+        let is_cached = candidate.uncached <= least * UNCACHED_RATIO + UNCACHED_MARGIN;
+        (is_last || is_cached) && room.suffices(subject.shortest, is_last)
+    }
+
+    /// Returns the load of a candidate by which it has room.
+    fn full_load(&self, now: Millis, candidate: &Candidate) -> f64 {
+        let upstream = self.upstreams.get(candidate.upstream);
+        upstream.map_or(candidate.load, |one| one.full_load(now))
+    }
+
     fn outlook(&self, now: Millis, subject: &Subject, query: &Query<'_>) -> Outlook {
         let (candidates, usable) = self.candidates(now, &subject.name, true, query);
         let terms = self.terms(subject.service, query);
@@ -365,23 +405,6 @@
     }
 }
 
-/// Returns the outlook with those upstreams only that have room.
-fn roomy(outlook: &Outlook, shortest: Millis) -> Outlook {
-    let has_room = |one: &&Candidate| {
-        let room = Room {
-            load: one.load,
-            slots: one.slots,
-            pending_ms: one.pace * one.backlog / outlook.terms.tokens_per_ms,
-        };
-        room.suffices(shortest)
-    };
-    let candidates = outlook.candidates.iter().filter(has_room).copied();
-    Outlook {
-        candidates: candidates.collect(),
-        ..*outlook
-    }
-}
-
 fn waiter(subject: &Subject, query: &Query<'_>, expected: Millis) -> Waiter {
     Waiter {
         service: subject.service,
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -14,6 +14,8 @@
 
 /// Half-life of the load reported by an upstream, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 1_000.0;
+/// Time for which a report of the load counts in full where it says whether there is room.
+const REPORT_VALIDITY: Millis = Millis(1_000);
 /// Half-life of the delay of prompts at an upstream in milliseconds, so that one that was slow gets
 /// its share back little by little.
 const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
@@ -182,6 +184,15 @@
         self.in_flight as f64 + self.other_load * decay(age, LOAD_HALF_LIFE_MS)
     }
 
+    /// Returns the number of running and waiting requests where the last report counts in full for
+    /// [`REPORT_VALIDITY`].
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn full_load(&self, now: Millis) -> f64 {
+        let age = self.load_age(now).unwrap_or_default() - REPORT_VALIDITY;
+        self.in_flight as f64 + self.other_load * decay(age, LOAD_HALF_LIFE_MS)
+    }
+
     /// Records the time that a prompt waited beyond the time to read it.
     #[allow(clippy::cast_precision_loss)]
     pub fn record_delay(&mut self, now: Millis, delay: Millis) {
