--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -1,7 +1,9 @@
 //! Admits callers' requests and selects an upstream for each attempt.
 //!
-//! The broker has no queue: engines order their waiting requests by priority, so a request is sent
-//! immediately to the upstream with the least expected delay, or refused. See `docs/PLATFORM.md`.
+//! A request is sent immediately to the upstream with the least expected delay, or refused: engines order
+//! their waiting requests by priority. Only requests with a prompt and a long latency target to a
+//! latency-critical service wait here while there is no room ([`crate::admission`]). See
+//! `docs/PLATFORM.md`.
 
 mod admission;
 mod candidates;
