--- a/cactusglade-cli/src/experiment/settings.rs
+++ b/cactusglade-cli/src/experiment/settings.rs
@@ -157,6 +157,7 @@
             engines: self.engines,
             zones: self.zones,
             profile: Profile {
+                interleaves: false,
                 slots: self.slots,
                 prefill_per_ms: self.prefill_tokens_per_ms,
                 cache_tokens: self.cache_tokens,
@@ -168,6 +169,7 @@
             dark: dark.map(|dark| (dark.engines.min(self.engines), dark.at_ms)),
             churn: None,
             tight_target: None,
+            scarcity: None,
             placement: Placement::Product,
             spread: Spread::default(),
         }
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -15,6 +15,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -89,6 +90,8 @@
     pub plans: Plans,
     /// Datagrams to other daemons.
     pub datagrams: Datagrams,
+    /// Requests that wait for room at an upstream.
+    pub waits: Waits,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests that wait for a slot of an upstream.
@@ -233,6 +236,40 @@
     }
 }
 
+/// `Waits` holds the metrics on requests that wait for room at an upstream.
+#[derive(Clone, Debug)]
+pub struct Waits {
+    /// Requests that wait now, by service.
+    pub count: IntGaugeVec,
+    /// Seconds that requests had waited when they were sent.
+    pub time: Histogram,
+    /// Requests sent after a wait, by service and whether the upstream had room.
+    pub sent: IntCounterVec,
+}
+
+impl Waits {
+    fn try_new(registry: &Registry) -> Result<Self> {
+        let count = Opts::new(
+            "cactusglade_deferred",
+            "Requests that wait for room at an upstream",
+        );
+        let count = IntGaugeVec::new(count, &["service"])?;
+        registry.register(Box::new(count.clone()))?;
+        let sent = Opts::new(
+            "cactusglade_deferred_sent_total",
+            "Requests sent after a wait, by whether the upstream had room",
+        );
+        let sent = IntCounterVec::new(sent, &["service", "room"])?;
+        registry.register(Box::new(sent.clone()))?;
+        let time = histogram(
+            registry,
+            "cactusglade_deferred_seconds",
+            "Time that requests waited for room before they were sent",
+        )?;
+        Ok(Self { count, time, sent })
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -291,6 +328,7 @@
             prefills: Prefills::try_new(&registry)?,
             silences: Silences::try_new(&registry)?,
             datagrams: Datagrams::try_new(&registry)?,
+            waits: Waits::try_new(&registry)?,
             connections: gauge("cactusglade_connections", "Open connections of callers")?,
             waiting: gauge("cactusglade_waiting", "Requests that wait for a slot")?,
             gossip_bytes: counter(
--- a/cactusglade-model/tests/silence.rs
+++ b/cactusglade-model/tests/silence.rs
@@ -52,6 +52,7 @@
         engines: ENGINES,
         zones: 3,
         profile: Profile {
+            interleaves: false,
             slots: 16,
             prefill_per_ms: 66.2,
             cache_tokens: 500_000,
@@ -78,6 +79,7 @@
         }),
         tight_target: TIGHT,
         placement: Placement::Product,
+        scarcity: None,
         spread: Spread {
             silence,
             states_at_answer: true,
--- a/cactusglade-policy/tests/pace.rs
+++ b/cactusglade-policy/tests/pace.rs
@@ -107,6 +107,8 @@
             prompt: None,
             tried: &[],
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: draw(self.draws),
         };
         let grant = self.broker.place(Millis(at), &query);
@@ -133,6 +135,8 @@
             prompt: Some(&prompt),
             tried,
             is_retry: false,
+            arrived: Millis(0),
+            deadline: Millis(15_000),
             draw: draw(self.draws),
         };
         let grant = self.broker.place(Millis(at), &query);
--- a/cactusglade-policy/tests/silence.rs
+++ b/cactusglade-policy/tests/silence.rs
@@ -80,6 +80,8 @@
             prompt: Some(&prompt),
             tried: &[],
             is_retry: false,
+            arrived: Millis(at),
+            deadline: Millis(at) + Millis(10_000),
             draw: 0.5,
         };
         let grant = self.broker.place(Millis(at), &query);
