--- a/cactusglade-daemon/src/edge/duty/mod.rs
+++ b/cactusglade-daemon/src/edge/duty/mod.rs
@@ -191,8 +191,7 @@
         let now = self.options.clock.now();
         let sight = Sight {
             has_registry: !*self.options.registry_outage.borrow(),
-            // The mesh doesn't state how many daemons it hears (`docs/design/succession.md`).
-            has_fleet: true,
+            has_fleet: fleet.reachable * 2 >= fleet.daemons,
         };
         let is_holder = self.election.fencing_token(now).is_some();
         self.capacity.check(now, sight, is_holder);
--- a/cactusglade-daemon/src/edge/mesh/members.rs
+++ b/cactusglade-daemon/src/edge/mesh/members.rs
@@ -145,6 +145,15 @@
 }
 
 impl Mesh {
+    /// Returns the number of daemons. Before the first heartbeat of another one, the fleet is as large as
+    /// the list in the store says.
+    pub(super) fn fleet_size(&self) -> u64 {
+        match self.roster.count() {
+            1 => self.roster.listed(),
+            heard => heard,
+        }
+    }
+
     /// Notifies the broker when daemons come, leave or lose touch.
     pub(super) async fn report_fleet(&mut self, now: Millis) {
         let layout = self.roster.layout(now);
@@ -154,11 +163,7 @@
             let _ = self.broker.tell(broker::Rearrange(layout)).await;
         }
         let reachable = self.roster.reachable(now);
-        // Before the first heartbeat of another daemon, the fleet is as large as the list says.
-        let daemons = match self.roster.count() {
-            1 => self.roster.listed(),
-            heard => heard,
-        };
+        let daemons = self.fleet_size();
         // A daemon that no other one reaches and that knows no list is not the only one.
         if (daemons, reachable) == (self.daemons, self.reachable) || daemons == 1 {
             return;
--- a/cactusglade-daemon/src/edge/mesh/messages.rs
+++ b/cactusglade-daemon/src/edge/mesh/messages.rs
@@ -63,6 +63,10 @@
     pub ledger: Option<Ledger>,
     /// Windows in which daemons of the zone have counted requests, and the newest of other zones.
     pub counted: BTreeSet<u64>,
+    /// Number of daemons, this one included.
+    pub daemons: u64,
+    /// Number of daemons that this one reaches, itself included.
+    pub reachable: u64,
 }
 
 /// `Members` lists the addresses and zones of the daemons that have a row in the store.
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -395,6 +395,8 @@
                 .is_ledger_writer(now)
                 .then(|| self.ledger.clone()),
             counted: self.counted(),
+            daemons: self.fleet_size(),
+            reachable: self.roster.reachable(now),
         }
     }
 }
--- a/cactusglade-daemon/src/metrics/mod.rs
+++ b/cactusglade-daemon/src/metrics/mod.rs
@@ -3,24 +3,30 @@
 //! The values of labels come from the object set and from fixed lists, which bounds the number of
 //! time series; `docs/OPERATIONS.md` lists all metrics.
 
+mod datagrams;
+mod paces;
+mod plans;
+mod prefills;
 mod silences;
+mod waits;
 
 use cactusglade_core::refusal::Reason;
-use cactusglade_policy::capacity::Cause;
-use prometheus::Gauge;
-use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+pub use datagrams::Datagrams;
+pub use paces::Paces;
+pub use plans::Plans;
+pub use prefills::Prefills;
 pub use silences::Silences;
+pub use waits::Waits;
 
 /// `Error` is a failure to register or encode a metric.
 pub type Error = prometheus::Error;
@@ -104,172 +110,6 @@
     pub load_age: Histogram,
 }
 
-/// `Paces` holds the metrics on the speed of upstreams.
-#[derive(Clone, Debug)]
-pub struct Paces {
-    /// Expected times for work at upstreams relative to the usual time: least, mean and greatest
-    /// of each service of which one is known.
-    pub spread: GaugeVec,
-    /// Prompt tokens that upstreams of usual pace read per millisecond, by latency-critical service.
-    pub prefill_speeds: GaugeVec,
-}
-
-impl Paces {
-    fn try_new(registry: &Registry) -> Result<Self> {
-        let spread = Opts::new(
-            "cactusglade_pace",
-            "Expected times for work at upstreams relative to the usual time",
-        );
-        let spread = GaugeVec::new(spread, &["service", "statistic"])?;
-        registry.register(Box::new(spread.clone()))?;
-        let speeds = Opts::new(
-            "cactusglade_prefill_tokens_per_ms",
-            "Prompt tokens that upstreams of usual pace read per millisecond",
-        );
-        let prefill_speeds = GaugeVec::new(speeds, &["service"])?;
-        registry.register(Box::new(prefill_speeds.clone()))?;
-        Ok(Self {
-            spread,
-            prefill_speeds,
-        })
-    }
-}
-
-/// `Plans` holds the metrics on the capacity plans.
-#[derive(Clone, Debug)]
-pub struct Plans {
-    /// Seconds for which the plans have observed, by the one that has done so for the shortest time.
-    pub observed: Gauge,
-    /// Times at which this daemon discarded what it had observed, by cause.
-    pub breaks: IntCounterVec,
-}
-
-impl Plans {
-    fn try_new(registry: &Registry) -> Result<Self> {
-        let observed = Gauge::new(
-            "cactusglade_capacity_observed_seconds",
-            "Seconds for which the capacity plans have observed",
-        )?;
-        registry.register(Box::new(observed.clone()))?;
-        let breaks = Opts::new(
-            "cactusglade_capacity_unobserved_total",
-            "Times at which what the capacity plans had observed was discarded",
-        );
-        let breaks = IntCounterVec::new(breaks, &["cause"])?;
-        registry.register(Box::new(breaks.clone()))?;
-        for cause in Cause::ALL {
-            breaks.with_label_values(&[cause.name()]);
-        }
-        Ok(Self { observed, breaks })
-    }
-}
-
-/// `Prefills` counts the long prompts that daemons tell each other of.
-#[derive(Clone, Debug)]
-pub struct Prefills {
-    /// Those that this daemon has sent to upstreams and told of.
-    pub told: IntCounter,
-    /// Those that other daemons have told of.
-    pub heard: IntCounter,
-}
-
-impl Prefills {
-    fn try_new(registry: &Registry) -> Result<Self> {
-        let counter = |name: &str, help: &str| -> Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        Ok(Self {
-            told: counter(
-                "cactusglade_prefills_told_total",
-                "Long prompts that other daemons were told of",
-            )?,
-            heard: counter(
-                "cactusglade_prefills_heard_total",
-                "Long prompts that other daemons have told of",
-            )?,
-        })
-    }
-}
-
-/// `Datagrams` counts the datagrams that this daemon sends to other daemons.
-#[derive(Clone, Debug)]
-pub struct Datagrams {
-    /// All datagrams.
-    pub sent: IntCounter,
-    /// Bytes of these, without the headers of the network.
-    pub sent_bytes: IntCounter,
-    /// Those that this daemon passed on for the relay of its zone.
-    pub passed_on: IntCounter,
-    /// Neighbours that pass on what this daemon forwards as the relay of its zone.
-    pub forwarders: IntGauge,
-}
-
-impl Datagrams {
-    fn try_new(registry: &Registry) -> Result<Self> {
-        let counter = |name: &str, help: &str| -> Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let forwarders = IntGauge::new(
-            "cactusglade_fanout_forwarders",
-            "Neighbours that pass on what this daemon forwards",
-        )?;
-        registry.register(Box::new(forwarders.clone()))?;
-        Ok(Self {
-            sent: counter(
-                "cactusglade_datagrams_total",
-                "Datagrams sent to other daemons",
-            )?,
-            sent_bytes: counter(
-                "cactusglade_datagram_bytes_total",
-                "Bytes of datagrams sent to other daemons",
-            )?,
-            passed_on: counter(
-                "cactusglade_datagrams_passed_on_total",
-                "Datagrams passed on for the relay of the zone",
-            )?,
-            forwarders,
-        })
-    }
-}
-
-/// `Waits` holds the metrics on requests that wait for room at an upstream.
-#[derive(Clone, Debug)]
-pub struct Waits {
-    /// Requests that wait now, by service.
-    pub count: IntGaugeVec,
-    /// Seconds that requests had waited when they were sent.
-    pub time: Histogram,
-    /// Requests sent after a wait, by service and whether the upstream had room.
-    pub sent: IntCounterVec,
-}
-
-impl Waits {
-    fn try_new(registry: &Registry) -> Result<Self> {
-        let count = Opts::new(
-            "cactusglade_deferred",
-            "Requests that wait for room at an upstream",
-        );
-        let count = IntGaugeVec::new(count, &["service"])?;
-        registry.register(Box::new(count.clone()))?;
-        let sent = Opts::new(
-            "cactusglade_deferred_sent_total",
-            "Requests sent after a wait, by whether the upstream had room",
-        );
-        let sent = IntCounterVec::new(sent, &["service", "room"])?;
-        registry.register(Box::new(sent.clone()))?;
-        let time = histogram(
-            registry,
-            "cactusglade_deferred_seconds",
-            "Time that requests waited for room before they were sent",
-        )?;
-        Ok(Self { count, time, sent })
-    }
-}
-
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -278,11 +118,7 @@
     /// Returns an error when two metrics have the same name, which is a fault of this module.
     pub fn try_new() -> Result<Self> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
+        let counter = |name: &str, help: &str| counter(&registry, name, help);
         let gauge = |name: &str, help: &str| -> Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -413,6 +249,12 @@
     )
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram> {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
     let histogram = Histogram::with_opts(options)?;
--- a/cactusglade-daemon/src/metrics/silences.rs
+++ b/cactusglade-daemon/src/metrics/silences.rs
@@ -4,6 +4,7 @@
 use prometheus::Registry;
 
 use super::Result;
+use super::counter;
 
 /// `Silences` counts requests whose upstream's load explains that it had not begun to answer in time.
 #[derive(Clone, Debug)]
@@ -16,17 +17,14 @@
 
 impl Silences {
     pub(super) fn try_new(registry: &Registry) -> Result<Self> {
-        let counter = |name: &str, help: &str| -> Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
         Ok(Self {
             extended: counter(
+                registry,
                 "cactusglade_answers_awaited_total",
                 "Extensions of the time for an answer because of the upstream's load",
             )?,
             explained: counter(
+                registry,
                 "cactusglade_explained_losses_total",
                 "Requests given up without an answer because of the upstream's load",
             )?,
--- a/cactusglade-model/tests/admission.rs
+++ b/cactusglade-model/tests/admission.rs
@@ -19,6 +19,8 @@
 /// Rate of the deferrable requests during the surge, as a multiple of the usual one.
 const FACTOR: f64 = 4.0;
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+/// Share of the urgent requests that must be in time (`docs/HARD-LOAD.md`, part 6).
+const LEAST_URGENT_SHARE: f64 = 0.95;
 const DEFERRABLE: &str = "reconciliation";
 
 fn class(name: &str, per_s: f64, tokens: (u64, u64, u64), sessions: u64) -> Class {
@@ -108,23 +110,40 @@
     summary
 }
 
-/// Reconciliations took all slots, and disputes waited behind them for seconds. The goal of 95% of the
-/// urgent requests in time is met by 24 daemons; 90 daemons know the loads less well.
-#[test]
-fn a_surge_of_deferrable_requests_leaves_urgent_ones_in_time() {
-    for (daemons, least) in [(24, 0.9), (90, 0.75)] {
-        let [before, after] = [false, true].map(|admits| play(&options(1, daemons, admits)));
-        for name in ["dispute", "tag"] {
-            let [before, after] =
-                [&before, &after].map(|summary| summary.classes[name].on_time_share());
-            assert!(after >= least, "{daemons} daemons: {after:.3} of {name}");
-            assert!(after > before, "{daemons} daemons: {before:.3} of {name}");
-        }
-        for (name, outcome) in &after.classes {
-            let ended = outcome.latencies.len() as u64 + outcome.failed;
-            assert_eq!(ended, outcome.asked, "{daemons} daemons: ends of {name}");
-        }
+/// Checks the goal of a surge: 95% of the urgent requests are in time, no fewer deferrable ones than
+/// without the part, and all are answered or refused.
+fn check_surge(daemons: usize) {
+    let [before, after] = [false, true].map(|admits| play(&options(1, daemons, admits)));
+    let shares = |name: &str| {
+        let summaries = [&before, &after];
+        summaries.map(|summary| summary.classes[name].on_time_share())
+    };
+    for (name, outcome) in &after.classes {
+        let ended = outcome.latencies.len() as u64 + outcome.failed;
+        assert_eq!(ended, outcome.asked, "ends of {name}");
     }
+    for name in ["dispute", "tag"] {
+        let [before, after] = shares(name);
+        assert!(after > before, "{before:.3} of {name} before");
+        assert!(after >= LEAST_URGENT_SHARE, "{after:.3} of {name}");
+    }
+    let [before, after] = shares(DEFERRABLE);
+    assert!(
+        after >= before,
+        "{after:.3} and {before:.3} of {DEFERRABLE}"
+    );
+}
+
+/// Reconciliations took all slots, and disputes waited behind them for seconds.
+#[test]
+fn a_surge_leaves_urgent_requests_of_few_daemons_in_time() {
+    check_surge(24);
+}
+
+/// The same with so many daemons that each knows little of the loads.
+#[test]
+fn a_surge_leaves_urgent_requests_of_many_daemons_in_time() {
+    check_surge(90);
 }
 
 #[test]
--- a/cactusglade-model/tests/silence.rs
+++ b/cactusglade-model/tests/silence.rs
@@ -19,10 +19,9 @@
 /// When a third of the engines is reclaimed, and for how long.
 const OVERLOAD_MS: (f64, f64) = (15_000.0, 5_000.0);
 const ENGINES: usize = 90;
-/// Time after the overload for what waits to be read, and for the prompts of new engines' sessions.
-const RECOVERY_MS: f64 = 7_000.0;
-/// Sound engines that daemons may eject at the same time: two reports of an engine may be late at once.
-const MAX_EJECTED: usize = 2;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+/// Time after the overload in which latencies must be back to normal (`docs/HARD-LOAD.md`, part 7).
+const RECOVERY_MS: f64 = 3_000.0;
 /// Difference between two runs in the share on time that is chance.
 const CHANCE: f64 = 0.03;
 
@@ -96,27 +95,43 @@
     summary
 }
 
-/// Each engine gets half as much again for 5 s. Today's rule takes engines for failed that have too
-/// much to do, the rest gets their load, and most are still ejected 8 s later. Engines that answer
-/// late must stay, prompts must not be read twice, and the fleet must recover by itself.
+/// Each engine gets half as much again for 5 s. The rule without loads takes engines for failed that have
+/// too much to do, the rest gets their load, and most are still ejected 8 s later. Engines that answer
+/// late must stay, and prompts must not be read twice.
 #[test]
-fn an_overload_ends_with_its_cause() {
+fn an_overload_does_not_feed_itself() {
     let (from, span) = OVERLOAD_MS;
-    let recovered = from + span + RECOVERY_MS;
-    for seed in 1..=3 {
+    for seed in SEEDS {
         let [endless, lost, explained] = [Silence::Endless, Silence::Lost, Silence::Explained]
             .map(|silence| play(&options(seed, 1.6, silence)));
-        let share = |summary: &Summary| summary.on_time_between(recovered, recovered + 5_000.0);
+        let after = from + span + RECOVERY_MS;
+        let share = |summary: &Summary| summary.on_time_between(after, after + 9_000.0);
         assert!(lost.most_ejected() > ENGINES / 2);
-        assert!(share(&lost) < 0.6, "today's rule recovers by itself");
-        assert!(explained.most_ejected() <= MAX_EJECTED);
+        assert!(explained.most_ejected() * 10 <= lost.most_ejected());
         assert!(share(&explained) >= share(&endless) - CHANCE);
-        assert!(share(&explained) >= 0.9);
+        assert!(share(&explained) > share(&lost));
         let answers = explained.answers.len() as u64;
         assert!(explained.repeated * 50 < answers, "2% are sent again");
     }
 }
 
+/// No sound engine may be ejected in an overload, and latencies must be back to normal soon after it.
+#[test]
+fn an_overload_ejects_nothing_and_ends_with_its_cause() {
+    let (from, span) = OVERLOAD_MS;
+    let after = from + span + RECOVERY_MS;
+    for seed in SEEDS {
+        let summary = play(&options(seed, 1.6, Silence::Explained));
+        assert_eq!(summary.most_ejected(), 0, "seed {seed}");
+        let normal = summary.on_time_between(from - 3_000.0, from);
+        let share = summary.on_time_between(after, after + 5_000.0);
+        assert!(
+            share >= normal - CHANCE,
+            "{share:.3} of {normal:.3}, seed {seed}"
+        );
+    }
+}
+
 /// Engines go dark, and their last reports are still known. A load explains the silence only until it is
 /// out of date.
 #[test]
