--- a/cactusglade-policy/tests/admission.rs
+++ b/cactusglade-policy/tests/admission.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use cactusglade_core::arena;
+use cactusglade_core::call::Part;
 use cactusglade_core::call::Prompt;
 use cactusglade_core::catalog::Catalog;
 use cactusglade_core::catalog::Organisation;
@@ -121,10 +122,20 @@
             input_tokens: tokens,
             ..Prompt::default()
         };
+        self.ask_with(now, route, organisation, &prompt)
+    }
+
+    fn ask_with(
+        &mut self,
+        now: u64,
+        route: arena::Route,
+        organisation: Option<arena::Organisation>,
+        prompt: &Prompt,
+    ) -> Result<Decision, Denied> {
         let query = Query {
             route,
             organisation,
-            prompt: Some(&prompt),
+            prompt: Some(prompt),
             tried: &[],
             is_retry: false,
             arrived: Millis(now),
@@ -291,6 +302,32 @@
     assert_eq!(denied.kind, Kind::Overloaded);
 }
 
+/// Requests that could only be late waited for upstreams with their prompts, and were refused while new
+/// upstreams were idle.
+#[test]
+fn a_late_request_goes_to_an_upstream_without_its_prompt() {
+    let mut fixture = set_up(0);
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = Prompt {
+        input_tokens: 2_000,
+        parts: vec![part(1, 1_900), part(2, 100)],
+        ..Prompt::default()
+    };
+    let urgent = fixture.urgent;
+    assert!(is_sent(&fixture.ask_with(0, urgent, None, &prompt)));
+    let new = pool::put(pool::instance("y"));
+    fixture.broker.apply(Millis(100), [new]);
+    fixture.report(Millis(100), FULL + 2);
+    let decided = fixture.ask_with(100, fixture.deferrable, None, &prompt);
+    assert!(matches!(decided, Ok(Decision::Waits(..))), "{decided:?}");
+    for (now, is_late) in [(600, false), (1_200, false), (2_200, true)] {
+        fixture.report(Millis(now), FULL + 2);
+        let turns = fixture.advance(now);
+        let sent = turns.iter().filter(|turn| turn.result.is_ok());
+        assert_eq!(sent.count(), usize::from(is_late), "after {now} ms");
+    }
+}
+
 /// A caller that can't be served in time must learn it immediately, to try elsewhere.
 #[test]
 fn requests_whose_wait_would_be_too_long_are_refused() {
