--- a/cactusglade-core/src/fleet/mod.rs
+++ b/cactusglade-core/src/fleet/mod.rs
@@ -106,6 +106,51 @@
     }
 }
 
+/// `Pace` is what a daemon shares about the time that work takes at an upstream, in percent of the
+/// usual time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Pace {
+    /// The upstream stated its pace.
+    Stated {
+        /// Hash of the upstream's name.
+        upstream: u32,
+        /// Pace as stated.
+        percent: u64,
+        /// Milliseconds since then.
+        age_ms: u64,
+        /// Mean of the paces that it stated before.
+        lasting: u64,
+        /// Time over which that mean was formed, in milliseconds.
+        span_ms: u64,
+    },
+    /// A prompt was read at the upstream, which states no pace.
+    Measured {
+        /// Hash of the upstream's name.
+        upstream: u32,
+        /// Time to read the prompt in percent of the time that the service typically takes.
+        percent: u64,
+    },
+}
+
+impl Pace {
+    /// Returns the hash of the upstream's name.
+    #[must_use]
+    pub const fn upstream(&self) -> u32 {
+        match self {
+            Self::Stated { upstream, .. } | Self::Measured { upstream, .. } => *upstream,
+        }
+    }
+
+    /// Returns the same statement some time later.
+    #[must_use]
+    pub const fn aged(mut self, span: Millis) -> Self {
+        if let Self::Stated { age_ms, .. } = &mut self {
+            *age_ms += span.0;
+        }
+        self
+    }
+}
+
 /// `Suspicion` is what a daemon shares about parts of prompts that may crash upstreams.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Suspicion {
--- a/cactusglade-daemon/src/edge/broker/messages.rs
+++ b/cactusglade-daemon/src/edge/broker/messages.rs
@@ -10,6 +10,7 @@
 use cactusglade_core::errors::Kind;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Limit;
+use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
@@ -208,6 +209,8 @@
     pub suspicions: Vec<Suspicion>,
     /// Limits of upstreams that other daemons are to be told.
     pub limits: Vec<Limit>,
+    /// Paces of upstreams that other daemons are to be told.
+    pub paces: Vec<Pace>,
 }
 
 /// `Sweep` drops removed upstreams and expired idle connections.
@@ -425,6 +428,7 @@
             counts: self.windows.counts().clone(),
             sightings: self.policy.take_sightings(),
             limits: self.policy.take_limits(now),
+            paces: self.policy.take_paces(now),
         }
     }
 }
--- a/cactusglade-daemon/src/edge/broker/mod.rs
+++ b/cactusglade-daemon/src/edge/broker/mod.rs
@@ -53,6 +53,7 @@
 pub use messages::Sweep;
 pub use messages::Withhold;
 pub use statements::Curb;
+pub use statements::Follow;
 pub use statements::Observe;
 pub use statements::Rearrange;
 
--- a/cactusglade-daemon/src/edge/broker/statements.rs
+++ b/cactusglade-daemon/src/edge/broker/statements.rs
@@ -1,4 +1,4 @@
-//! What upstreams state in the heads of their answers: load and limits.
+//! What upstreams state in the heads of their answers: load, pace and limits.
 
 use cactusglade_core::arena;
 use cactusglade_core::fleet;
@@ -31,6 +31,10 @@
 #[derive(Clone, Debug)]
 pub struct Curb(pub Vec<fleet::Limit>);
 
+/// `Follow` passes on the paces of upstreams that other daemons know of.
+#[derive(Clone, Debug)]
+pub struct Follow(pub Vec<fleet::Pace>);
+
 /// `Rearrange` sets the daemons among which the limits of upstreams are divided.
 #[derive(Clone, Debug)]
 pub struct Rearrange(pub Layout);
@@ -43,6 +47,9 @@
         if let Some(load) = observe.load {
             self.policy
                 .record_load(now, observe.upstream, load.running, load.waiting);
+            if let Some(percent) = load.pace {
+                self.policy.record_pace(now, observe.upstream, percent);
+            }
         }
         let (rate, at) = match observe.limit {
             Limit::None => (None, observe.sent_at),
@@ -72,6 +79,17 @@
     }
 }
 
+impl Message<Follow> for Broker {
+    type Reply = ();
+
+    async fn handle(&mut self, follow: Follow, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        for pace in &follow.0 {
+            self.policy.learn_pace(now, pace);
+        }
+    }
+}
+
 impl Message<Rearrange> for Broker {
     type Reply = ();
 
--- a/cactusglade-daemon/src/edge/front/exchange.rs
+++ b/cactusglade-daemon/src/edge/front/exchange.rs
@@ -209,7 +209,7 @@
         info!(self.entry.context.log, "placed"; "id" => &self.entry.call.id,
             "upstream" => &placement.name, "candidates" => basis.candidates,
             "load" => basis.load, "load_age_ms" => age,
-            "limit_per_s" => basis.limit.map(Rate::per_second),
+            "limit_per_s" => basis.limit.map(Rate::per_second), "pace" => basis.pace,
             "uncached" => placement.grant.uncached,
             "kept_connection" => placement.connection.is_some(), "sent" => self.attempt.sent(),
             "version" => self.entry.catalog.version);
--- a/cactusglade-daemon/src/edge/mesh/mod.rs
+++ b/cactusglade-daemon/src/edge/mesh/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use cactusglade_core::fleet::Limit;
+use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::row::Lease;
 use cactusglade_core::units::Millis;
@@ -141,6 +142,8 @@
     suspicions: Backlog<Suspicion>,
     /// What the relay has still to pass on about limits of upstreams.
     limits: Backlog<Limit>,
+    /// What the relay has still to pass on about paces of upstreams.
+    paces: Backlog<Pace>,
     /// Daemons among which limits are divided, as last reported to the broker.
     layout: Option<Layout>,
     reachable: u64,
@@ -217,6 +220,7 @@
         self.send_sightings(now, &statistics.sightings).await;
         self.send_statements(now, &statistics.suspicions).await;
         self.send_statements(now, &statistics.limits).await;
+        self.send_statements(now, &statistics.paces).await;
         if self.roster.is_relay(now) {
             // The state that other daemons relay doesn't count while this one is the relay.
             self.publish_progress(Watermark::default());
@@ -269,6 +273,10 @@
                 self.receive_limits(now, limits).await;
                 return;
             }
+            Datagram::Paces(paces) => {
+                self.receive_paces(now, paces).await;
+                return;
+            }
             Datagram::Version(version) => {
                 self.receive_version(now, version).await;
                 return;
@@ -385,6 +393,7 @@
             exchange: Exchange::default(),
             suspicions: Backlog::default(),
             limits: Backlog::default(),
+            paces: Backlog::default(),
             layout: None,
             reachable: 0,
             daemons: 0,
--- a/cactusglade-daemon/src/edge/mesh/statements.rs
+++ b/cactusglade-daemon/src/edge/mesh/statements.rs
@@ -2,10 +2,12 @@
 //! the relays.
 
 use cactusglade_core::fleet::Limit;
+use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::units::Millis;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Limits;
+use cactusglade_wire::gossip::Paces;
 use cactusglade_wire::gossip::Suspicions;
 
 use super::Mesh;
@@ -20,6 +22,12 @@
     /// Returns the same statement some time later.
     fn aged(self, span: Millis) -> Self;
 
+    /// Returns whether this statement makes an earlier one needless that the relay has not passed on
+    /// yet.
+    fn replaces(&self, _earlier: &Self) -> bool {
+        false
+    }
+
     /// Encodes statements in datagrams that each fit the size limit.
     fn encode(zone: &str, is_forwarded: bool, statements: &[Self]) -> Vec<Datagram>;
 
@@ -57,6 +65,28 @@
     }
 }
 
+impl Statement for Pace {
+    fn aged(self, span: Millis) -> Self {
+        self.aged(span)
+    }
+
+    /// Many daemons see the same change of an upstream's pace within one interval.
+    fn replaces(&self, earlier: &Self) -> bool {
+        matches!(self, Self::Stated { .. })
+            && matches!(earlier, Self::Stated { .. })
+            && self.upstream() == earlier.upstream()
+    }
+
+    fn encode(zone: &str, is_forwarded: bool, statements: &[Self]) -> Vec<Datagram> {
+        let parts = Paces::split(zone, is_forwarded, statements);
+        parts.into_iter().map(Datagram::Paces).collect()
+    }
+
+    fn backlog(mesh: &mut Mesh) -> &mut Backlog<Self> {
+        &mut mesh.paces
+    }
+}
+
 /// `Backlog` keeps statements, with the time of their receipt, until the next heartbeat.
 #[derive(Debug)]
 pub struct Backlog<T> {
@@ -82,6 +112,7 @@
         } else {
             &mut self.inbound
         };
+        target.retain(|(earlier, _)| !statements.iter().any(|one| one.replaces(earlier)));
         let room = MAX_STATEMENTS.saturating_sub(target.len());
         target.extend(statements.iter().take(room).map(|one| (one.clone(), now)));
     }
@@ -154,4 +185,16 @@
         // Fails only while the daemon stops.
         let _ = self.broker.tell(broker::Curb(entries)).await;
     }
+
+    /// Passes what others know of upstreams' paces on to the broker, and keeps it for the relay.
+    pub(super) async fn receive_paces(&mut self, now: Millis, received: Paces) {
+        let Paces {
+            zone,
+            is_forwarded,
+            entries,
+        } = received;
+        self.keep_statements(now, &zone, is_forwarded, &entries);
+        // Fails only while the daemon stops.
+        let _ = self.broker.tell(broker::Follow(entries)).await;
+    }
 }
--- a/cactusglade-policy/src/broker/candidates.rs
+++ b/cactusglade-policy/src/broker/candidates.rs
@@ -85,6 +85,7 @@
             slots: upstream.instance.slots as f64,
             backlog: upstream.backlog as f64,
             uncached,
+            pace: upstream.pace.factor(now),
             failures: upstream.failures(now),
             latency: if query.prompt.is_some() {
                 0.0
--- a/cactusglade-policy/src/broker/mod.rs
+++ b/cactusglade-policy/src/broker/mod.rs
@@ -5,6 +5,7 @@
 
 mod candidates;
 mod limits;
+mod paces;
 mod quotas;
 mod registry;
 mod sample;
@@ -28,6 +29,8 @@
 use crate::affinity;
 use crate::budget;
 use crate::budget::Budget;
+use crate::pace;
+use crate::pace::Allowance;
 use crate::quarantine::Quarantine;
 use crate::quota::Bucket;
 use crate::quota::Tolerance;
@@ -88,6 +91,8 @@
     pub load_age: Option<Millis>,
     /// Limit that the upstream has stated.
     pub limit: Option<Rate>,
+    /// Expected time for work at the selected upstream, in percent of the usual time.
+    pub pace: u64,
 }
 
 /// `Grant` assigns an upstream to a request for one attempt.
@@ -146,6 +151,10 @@
     sightings: BTreeMap<u32, Sighting>,
     /// Upstreams whose limits other daemons are to be told.
     unshared_limits: BTreeSet<arena::Upstream>,
+    /// Upstreams whose paces other daemons are to be told.
+    unshared_paces: BTreeSet<arena::Upstream>,
+    /// How many paces this daemon may still tell.
+    allowance: Allowance,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
     /// Hash of this daemon's name.
@@ -185,6 +194,8 @@
             upstream_hashes: BTreeMap::new(),
             sightings: BTreeMap::new(),
             unshared_limits: BTreeSet::new(),
+            unshared_paces: BTreeSet::new(),
+            allowance: Allowance::default(),
             quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
             buckets: BTreeMap::new(),
@@ -323,12 +334,14 @@
     ) -> Grant {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let (uncached, load) = (candidate.uncached as u64, candidate.load.round() as u64);
+        let pace = pace::percent(candidate.pace);
         let chosen = self.upstreams.get(candidate.upstream);
         let basis = Basis {
             candidates,
             load,
             load_age: chosen.and_then(|upstream| upstream.load_age(now)),
             limit: chosen.and_then(|upstream| upstream.throttle.rate()),
+            pace,
         };
         if let Some(upstream) = self.upstreams.get_mut(candidate.upstream) {
             upstream.in_flight += 1;
--- a/cactusglade-policy/src/broker/strategy.rs
+++ b/cactusglade-policy/src/broker/strategy.rs
@@ -19,9 +19,12 @@
     pub backlog: f64,
     /// Estimated number of prompt tokens that the upstream has not cached.
     pub uncached: f64,
+    /// Expected time for work relative to the usual time, 1 if nothing is known.
+    pub pace: f64,
     /// Recent failure rate, from 0 to 1.
     pub failures: f64,
-    /// Recent time to the head of an answer in milliseconds, zero for a model request.
+    /// Recent time to the head of an answer at the usual pace in milliseconds, zero for a model
+    /// request.
     pub latency: f64,
 }
 
@@ -65,10 +68,8 @@
         } else {
             OTHER_ZONE_COST_MS
         };
-        prefill
-            + candidate.load * LOAD_COST_MS
-            + busy
-            + candidate.latency
+        let work = prefill + candidate.load * LOAD_COST_MS + busy + candidate.latency;
+        work * candidate.pace
             + waiting * QUEUE_COST_MS
             + other_zone
             + candidate.failures * FAILURE_COST_MS
--- a/cactusglade-policy/src/broker/upstream.rs
+++ b/cactusglade-policy/src/broker/upstream.rs
@@ -5,6 +5,7 @@
 
 use crate::affinity;
 use crate::affinity::Cache;
+use crate::pace::Estimate;
 use crate::retry::Backoff;
 use crate::throttle::Throttle;
 
@@ -43,6 +44,8 @@
     pub spared_until: Millis,
     /// Limit that the upstream has stated, and this daemon's share of it.
     pub throttle: Throttle,
+    /// Time that work takes at the upstream, relative to the usual time.
+    pub pace: Estimate,
     /// Backoff after failures.
     pub backoff: Backoff,
     /// Prompt parts that the upstream has recently read.
@@ -74,6 +77,7 @@
             removal: None,
             spared_until: Millis(0),
             throttle: Throttle::default(),
+            pace: Estimate::default(),
             backoff: Backoff::default(),
             cache: Cache::default(),
             in_flight: 0,
@@ -162,7 +166,8 @@
         self.delay * decay(now - self.delay_updated, DELAY_HALF_LIFE_MS)
     }
 
-    /// Returns the moving average of the time to the head of an answer, in milliseconds.
+    /// Returns the moving average of the time to the head of an answer at the usual pace, in
+    /// milliseconds.
     #[must_use]
     pub const fn latency(&self) -> f64 {
         self.latency
@@ -175,13 +180,17 @@
     }
 
     /// Records whether an answer was good, and the time to its head.
+    ///
+    /// The time is divided by the pace, which the expected time is multiplied by: an upstream that
+    /// states a false pace thus has its usual expected time again after some answers.
     #[allow(clippy::cast_precision_loss)]
     pub fn record_answer(&mut self, now: Millis, is_good: bool, latency: Option<Millis>) {
         let failed = if is_good { 0.0 } else { 1.0 };
         self.failures = self.failures(now) * (1.0 - NEWEST_WEIGHT) + failed * NEWEST_WEIGHT;
         self.failures_updated = now;
         if let Some(latency) = latency {
-            self.latency = self.latency * (1.0 - NEWEST_WEIGHT) + latency.0 as f64 * NEWEST_WEIGHT;
+            let latency = latency.0 as f64 / self.pace.factor(now);
+            self.latency = self.latency * (1.0 - NEWEST_WEIGHT) + latency * NEWEST_WEIGHT;
         }
     }
 }
--- /dev/null
+++ b/cactusglade-policy/src/pace/mod.rs
@@ -0,0 +1,215 @@
+//! Estimates how long work takes at an upstream, relative to the usual time.
+//!
+//! Upstreams state their pace in answers, and daemons tell each other what they hear: one of many
+//! daemons sends an engine a request in ten seconds. An estimate has a lasting part, for engines that
+//! are slow for good, and a momentary part, for servers that turn slow for half a second. See
+//! `docs/design/pace.md`.
+
+use cactusglade_core::units::Millis;
+
+/// Half-life of the weight of the newest stated pace in milliseconds. Application servers change
+/// their pace after 600 ms, so one that was stated 300 ms ago holds for half of the time.
+const MOMENTARY_HALF_LIFE_MS: f64 = 200.0;
+/// Time for which the usual pace counts in the mean before an upstream has stated one, in
+/// milliseconds; a server that is slow when it is first heard of is not taken to be so for good.
+const PRIOR_SPAN_MS: f64 = 1_000.0;
+/// Time over which the mean is formed in milliseconds, some dozens of changes of a server's pace.
+const MEMORY_MS: f64 = 20_000.0;
+/// Time for which a pace counts that the next statement confirms, in milliseconds. A constant one is
+/// stated again within [`REPEAT_INTERVAL`], unless its upstream gets few requests.
+const MAX_CONFIRMED_MS: f64 = 5_000.0;
+/// Time for which a pace counts that the next statement contradicts, in milliseconds: a slow server
+/// gets few requests, so that its recovery is noticed late.
+const MAX_CONTRADICTED_MS: f64 = 1_000.0;
+/// Least and greatest factor. The least one limits what an upstream draws by a false pace, and the
+/// greatest one has it get requests, by which others notice that it has recovered.
+const BOUNDS: (f64, f64) = (0.25, 4.0);
+/// Ratio of spans above which the mean of another daemon replaces the own one, as after a start.
+const ADOPTION_RATIO: f64 = 1.5;
+/// Relative difference up to which two stated paces count as the same.
+const CHANGE_RATIO: f64 = 0.1;
+/// Relative difference from the lasting pace above which a pace is told again soon, since the other
+/// daemons return to the lasting one.
+const DEVIATION_RATIO: f64 = 0.25;
+/// Interval at which a pace that differs from the lasting one is told again.
+const DEVIATION_INTERVAL: Millis = Millis(200);
+/// Least interval at which a constant pace is told again, for daemons that start.
+const REPEAT_INTERVAL: Millis = Millis(3_000);
+/// The same interval per upstream in milliseconds: each daemon receives all statements, of about
+/// fifteen bytes, and one per 15 ms are 1 KB per second.
+const REPEAT_MS_PER_UPSTREAM: u64 = 15;
+/// Statements that one daemon may make per second, times the number of daemons: each daemon receives
+/// all statements, of about fifteen bytes, and these are at most 2 KB per second.
+const STATEMENTS_PER_S: f64 = 140.0;
+/// Statements that a daemon may make at once, when it has made none for a while.
+const BURST: f64 = 20.0;
+const MILLIS_PER_S: f64 = 1_000.0;
+const PERCENT: f64 = 100.0;
+
+/// Returns a factor in percent.
+#[must_use]
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn percent(factor: f64) -> u64 {
+    (factor * PERCENT).round() as u64
+}
+
+/// Returns the factor of a percentage, within bounds.
+#[allow(clippy::cast_precision_loss)]
+fn factor(percent: u64) -> f64 {
+    let (least, greatest) = BOUNDS;
+    (percent as f64 / PERCENT).clamp(least, greatest)
+}
+
+/// Returns whether two factors differ by more than a ratio.
+fn differ(one: f64, other: f64, ratio: f64) -> bool {
+    one > other * (1.0 + ratio) || other > one * (1.0 + ratio)
+}
+
+/// `Mean` is the mean of stated paces and the time over which it was formed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mean {
+    /// Factor on the usual time.
+    pub factor: f64,
+    /// Time in milliseconds.
+    pub span: f64,
+}
+
+/// `Estimate` is the expected time for work at one upstream relative to the usual time.
+#[derive(Clone, Copy, Debug)]
+pub struct Estimate {
+    newest: Option<(f64, Millis)>,
+    lasting: Mean,
+    /// The pace of which daemons were last told, by this one or another, and when.
+    told: Option<(f64, Millis)>,
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self {
+            newest: None,
+            lasting: Mean {
+                factor: 1.0,
+                span: PRIOR_SPAN_MS,
+            },
+            told: None,
+        }
+    }
+}
+
+impl Estimate {
+    /// Records a pace that the upstream stated at some time; returns whether that is news.
+    pub fn record(&mut self, percent: u64, at: Millis) -> bool {
+        let stated = factor(percent);
+        if let Some((before, since)) = self.newest {
+            if at < since {
+                return false;
+            }
+            self.count(before, since, stated, at);
+        }
+        self.newest = Some((stated, at));
+        true
+    }
+
+    /// Counts a pace for the time until the next statement.
+    #[allow(clippy::cast_precision_loss)]
+    fn count(&mut self, pace: f64, since: Millis, next: f64, at: Millis) {
+        let most = if differ(pace, next, CHANGE_RATIO) {
+            MAX_CONTRADICTED_MS
+        } else {
+            MAX_CONFIRMED_MS
+        };
+        let span = ((at - since).0 as f64).min(most);
+        let lasting = &mut self.lasting;
+        lasting.factor += (pace - lasting.factor) * span / (lasting.span + span);
+        lasting.span = (lasting.span + span).min(MEMORY_MS);
+    }
+
+    /// Records what another daemon tells: the pace that the upstream stated at some time, and the
+    /// mean of those before.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn learn(&mut self, now: Millis, percent: u64, at: Millis, lasting: u64, span: Millis) {
+        let span = (span.0 as f64).min(MEMORY_MS);
+        if span > self.lasting.span * ADOPTION_RATIO {
+            self.lasting = Mean {
+                factor: factor(lasting),
+                span,
+            };
+        }
+        if self.record(percent, at) {
+            self.told = Some((factor(percent), now));
+        }
+    }
+
+    /// Returns whether other daemons are to be told the newest pace: none was told, it has changed, it
+    /// differs from the lasting one, or it is told again for daemons that start.
+    #[must_use]
+    pub fn is_due(&self, now: Millis, upstreams: usize) -> bool {
+        let Some((newest, _)) = self.newest else {
+            return false;
+        };
+        let Some((told, at)) = self.told else {
+            return true;
+        };
+        let age = now - at;
+        let per_upstream = REPEAT_MS_PER_UPSTREAM * upstreams as u64;
+        let repeat = REPEAT_INTERVAL.max(Millis(per_upstream));
+        differ(newest, told, CHANGE_RATIO)
+            || age >= repeat
+            || age >= DEVIATION_INTERVAL && differ(newest, self.lasting.factor, DEVIATION_RATIO)
+    }
+
+    /// Returns the newest pace, when it was stated, and the mean, to tell other daemons.
+    pub fn tell(&mut self, now: Millis) -> Option<(f64, Millis, Mean)> {
+        let (newest, at) = self.newest?;
+        self.told = Some((newest, now));
+        Some((newest, at, self.lasting))
+    }
+
+    /// Returns whether the upstream has stated a pace.
+    #[must_use]
+    pub const fn is_stated(&self) -> bool {
+        self.newest.is_some()
+    }
+
+    /// Returns the expected time for work relative to the usual time, 1 if nothing is known.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn factor(&self, now: Millis) -> f64 {
+        let Some((newest, at)) = self.newest else {
+            return 1.0;
+        };
+        let weight = (-((now - at).0 as f64) / MOMENTARY_HALF_LIFE_MS).exp2();
+        self.lasting.factor + (newest - self.lasting.factor) * weight
+    }
+}
+
+/// `Allowance` bounds the statements on paces that one daemon makes.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    left: f64,
+    updated: Millis,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self {
+            left: BURST,
+            updated: Millis(0),
+        }
+    }
+}
+
+impl Allowance {
+    /// Returns whether another statement may be made among a number of daemons, and counts it.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn take(&mut self, now: Millis, daemons: f64) -> bool {
+        let gained = (now - self.updated).0 as f64 / MILLIS_PER_S * STATEMENTS_PER_S;
+        self.left = (self.left + gained / daemons).min(BURST);
+        self.updated = now;
+        let has_left = self.left >= 1.0;
+        if has_left {
+            self.left -= 1.0;
+        }
+        has_left
+    }
+}
--- a/cactusglade-wire/src/gossip/mod.rs
+++ b/cactusglade-wire/src/gossip/mod.rs
@@ -10,6 +10,7 @@
 use bincode::Options;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Limit;
+use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_core::fleet::Suspicion;
 use cactusglade_core::revision::Revision;
@@ -207,6 +208,33 @@
     }
 }
 
+/// `Paces` is what the daemons of one zone know of the paces of upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Paces {
+    /// Name of the zone.
+    pub zone: String,
+    /// Whether the relay of another zone forwards them to its own zone.
+    pub is_forwarded: bool,
+    /// Statements, in the order in which they were made.
+    pub entries: Vec<Pace>,
+}
+
+/// Paces in one datagram, each at most twenty bytes long.
+const PACES_PER_PART: usize = 60;
+
+impl Paces {
+    /// Splits statements into parts that each fit a datagram.
+    #[must_use]
+    pub fn split(zone: &str, is_forwarded: bool, entries: &[Pace]) -> Vec<Self> {
+        let parts = entries.chunks(PACES_PER_PART).map(|entries| Self {
+            zone: zone.to_owned(),
+            is_forwarded,
+            entries: entries.to_vec(),
+        });
+        parts.collect()
+    }
+}
+
 /// `Version` states the newest configuration that is known to be in force at a daemon.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Version {
@@ -237,6 +265,8 @@
     Suspicions(Suspicions),
     /// Sent between daemons of one zone, and between relays.
     Limits(Limits),
+    /// Sent between daemons of one zone, and between relays.
+    Paces(Paces),
 }
 
 impl Datagram {
--- a/cactusglade-wire/src/port/codec.rs
+++ b/cactusglade-wire/src/port/codec.rs
@@ -39,6 +39,8 @@
     pub waiting: u64,
     /// Requests that the upstream can process at the same time.
     pub slots: u64,
+    /// How long work takes there at this moment, in percent of the usual time, where it says so.
+    pub pace: Option<u64>,
 }
 
 /// `Limit` is what an answer says of the requests that its upstream takes from all daemons together.
--- a/cactusglade-wire/tests/beat.rs
+++ b/cactusglade-wire/tests/beat.rs
@@ -5,11 +5,13 @@
 use cactusglade_check::check;
 use cactusglade_core::fleet::Change;
 use cactusglade_core::fleet::Instance;
+use cactusglade_core::fleet::Pace;
 use cactusglade_core::fleet::Phase;
 use cactusglade_core::fleet::Sighting;
 use cactusglade_wire::gossip::Datagram;
 use cactusglade_wire::gossip::Entries;
 use cactusglade_wire::gossip::Heartbeat;
+use cactusglade_wire::gossip::Paces;
 use cactusglade_wire::gossip::Sightings;
 use cactusglade_wire::gossip::Watermark;
 
@@ -89,6 +91,24 @@
     }
 }
 
+#[test]
+fn paces_are_split_into_parts_that_each_fit_a_datagram() {
+    let pace = |upstream| Pace::Stated {
+        upstream: u32::MAX - upstream,
+        percent: 10_000,
+        age_ms: 60_000,
+        lasting: 10_000,
+        span_ms: 60_000,
+    };
+    let paces = (0..7_700).map(pace).collect::<Vec<_>>();
+    let parts = Paces::split("a-zone-with-a-name", true, &paces);
+    let joined = parts.iter().flat_map(|part| part.entries.clone());
+    assert_eq!(joined.collect::<Vec<_>>(), paces);
+    for part in parts {
+        assert!(Datagram::Paces(part).encode().is_some());
+    }
+}
+
 #[test]
 fn arbitrary_bytes_are_decoded_without_a_panic() {
     check::run::<Vec<u8>>(5_000, |bytes| {
