--- /dev/null
+++ b/review/standins-2/src/cases/poison.rs
@@ -0,0 +1,266 @@
+//! One part of a prompt crashes each server that begins to write an answer on it.
+
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http::Request;
+use crate::scene;
+use crate::scene::Outcomes;
+use crate::scene::Route;
+use crate::scene::Scene;
+use crate::scene::Verdict;
+use crate::server::Act;
+use crate::server::Options;
+
+/// How the requests with the deadly part come.
+pub struct Plan {
+    /// Requests at one moment.
+    width: u64,
+    /// Time between two such moments.
+    period: Duration,
+    /// How often they come.
+    count: u64,
+    /// Whether answers have a framing; without one they end with their connection.
+    is_framed: bool,
+    /// Number of sound shared parts before the deadly one.
+    depth: u64,
+}
+
+pub const WAVES: Plan = Plan {
+    width: 6,
+    period: Duration::from_secs(5),
+    count: 4,
+    is_framed: true,
+    depth: 1,
+};
+/// Waves so far apart that the daemons have forgotten the first one when the third comes.
+pub const FAR_WAVES: Plan = Plan {
+    width: 4,
+    period: Duration::from_secs(31),
+    count: 4,
+    is_framed: true,
+    depth: 1,
+};
+pub const UNFRAMED: Plan = Plan {
+    width: 1,
+    period: Duration::from_millis(1_500),
+    count: 16,
+    is_framed: false,
+    depth: 1,
+};
+pub const LATE_PART: Plan = Plan {
+    width: 1,
+    period: Duration::from_millis(1_500),
+    count: 16,
+    is_framed: true,
+    depth: 16,
+};
+/// The same requests one after the other, which the daemons do hold: for comparison.
+pub const STEADY: Plan = Plan {
+    width: 1,
+    period: Duration::from_millis(1_500),
+    count: 16,
+    is_framed: true,
+    depth: 1,
+};
+
+/// Bound of the rule: requests with the part that may reach servers after the grace time.
+const MAX_REQUESTS: usize = 3;
+const CONTACT_MS: u64 = 3_000;
+const DEADLY: u64 = 0xdead;
+const SERVERS: usize = 12;
+/// Shared parts beside the deadly one that sound requests have too.
+const SESSIONS: u64 = 40;
+
+/// Returns the parts of a prompt; sound requests have the same ones but for the deadly part.
+fn prompt(plan: &Plan, number: u64, is_deadly: bool) -> String {
+    let mut parts = (0..plan.depth)
+        .map(|part| 0x5000 + part)
+        .collect::<Vec<_>>();
+    if is_deadly {
+        parts.push(DEADLY);
+    }
+    parts.push(0x70_0000 + number % SESSIONS);
+    parts.push(0x9000_0000 + number);
+    let parts = parts.iter().map(|part| format!("{part:x}:40"));
+    parts.collect::<Vec<_>>().join(",")
+}
+
+fn is_deadly(request: &Request) -> bool {
+    let parts = request.header("Prompt-Prefix").unwrap_or_default();
+    let ids = parts.split(',').filter_map(|part| part.split(':').next());
+    let ids = ids.collect::<Vec<_>>();
+    let deadly = format!("{DEADLY:x}");
+    // The last part is never the one.
+    ids.split_last()
+        .is_some_and(|(_, shared)| shared.contains(&deadly.as_str()))
+}
+
+pub fn run(
+    scene: &mut Scene,
+    program: &Path,
+    has_trouble: bool,
+    plan: &'static Plan,
+) -> io::Result<Verdict> {
+    let route = Route {
+        name: "bloom",
+        kind: "streaming",
+        service: "skim-model",
+        timeout_ms: 15_000,
+        goal_ms: 1_000,
+        attempts: 1,
+        is_resumable: false,
+    };
+    scene
+        .store
+        .put("op", "config", &scene::config(7, &[route], 16_384));
+    for index in 0..SERVERS {
+        let options = Options {
+            id: format!("i-{index:02}"),
+            service: "skim-model".to_owned(),
+            version: "v1".to_owned(),
+            zone: scene::ZONES[index % scene::ZONES.len()].to_owned(),
+            slots: 64,
+            ip: scene.next_ip(),
+            down: Duration::from_millis(2_500),
+            behaviour: Arc::new(move |request| {
+                let is_framed = plan.is_framed;
+                if has_trouble && is_deadly(request) {
+                    return Act::Crash { is_framed };
+                }
+                Act::Stream {
+                    events: 20,
+                    gap: Duration::from_millis(25),
+                    is_framed,
+                }
+            }),
+        };
+        scene.add_server(options)?;
+    }
+    // Two machines in each of three zones and one in the fourth, as on the sheet.
+    let zones = [0, 0, 1, 1, 2, 2, 3].map(|zone| scene::ZONES[zone]);
+    if !scene.start_daemons(program, &zones)? {
+        return Ok(Verdict::CouldNotRun);
+    }
+    let (outcomes, record) = (Outcomes::default(), scene.record.clone());
+    let daemons = scene
+        .daemons
+        .iter()
+        .map(|one| (one.name.clone(), one.callers));
+    let daemons = daemons.collect::<Vec<_>>();
+    let send = |number: u64, deadly: bool| {
+        let (outcomes, record) = (outcomes.clone(), record.clone());
+        let (name, address) = daemons[(number % daemons.len() as u64) as usize].clone();
+        let headers = [
+            ("Model".to_owned(), "m".to_owned()),
+            ("Token-Count".to_owned(), "160,100".to_owned()),
+            ("Prompt-Prefix".to_owned(), prompt(plan, number, deadly)),
+        ];
+        std::thread::spawn(move || {
+            let kind = if deadly { "deadly part" } else { "sound" };
+            outcomes.send(
+                &record,
+                (&name, address),
+                kind,
+                "/bloom/2f",
+                &headers,
+                15_000,
+            );
+        })
+    };
+    let began = Instant::now();
+    let waves = u32::try_from(plan.count).unwrap_or(1);
+    let end = plan.period * (waves - 1) + Duration::from_secs(5);
+    let mut threads = Vec::new();
+    let (mut number, mut wave) = (0, 0);
+    while began.elapsed() < end {
+        // Sound requests come all the while, forty a second.
+        number += 1;
+        threads.push(send(number, false));
+        let due = Duration::from_secs(2) + plan.period * u32::try_from(wave).unwrap_or(0);
+        if wave < plan.count && began.elapsed() >= due {
+            wave += 1;
+            for _ in 0..plan.width {
+                number += 1;
+                threads.push(send(number, true));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(25));
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    Ok(judge(scene, &outcomes, has_trouble))
+}
+
+fn judge(scene: &Scene, outcomes: &Outcomes, has_trouble: bool) -> Verdict {
+    let mut crashes = scene.log.crashes.lock().expect("no panic").clone();
+    crashes.sort_unstable();
+    let sent = outcomes.sent.lock().expect("no panic");
+    let count = |kind: &str| {
+        let all = sent.iter().filter(|one| one.kind == kind);
+        let (mut good, mut refused, mut cut) = (0, 0, 0);
+        for one in all {
+            match one.status {
+                200 if one.is_whole => good += 1,
+                503 | 429 => refused += 1,
+                _ => cut += 1,
+            }
+        }
+        (good, refused, cut)
+    };
+    let (good, refused, cut) = count("sound");
+    let cut_at_servers = scene.log.cut.load(Ordering::SeqCst);
+    scene.record.say(&format!(
+        "{} crashes; sound requests: {good} answered, {refused} refused, {cut} broken off; {cut_at_servers} of \
+         them were cut by crashes",
+        crashes.len()
+    ));
+    if !has_trouble {
+        let is_calm = crashes.is_empty() && refused == 0 && cut == 0;
+        return if is_calm {
+            Verdict::Held
+        } else {
+            Verdict::CouldNotRun
+        };
+    }
+    let Some(fifth) = crashes.get(4) else {
+        scene
+            .record
+            .say("fewer than five crashes: the rule does not apply");
+        return if crashes.is_empty() {
+            Verdict::CouldNotRun
+        } else {
+            Verdict::Held
+        };
+    };
+    let deadly = sent.iter().filter(|one| one.kind == "deadly part");
+    let deadly = deadly.map(|one| (one.attempt.as_str(), one.at));
+    let deadly = deadly.collect::<std::collections::BTreeMap<_, _>>();
+    let arrivals = scene.log.arrivals.lock().expect("no panic");
+    let late = arrivals.iter().filter(|one| {
+        deadly
+            .get(one.attempt.as_str())
+            .is_some_and(|sent| *sent > fifth + CONTACT_MS)
+    });
+    let late = late.inspect(|one| {
+        scene.record.line(&format!(
+            "late: {} reached {} at {} ms",
+            one.attempt, one.server, one.at
+        ));
+    });
+    let late = late.count();
+    scene.record.say(&format!(
+        "fifth crash at {fifth} ms; {late} requests with the part that were sent over {CONTACT_MS} ms later reached \
+         servers, {MAX_REQUESTS} are allowed"
+    ));
+    if late > MAX_REQUESTS {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
