--- a/review/standins-2/src/cases/heads.rs
+++ b/review/standins-2/src/cases/heads.rs
@@ -60,13 +60,7 @@
     if !scene.start_daemons(program, &zones)? {
         return Ok(Verdict::CouldNotRun);
     }
-    let mut clients = Vec::new();
-    for index in 0..CLIENTS {
-        let daemon = &scene.daemons[index % scene.daemons.len()];
-        if let Some(connection) = Connection::open(daemon.callers) {
-            clients.push((daemon.name.clone(), connection));
-        }
-    }
+    let mut clients = connect(scene);
     let (short, _) = round(scene, &mut clients, 0);
     if has_trouble {
         scene
@@ -83,7 +77,14 @@
          were refused with a 4xx of the daemon's own; {} are allowed",
         ALLOWED + total / ONE_IN
     ));
-    if clients.len() < CLIENTS {
+    // For comparison, and to see that the daemons have the version.
+    let mut others = connect(scene);
+    let (_, refused_on_new) = round(scene, &mut others, HEADER_BYTES);
+    scene.record.say(&format!(
+        "on connections opened then, {refused_on_new} of {} were refused",
+        others.len()
+    ));
+    if clients.len() < CLIENTS || refused_on_new > 0 {
         return Ok(Verdict::CouldNotRun);
     }
     let is_broken = refused > ALLOWED + total / ONE_IN;
@@ -94,6 +95,14 @@
     })
 }
 
+/// Opens the clients' connections, in turn to each machine.
+fn connect(scene: &Scene) -> Vec<(String, Connection)> {
+    let daemons = scene.daemons.iter().cycle().take(CLIENTS);
+    let connections =
+        daemons.filter_map(|one| Some((one.name.clone(), Connection::open(one.callers)?)));
+    connections.collect()
+}
+
 /// Sends a request on each connection; returns their number and that of refusals.
 fn round(
     scene: &Scene,
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -34,9 +34,12 @@
 
 /// Where a daemon runs.
 pub struct Machine {
-    pub name: String,
-    pub zone: String,
-    pub ip: IpAddr,
+    name: String,
+    zone: String,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    pub peers: SocketAddr,
+    operators: SocketAddr,
 }
 
 /// Settings that all daemons of a case share.
@@ -50,17 +53,35 @@
     pub record: &'a Record,
 }
 
-/// Returns an address of a machine with a port that is free there.
-pub fn free_address(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0))?.local_addr()
+impl Machine {
+    /// Describes a machine whose daemon has ports that are free there.
+    pub fn new(name: String, zone: String, ip: IpAddr) -> io::Result<Self> {
+        // All are bound before the first is released, so that they differ.
+        let listeners = [0; 4].map(|port| TcpListener::bind((ip, port)));
+        let mut addresses = Vec::new();
+        for listener in &listeners {
+            match listener {
+                Ok(listener) => addresses.push(listener.local_addr()?),
+                Err(reason) => return Err(io::Error::new(reason.kind(), reason.to_string())),
+            }
+        }
+        Ok(Self {
+            name,
+            zone,
+            callers: addresses[0],
+            ready: addresses[1],
+            peers: addresses[2],
+            operators: addresses[3],
+        })
+    }
 }
 
 impl Daemon {
     /// Starts a daemon with the settings that `platform/settings.toml` renders, with the bounds of
     /// the users' small deployments.
-    pub fn start(common: &Common<'_>, machine: &Machine, peers: SocketAddr) -> io::Result<Self> {
-        let (callers, ready) = (free_address(machine.ip)?, free_address(machine.ip)?);
-        let operators = free_address(machine.ip)?;
+    pub fn start(common: &Common<'_>, machine: &Machine) -> io::Result<Self> {
+        let (callers, ready) = (machine.callers, machine.ready);
+        let (peers, operators) = (machine.peers, machine.operators);
         let quoted = |words: &mut dyn Iterator<Item = String>| {
             words
                 .map(|word| format!("\"{word}\""))
--- a/review/standins-2/src/scene.rs
+++ b/review/standins-2/src/scene.rs
@@ -143,9 +143,8 @@
     pub fn start_daemons(&mut self, program: &Path, zones: &[&str]) -> io::Result<bool> {
         let mut machines = Vec::new();
         for (index, zone) in zones.iter().enumerate() {
-            let (name, zone) = (format!("front-{zone}-{index}"), (*zone).to_owned());
-            let ip = self.next_ip();
-            machines.push((Machine { name, zone, ip }, fleet::free_address(ip)?));
+            let name = format!("front-{zone}-{index}");
+            machines.push(Machine::new(name, (*zone).to_owned(), self.next_ip())?);
         }
         let ip = self.next_ip();
         let store = self.store.listen(ip)?;
@@ -153,15 +152,16 @@
             program,
             folder: &self._folder.0,
             zones: &ZONES,
-            seeds: machines.iter().take(3).map(|(_, peers)| *peers).collect(),
+            seeds: machines.iter().take(3).map(|one| one.peers).collect(),
             store,
             record: &self.record,
         };
-        for (machine, peers) in &machines {
-            self.daemons.push(Daemon::start(&common, machine, *peers)?);
+        for machine in &machines {
+            self.daemons.push(Daemon::start(&common, machine)?);
         }
         let is_ready = fleet::await_ready(&self.daemons, Duration::from_secs(15));
-        self.record.line("all daemons are ready");
+        let state = if is_ready { "all" } else { "not all" };
+        self.record.say(&format!("{state} daemons are ready"));
         std::thread::sleep(Duration::from_secs(4));
         Ok(is_ready)
     }
