--- a/review/standins-2/src/cases/poison.rs
+++ b/review/standins-2/src/cases/poison.rs
@@ -1,5 +1,7 @@
 //! One part of a prompt crashes each server that begins to write an answer on it.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
@@ -9,6 +11,7 @@
 
 use crate::http::Request;
 use crate::scene;
+use crate::scene::Outcome;
 use crate::scene::Outcomes;
 use crate::scene::Route;
 use crate::scene::Scene;
@@ -28,49 +31,64 @@
     is_framed: bool,
     /// Number of sound shared parts before the deadly one.
     depth: u64,
+    /// Time for which sound requests go on after the last ones with the part.
+    tail: Duration,
+    /// Rule that decides.
+    rule: Rule,
 }
 
+/// A rule on deadly prompts.
+#[derive(Clone, Copy)]
+enum Rule {
+    /// How many requests with the part reach servers.
+    Budget,
+    /// How many sound requests begin.
+    Lost,
+}
+
+pub const LATE_PART: Plan = Plan {
+    is_framed: true,
+    depth: 16,
+    tail: Duration::from_secs(12),
+    rule: Rule::Lost,
+    ..STEADY
+};
+pub const UNFRAMED: Plan = Plan {
+    period: Duration::from_millis(80),
+    count: 225,
+    is_framed: false,
+    rule: Rule::Lost,
+    ..STEADY
+};
+/// The same requests as in the cases before, which the daemons do hold: for comparison.
+pub const STEADY: Plan = Plan {
+    width: 1,
+    period: Duration::from_millis(100),
+    count: 180,
+    is_framed: true,
+    depth: 1,
+    tail: Duration::from_secs(3),
+    rule: Rule::Budget,
+};
 pub const WAVES: Plan = Plan {
     width: 6,
     period: Duration::from_secs(5),
     count: 4,
-    is_framed: true,
-    depth: 1,
+    ..STEADY
 };
 /// Waves so far apart that the daemons have forgotten the first one when the third comes.
 pub const FAR_WAVES: Plan = Plan {
     width: 4,
     period: Duration::from_secs(31),
     count: 4,
-    is_framed: true,
-    depth: 1,
-};
-pub const UNFRAMED: Plan = Plan {
-    width: 1,
-    period: Duration::from_millis(1_500),
-    count: 16,
-    is_framed: false,
-    depth: 1,
-};
-pub const LATE_PART: Plan = Plan {
-    width: 1,
-    period: Duration::from_millis(1_500),
-    count: 16,
-    is_framed: true,
-    depth: 16,
-};
-/// The same requests one after the other, which the daemons do hold: for comparison.
-pub const STEADY: Plan = Plan {
-    width: 1,
-    period: Duration::from_millis(1_500),
-    count: 16,
-    is_framed: true,
-    depth: 1,
+    ..STEADY
 };
 
 /// Bound of the rule: requests with the part that may reach servers after the grace time.
 const MAX_REQUESTS: usize = 3;
 const CONTACT_MS: u64 = 3_000;
+/// Sound requests of either time below which the rule on them does not apply.
+const MIN_COUNTED: usize = 20;
 const DEADLY: u64 = 0xdead;
 const SERVERS: usize = 12;
 /// Shared parts beside the deadly one that sound requests have too.
@@ -174,7 +192,7 @@
     };
     let began = Instant::now();
     let waves = u32::try_from(plan.count).unwrap_or(1);
-    let end = plan.period * (waves - 1) + Duration::from_secs(5);
+    let end = Duration::from_secs(2) + plan.period * (waves - 1) + plan.tail;
     let mut threads = Vec::new();
     let (mut number, mut wave) = (0, 0);
     while began.elapsed() < end {
@@ -194,34 +212,45 @@
     for thread in threads {
         let _ = thread.join();
     }
-    Ok(judge(scene, &outcomes, has_trouble))
+    Ok(judge(scene, &outcomes, has_trouble, plan.rule))
 }
 
-fn judge(scene: &Scene, outcomes: &Outcomes, has_trouble: bool) -> Verdict {
+/// Requests of one kind by what their callers got.
+#[derive(Default)]
+struct Tally {
+    good: usize,
+    refused: usize,
+    broken: usize,
+}
+
+fn tally(sent: &[Outcome], kind: &str) -> Tally {
+    let mut tally = Tally::default();
+    for one in sent.iter().filter(|one| one.kind == kind) {
+        match one.status {
+            200 if one.is_whole => tally.good += 1,
+            503 | 429 => tally.refused += 1,
+            _ => tally.broken += 1,
+        }
+    }
+    tally
+}
+
+fn judge(scene: &Scene, outcomes: &Outcomes, has_trouble: bool, rule: Rule) -> Verdict {
+    let record = &scene.record;
     let mut crashes = scene.log.crashes.lock().expect("no panic").clone();
     crashes.sort_unstable();
     let sent = outcomes.sent.lock().expect("no panic");
-    let count = |kind: &str| {
-        let all = sent.iter().filter(|one| one.kind == kind);
-        let (mut good, mut refused, mut cut) = (0, 0, 0);
-        for one in all {
-            match one.status {
-                200 if one.is_whole => good += 1,
-                503 | 429 => refused += 1,
-                _ => cut += 1,
-            }
-        }
-        (good, refused, cut)
-    };
-    let (good, refused, cut) = count("sound");
-    let cut_at_servers = scene.log.cut.load(Ordering::SeqCst);
-    scene.record.say(&format!(
-        "{} crashes; sound requests: {good} answered, {refused} refused, {cut} broken off; {cut_at_servers} of \
-         them were cut by crashes",
-        crashes.len()
+    let sound = tally(&sent, "sound");
+    record.say(&format!(
+        "{} crashes; sound requests: {} answered, {} refused, {} broken off; {} were cut by crashes",
+        crashes.len(),
+        sound.good,
+        sound.refused,
+        sound.broken,
+        scene.log.cut.load(Ordering::SeqCst)
     ));
     if !has_trouble {
-        let is_calm = crashes.is_empty() && refused == 0 && cut == 0;
+        let is_calm = crashes.is_empty() && sound.refused == 0 && sound.broken == 0;
         return if is_calm {
             Verdict::Held
         } else {
@@ -229,9 +258,7 @@
         };
     }
     let Some(fifth) = crashes.get(4) else {
-        scene
-            .record
-            .say("fewer than five crashes: the rule does not apply");
+        record.say("fewer than five crashes");
         return if crashes.is_empty() {
             Verdict::CouldNotRun
         } else {
@@ -240,25 +267,53 @@
     };
     let deadly = sent.iter().filter(|one| one.kind == "deadly part");
     let deadly = deadly.map(|one| (one.attempt.as_str(), one.at));
-    let deadly = deadly.collect::<std::collections::BTreeMap<_, _>>();
+    let deadly = deadly.collect::<BTreeMap<_, _>>();
     let arrivals = scene.log.arrivals.lock().expect("no panic");
     let late = arrivals.iter().filter(|one| {
-        deadly
-            .get(one.attempt.as_str())
-            .is_some_and(|sent| *sent > fifth + CONTACT_MS)
-    });
-    let late = late.inspect(|one| {
-        scene.record.line(&format!(
-            "late: {} reached {} at {} ms",
-            one.attempt, one.server, one.at
-        ));
+        let sent = deadly.get(one.attempt.as_str());
+        sent.is_some_and(|sent| *sent > fifth + CONTACT_MS)
     });
     let late = late.count();
-    scene.record.say(&format!(
-        "fifth crash at {fifth} ms; {late} requests with the part that were sent over {CONTACT_MS} ms later reached \
-         servers, {MAX_REQUESTS} are allowed"
+    record.say(&format!(
+        "BUDGET: fifth crash at {fifth} ms; {late} requests with the part that were sent over {CONTACT_MS} ms \
+         later reached servers, {MAX_REQUESTS} are allowed"
+    ));
+    let ran = arrivals.iter().filter(|one| one.has_run);
+    let ran = ran.map(|one| one.attempt.as_str()).collect::<BTreeSet<_>>();
+    let begun = |from: u64, to: u64| {
+        let all = sent
+            .iter()
+            .filter(|one| one.kind == "sound" && (from..to).contains(&one.at));
+        let all = all
+            .map(|one| ran.contains(one.attempt.as_str()))
+            .collect::<Vec<_>>();
+        (all.iter().filter(|has_run| **has_run).count(), all.len())
+    };
+    let first = deadly.values().min().copied().unwrap_or_default();
+    let last = deadly.values().max().copied().unwrap_or_default();
+    let before = begun(0, first);
+    let meanwhile = begun(fifth + 2 * CONTACT_MS, last);
+    // The last servers that crashed are back by then.
+    let after = begun(last + 3_000, u64::MAX);
+    record.say(&format!(
+        "LOST: sound requests that began at a server: {} of {} before, {} of {} from {} ms after the fifth crash \
+         to the last request with the part; {} of {} later than 3 s after that",
+        before.0,
+        before.1,
+        meanwhile.0,
+        meanwhile.1,
+        2 * CONTACT_MS,
+        after.0,
+        after.1
     ));
-    if late > MAX_REQUESTS {
+    let is_broken = match rule {
+        Rule::Budget => late > MAX_REQUESTS,
+        Rule::Lost => {
+            let counts = before.1 >= MIN_COUNTED && meanwhile.1 >= MIN_COUNTED;
+            counts && 2 * meanwhile.0 * before.1 < before.0 * meanwhile.1
+        }
+    };
+    if is_broken {
         Verdict::Broken
     } else {
         Verdict::Held
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -60,9 +60,8 @@
 /// A request that reached a server.
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    pub at: u64,
-    pub server: String,
     pub attempt: String,
+    pub has_run: bool,
 }
 
 /// What all servers saw.
@@ -227,14 +226,13 @@
     fn note(&self, request: &Request, has_run: bool) {
         let attempt = request.header("Attempt-Id").unwrap_or("-").to_owned();
         let verb = if has_run { "runs" } else { "turns away" };
-        let at = self
-            .record
+        self.record
             .line(&format!("server {} {verb} {attempt}", self.options.id));
-        self.log.arrivals.lock().expect("no panic").push(Arrival {
-            at,
-            server: self.options.id.clone(),
-            attempt,
-        });
+        self.log
+            .arrivals
+            .lock()
+            .expect("no panic")
+            .push(Arrival { attempt, has_run });
     }
 
     /// Answers one request; returns whether the connection stays open.
