--- a/review/standins-2/src/cases/poison.rs
+++ b/review/standins-2/src/cases/poison.rs
@@ -94,6 +94,9 @@
 /// Shared parts beside the deadly one that sound requests have too.
 const SESSIONS: u64 = 40;
 
+/// Tokens of each part of a prompt.
+const PART_TOKENS: usize = 40;
+
 /// Returns the parts of a prompt; sound requests have the same ones but for the deadly part.
 fn prompt(plan: &Plan, number: u64, is_deadly: bool) -> String {
     let mut parts = (0..plan.depth)
@@ -104,7 +107,7 @@
     }
     parts.push(0x70_0000 + number % SESSIONS);
     parts.push(0x9000_0000 + number);
-    let parts = parts.iter().map(|part| format!("{part:x}:40"));
+    let parts = parts.iter().map(|part| format!("{part:x}:{PART_TOKENS}"));
     parts.collect::<Vec<_>>().join(",")
 }
 
@@ -144,7 +147,7 @@
             zone: scene::ZONES[index % scene::ZONES.len()].to_owned(),
             slots: 64,
             ip: scene.next_ip(),
-            down: Duration::from_millis(2_500),
+            down: Duration::from_millis(2_300),
             behaviour: Arc::new(move |request| {
                 let is_framed = plan.is_framed;
                 if has_trouble && is_deadly(request) {
@@ -173,10 +176,12 @@
     let send = |number: u64, deadly: bool| {
         let (outcomes, record) = (outcomes.clone(), record.clone());
         let (name, address) = daemons[(number % daemons.len() as u64) as usize].clone();
+        let parts = prompt(plan, number, deadly);
+        let tokens = PART_TOKENS * parts.split(',').count();
         let headers = [
             ("Model".to_owned(), "m".to_owned()),
-            ("Token-Count".to_owned(), "160,100".to_owned()),
-            ("Prompt-Prefix".to_owned(), prompt(plan, number, deadly)),
+            ("Token-Count".to_owned(), format!("{tokens},100")),
+            ("Prompt-Prefix".to_owned(), parts),
         ];
         std::thread::spawn(move || {
             let kind = if deadly { "deadly part" } else { "sound" };
--- a/review/standins-2/src/scene.rs
+++ b/review/standins-2/src/scene.rs
@@ -220,7 +220,8 @@
         let mut all = headers(&attempt, deadline_ms);
         all.extend_from_slice(further);
         let at = record.line(&format!("client sends {attempt} ({kind}) to {}", daemon.0));
-        let limit = Duration::from_millis(deadline_ms);
+        // Clients leave a stream after a gap of four seconds.
+        let limit = Duration::from_millis(deadline_ms.min(4_000));
         let answer = Connection::open(daemon.1)
             .map(|mut connection| connection.send("POST", path, &all, b"{}", limit))
             .unwrap_or_default();
